Bench: a chunk rate that does not depend on the stream count

Cause: 500 streams of 20 tokens/s are 10,000 chunks/s, more than one interpreter relays, so the figures showed the collapse and not the path. The load tool itself cost as much as the box. Ruled out: memory (105 MB at 500 streams); the mean's lag alone (refusals at the ramp sent 23% of direct requests to the other box; the gate now counts its own part of the mean as it is now). Change: 2,500 chunks/s in all at each count, asyncio protocols in the load tool, the chunk counter's labels looked up once.

--- a/src/croftpulley/bench/load.py
+++ b/src/croftpulley/bench/load.py
@@ -7,9 +7,9 @@
 
 import attrs
 
-_READ_SIZE_BYTES = 65_536
 _HEADER_END = b"\r\n\r\n"
 _TIMEOUT_S = 60.0
+_TAIL_BYTES = 200
 
 
 @attrs.frozen
@@ -29,6 +29,7 @@
     first_text_s: float
     whole: bool
     events: int
+    tail: bytes
 
 
 def http_request(path: str, body: bytes, headers: dict[str, str]) -> bytes:
@@ -44,30 +45,47 @@
     return "\r\n".join(lines).encode() + _HEADER_END + body
 
 
-async def fire(shot: Shot) -> Sample:
-    """Send one request and read its stream to the end."""
-    try:
-        return await asyncio.wait_for(_fire(shot), _TIMEOUT_S)
-    except (OSError, TimeoutError):
-        return Sample(float("nan"), False, 0)
+class _Exchange(asyncio.Protocol):
+    """Sends one request and counts what comes back; cheaper than asyncio's stream reader."""
+
+    def __init__(self, shot: Shot, done: asyncio.Future[Sample]) -> None:
+        self._shot = shot
+        self._done = done
+        self._sent_at_s = time.monotonic()
+        self._first_text_s = float("nan")
+        self._events = 0
+        self._tail = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the request."""
+        if isinstance(transport, asyncio.WriteTransport):
+            transport.write(self._shot.head_and_body)
 
+    def data_received(self, data: bytes) -> None:
+        """Count the events that came."""
+        before = self._events
+        self._events += data.count(b"data:")
+        if before < self._shot.first_event <= self._events:
+            self._first_text_s = time.monotonic() - self._sent_at_s
+        self._tail = data if len(data) > _TAIL_BYTES else (self._tail + data)[-_TAIL_BYTES:]
 
-async def _fire(shot: Shot) -> Sample:
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Give the sample."""
+        if not self._done.done():
+            whole = self._shot.end_mark in self._tail
+            self._done.set_result(Sample(self._first_text_s, whole, self._events, self._tail))
+
+
+async def fire(shot: Shot) -> Sample:
+    """Send one request and read its stream to the end."""
+    loop = asyncio.get_running_loop()
+    done: asyncio.Future[Sample] = loop.create_future()
     host, _, port = shot.address.rpartition(":")
-    sent_at_s = time.monotonic()
-    reader, writer = await asyncio.open_connection(host, int(port))
-    writer.write(shot.head_and_body)
-    first_text_s = float("nan")
-    events = 0
-    tail = b""
-    while data := await reader.read(_READ_SIZE_BYTES):
-        before = events
-        events += data.count(b"data:")
-        if before < shot.first_event <= events:
-            first_text_s = time.monotonic() - sent_at_s
-        tail = (tail + data)[-200:]
-    writer.close()
-    return Sample(first_text_s, shot.end_mark in tail, events)
+    try:
+        await loop.create_connection(lambda: _Exchange(shot, done), host, int(port))
+        return await asyncio.wait_for(done, _TIMEOUT_S)
+    except (OSError, TimeoutError) as failure:
+        return Sample(float("nan"), False, 0, repr(failure).encode())
 
 
 async def at_rate(shots: list[Shot], per_s: float) -> list[Sample]:
--- a/src/croftpulley/bench/path.py
+++ b/src/croftpulley/bench/path.py
@@ -20,9 +20,12 @@
 _LATENCY_RATE_PER_S = 35.0
 _LATENCY_SHOTS = 350
 _LATENCY_TOKENS = 10
+_LATENCY_INTERVAL_MS = 50.0
 _STREAM_COUNTS = (50, 200, 500)
-_STREAM_TOKENS = 200
-_RAMP_S = 2.0
+_CHUNKS_PER_S = 2500
+"""In all, so that figures at different counts differ by the count alone."""
+_RAMP_S = 5.0
+_STREAM_S = 15.0
 _STEADY_S = 5.0
 _RSS = "process_resident_memory_bytes"
 _CPU = "process_cpu_seconds_total"
@@ -38,54 +41,67 @@
     chats: tuple[str, ...]
     foreign_chats: tuple[str, ...]
 
-    def shots(self, way: str, count: int, tokens: int) -> list[load.Shot]:
+    def shots(self, way: str, count: int, chat_body: bytes) -> list[load.Shot]:
         """Return ``count`` requests that go the given way."""
         makers = {"engine": self._engine, "direct": self._direct, "forwarded": self._forwarded}
-        return [makers[way](number, tokens) for number in range(count)]
+        return [makers[way](number, chat_body) for number in range(count)]
 
-    def _engine(self, number: int, tokens: int) -> load.Shot:
+    def _engine(self, number: int, chat_body: bytes) -> load.Shot:
         body = {
-            "request_id": f"bench-{number}-{tokens}",
+            "request_id": f"bench-{number}",
             "attempt": 1,
             "chat_key": f"bench-{number}",
             "priority": 0,
             "resume_offset_chars": 0,
-            "request": _chat_body(tokens),
+            "request": orjson.Fragment(chat_body),
         }
         engine = self.fleet.engines[number % len(self.fleet.engines)]
         data = load.http_request("/v1/generate", orjson.dumps(body), {})
         return load.Shot(engine.address, data, 1, b'"end"')
 
-    def _direct(self, number: int, tokens: int) -> load.Shot:
-        return self._chat(self.chats[number % len(self.chats)], tokens)
+    def _direct(self, number: int, chat_body: bytes) -> load.Shot:
+        return self._chat(self.chats[number % len(self.chats)], chat_body)
 
-    def _forwarded(self, number: int, tokens: int) -> load.Shot:
-        return self._chat(self.foreign_chats[number % len(self.foreign_chats)], tokens)
+    def _forwarded(self, number: int, chat_body: bytes) -> load.Shot:
+        return self._chat(self.foreign_chats[number % len(self.foreign_chats)], chat_body)
 
-    def _chat(self, chat: str, tokens: int) -> load.Shot:
+    def _chat(self, chat: str, chat_body: bytes) -> load.Shot:
         headers = {"X-Workspace": "bench", "X-Chat": chat}
-        body = orjson.dumps(_chat_body(tokens))
-        data = load.http_request("/v1/chat/completions", body, headers)
+        data = load.http_request("/v1/chat/completions", chat_body, headers)
         # The first event has only the role.
         return load.Shot(self.fleet.entries[0].caller_address, data, 2, b"[DONE]")
 
 
-def _chat_body(tokens: int) -> dict[str, Any]:
-    messages = [{"role": "user", "content": "what shall I sow this season"}]
-    return {"model": "almanac", "messages": messages, "max_tokens": tokens, "stream": True}
+def _chat_body(tokens: int, interval_ms: float) -> bytes:
+    return orjson.dumps(
+        {
+            "model": "almanac",
+            "messages": [{"role": "user", "content": "what shall I sow this season"}],
+            "max_tokens": tokens,
+            "stream": True,
+            "metadata": {"token_interval_ms": interval_ms},
+        }
+    )
 
 
-def run(folder: str) -> list[table.Row]:
-    """Run the whole bench against the fleet that was started from ``folder``."""
-    fleet = fleet_files.read(folder)
-    target = _target(fleet)
+def latency(folder: str) -> list[table.Row]:
+    """Measure first tokens against the fleet that was started from ``folder``."""
+    target = _target(fleet_files.read(folder))
     rows = []
     for way in _WAYS:
         rows += _latency(target, way)
-    rows += _added(rows)
-    for way in _WAYS[1:]:
-        for streams in _STREAM_COUNTS:
-            rows += _streams(target, way, streams)
+    return rows + _added(rows)
+
+
+def streams(
+    folder: str, ways: tuple[str, ...] = _WAYS[1:], counts: tuple[int, ...] = _STREAM_COUNTS
+) -> list[table.Row]:
+    """Measure memory and processor time with many streams open, each way."""
+    target = _target(fleet_files.read(folder))
+    rows = []
+    for way in ways:
+        for count in counts:
+            rows += _streams(target, way, count)
     return rows
 
 
@@ -107,7 +123,7 @@
 
 
 def _latency(target: _Target, way: str) -> list[table.Row]:
-    shots = target.shots(way, _LATENCY_SHOTS, _LATENCY_TOKENS)
+    shots = target.shots(way, _LATENCY_SHOTS, _chat_body(_LATENCY_TOKENS, _LATENCY_INTERVAL_MS))
     samples = asyncio.run(load.at_rate(shots, _LATENCY_RATE_PER_S))
     first = sorted(sample.first_text_s for sample in samples if not math.isnan(sample.first_text_s))
     return [
@@ -129,13 +145,13 @@
     return added
 
 
-def _streams(target: _Target, way: str, streams: int) -> list[table.Row]:
-    """Hold ``streams`` open at the first box and read its processor time and memory."""
-    samples, before, after = asyncio.run(_hold(target, way, streams))
+def _streams(target: _Target, way: str, count: int) -> list[table.Row]:
+    """Hold ``count`` streams open at the first box and read its processor time and memory."""
+    samples, before, after = asyncio.run(_hold(target, way, count))
     cpu_s = _change(before, after, _CPU)
     chunks = _change(before, after, _CHUNKS)
     first = sorted(sample.first_text_s for sample in samples if not math.isnan(sample.first_text_s))
-    key = f"{way}_{streams}"
+    key = f"{way}_{count}"
     return [
         table.Row(f"{key}_resident_mb", round(scrape.total(after, _RSS) / 1e6, 1)),
         table.Row(f"{key}_chunks_per_s", round(chunks / _STEADY_S)),
@@ -147,12 +163,14 @@
 
 
 async def _hold(
-    target: _Target, way: str, streams: int
+    target: _Target, way: str, count: int
 ) -> tuple[list[load.Sample], list[Any], list[Any]]:
     """Run the streams and read the first box's metrics at both ends of a steady time."""
     operator = target.fleet.entries[0].operator_address
-    shots = target.shots(way, streams, _STREAM_TOKENS)
-    running = asyncio.create_task(load.at_rate(shots, streams / _RAMP_S))
+    interval_s = count / _CHUNKS_PER_S
+    body = _chat_body(round(_STREAM_S / interval_s), interval_s * 1000)
+    shots = target.shots(way, count, body)
+    running = asyncio.create_task(load.at_rate(shots, count / _RAMP_S))
     await asyncio.sleep(_RAMP_S + 0.5)
     before = await asyncio.to_thread(scrape.metrics, operator)
     began_s = time.monotonic()
--- a/src/croftpulley/cli/bench.py
+++ b/src/croftpulley/cli/bench.py
@@ -72,11 +72,21 @@
 
 @bench.command()
 @click.option("--examples", default="examples/bench", show_default=True)
+@click.option(
+    "--streams",
+    multiple=True,
+    type=click.Tuple([click.Choice(["direct", "forwarded"]), int]),
+    help="Measure only this way with this many streams, such as --streams direct 500.",
+)
 @_JSON
-def path(examples: str, as_json: bool) -> None:
+def path(examples: str, streams: tuple[tuple[str, int], ...], as_json: bool) -> None:
     """Measure what the path adds and what one entry process can relay.
 
     Example: make bench-path
     """
-    rows = path_bench.run(examples)
+    rows = [] if streams else path_bench.latency(examples)
+    for way, count in streams:
+        rows += path_bench.streams(examples, (way,), (count,))
+    if not streams:
+        rows += path_bench.streams(examples)
     click.echo(table.as_json(rows) if as_json else table.plain(rows))
--- a/src/croftpulley/controllers/fleet_state.py
+++ b/src/croftpulley/controllers/fleet_state.py
@@ -64,9 +64,10 @@
                 self._renew()
 
     def _renew(self) -> None:
+        renewal = self._renewal()
         sent_at_s = self._clock.monotonic_s()
         try:
-            answer = self._control.renew(self._renewal())
+            answer = self._control.renew(renewal)
         except errors.CroftpulleyError as failure:
             self._failed(failure)
             return
@@ -76,7 +77,7 @@
         self._lease.renewed(sent_at_s, answer.lease_s)
         if not held:
             events.emit(_LOG, events.Event.LEASE_GAINED, lease_s=answer.lease_s)
-        self._take(answer)
+        self._take(answer, renewal)
 
     def _renewal(self) -> messages.Renewal:
         known = self._view.get()
@@ -94,7 +95,7 @@
             released=self._gate.give_up(give_up),
         )
 
-    def _take(self, answer: messages.RenewalAnswer) -> None:
+    def _take(self, answer: messages.RenewalAnswer, renewal: messages.Renewal) -> None:
         known = self._view.get()
         configuration = known.configuration
         if answer.configuration_json and answer.configuration_version > configuration.version:
@@ -110,7 +111,7 @@
             loads=answer.loads,
         )
         self._view.publish(changed)
-        self._gate.follow(changed)
+        self._gate.follow(changed, renewal.loads)
 
     def _failed(self, failure: errors.CroftpulleyError) -> None:
         """Log the first failed renewal of a row, and the loss of the lease once."""
--- a/src/croftpulley/controllers/gate.py
+++ b/src/croftpulley/controllers/gate.py
@@ -49,7 +49,8 @@
 
     lease_until_s: float = float("-inf")
     cap_multiple: float = 1.0
-    means: dict[str, float] = attrs.field(factory=dict)
+    heard: dict[str, membership.PoolLoad] = attrs.field(factory=dict)
+    reported: dict[str, membership.PoolLoad] = attrs.field(factory=dict)
 
 
 class EngineGate:
@@ -74,7 +75,7 @@
                 return NotAdmitted(codes.ResultCode.NOT_OWNER, -1)
             limits = admission.Limits(
                 cap_multiple=self._terms.cap_multiple,
-                mean=self._terms.means.get(owned.engine.pool, 0.0),
+                mean=self._mean(owned.engine.pool),
                 mean_evidence=mean_evidence,
                 slots=owned.slots,
             )
@@ -108,15 +109,19 @@
 
     def pool_loads(self) -> tuple[membership.PoolLoad, ...]:
         """Return what this box's engines hold, by pool."""
-        loads: dict[str, membership.PoolLoad] = {}
         with self._lock:
-            for owned in self._owned.values():
-                pool = owned.engine.pool
-                known = loads.get(pool, membership.PoolLoad(pool, 0, 0))
-                loads[pool] = membership.PoolLoad(
-                    pool, known.outstanding + owned.count.load, known.engines + 1
-                )
-        return tuple(loads[pool] for pool in sorted(loads))
+            pools = sorted({owned.engine.pool for owned in self._owned.values()})
+            return tuple(self._pool_load(pool) for pool in pools)
+
+    def _pool_load(self, pool: str) -> membership.PoolLoad:
+        counts = [owned.count.load for owned in self._owned.values() if owned.engine.pool == pool]
+        return membership.PoolLoad(pool, sum(counts), len(counts))
+
+    def _mean(self, pool: str) -> float:
+        nothing = membership.PoolLoad(pool, 0, 0)
+        heard = self._terms.heard.get(pool, nothing)
+        reported = self._terms.reported.get(pool, nothing)
+        return admission.fresh_mean(heard, reported, self._pool_load(pool))
 
     def give_up(self, engines: tuple[str, ...]) -> tuple[membership.Ownership, ...]:
         """Admit nothing more to ``engines``; return all ownerships given up and not yet moved."""
@@ -128,15 +133,21 @@
                     self._lost(owned)
             return tuple(sorted(self._given_up, key=lambda each: each.engine))
 
-    def follow(self, fleet_state: state.FleetState) -> None:
-        """Take over the ownerships and limits of a newly published fleet state."""
+    def follow(
+        self, fleet_state: state.FleetState, reported: tuple[membership.PoolLoad, ...]
+    ) -> None:
+        """Take over the ownerships and limits of a newly published fleet state.
+
+        ``reported`` is what this box told of its own loads when it learned that state.
+        """
         directory = fleet_state.directory
         mine = {owner for owner in directory.owners if owner.box == self._box}
         with self._lock:
             self._terms = _Terms(
                 lease_until_s=fleet_state.lease_until_s,
                 cap_multiple=fleet_state.configuration.cap_multiple,
-                means={load.pool: load.mean for load in fleet_state.loads},
+                heard={load.pool: load for load in fleet_state.loads},
+                reported={load.pool: load for load in reported},
             )
             self._given_up &= mine
             self._drop_lost(mine)
--- a/src/croftpulley/core/admission.py
+++ b/src/croftpulley/core/admission.py
@@ -5,6 +5,7 @@
 import attrs
 
 from croftpulley import codes
+from croftpulley.core import membership
 
 
 @attrs.define
@@ -28,6 +29,24 @@
         self.foreign = max(0, running - self.outstanding)
 
 
+def fresh_mean(
+    heard: membership.PoolLoad, reported: membership.PoolLoad, current: membership.PoolLoad
+) -> float:
+    """Return a pool's mean load with this box's own part as it is now.
+
+    ``heard`` is the pool's total as last heard, ``reported`` what this box had put into it, and
+    ``current`` what this box counts now. Without this, the first moments of a surge are refused
+    against a mean from before it.
+
+    >>> load = membership.PoolLoad
+    >>> fresh_mean(load("llm", 4, 4), load("llm", 2, 2), load("llm", 10, 2))
+    3.0
+    """
+    outstanding = heard.outstanding - reported.outstanding + current.outstanding
+    engines = heard.engines - reported.engines + current.engines
+    return max(0, outstanding) / engines if engines > 0 else 0.0
+
+
 @attrs.frozen
 class Limits:
     """The cap that holds for one admission.
--- a/src/croftpulley/fakes/engine.py
+++ b/src/croftpulley/fakes/engine.py
@@ -145,7 +145,9 @@
         await _pause((prompt - cached) * self.settings.prefill_us_per_token / 1e6, cancelled)
         words = answers.tokens(request, self.settings.answer_tokens)
         events = _events(words, body["resume_offset_chars"])
-        await self._send_events(_disturbed(events, fault), connection, fault, cancelled)
+        interval_s = _interval_ms(request, self.settings.token_interval_ms) / 1000
+        events = _disturbed(events, fault)
+        await self._send_events(events, interval_s, connection, fault, cancelled)
         total_chars = sum(map(len, words))
         if fault is faults.Fault.WRONG_TOTAL:
             total_chars += 1
@@ -179,6 +181,7 @@
     async def _send_events(
         self,
         events: list[bytes],
+        interval_s: float,
         connection: stub.StubConnection,
         fault: faults.Fault | None,
         cancelled: asyncio.Event,
@@ -187,7 +190,7 @@
             if position == len(events) // 2:
                 await _disturb(connection, fault, event, cancelled)
             await connection.send(event)
-            await _pause(self.settings.token_interval_ms / 1000, cancelled)
+            await _pause(interval_s, cancelled)
 
     def _cached(self, chat_key: str) -> int:
         if chat_key not in self._cache:
@@ -202,6 +205,12 @@
             self._cache.popitem(last=False)
 
 
+def _interval_ms(request: Any, default_ms: float) -> float:
+    """Return the time between tokens, which a request may ask for in its metadata."""
+    metadata = request.get("metadata") or {}
+    return float(metadata.get("token_interval_ms", default_ms))
+
+
 async def _pause(seconds_s: float, cancelled: asyncio.Event) -> None:
     """Wait, unless the attempt is cancelled meanwhile."""
     if seconds_s > _SHORT_PAUSE_S:
--- a/src/croftpulley/filters/dispatch.py
+++ b/src/croftpulley/filters/dispatch.py
@@ -9,12 +9,10 @@
 from croftpulley.core import attempts, membership
 from croftpulley.dispatch import local, remote
 from croftpulley.filters import base
-from croftpulley.observe import events
+from croftpulley.observe import events, metrics
 from croftpulley.transport import messages
 
 _LOG = logging.getLogger(__name__)
-DIRECT = "direct"
-FORWARDED = "forwarded"
 
 
 class Dispatch(base.Filter):
@@ -76,9 +74,9 @@
         order = self._order(exchange, owner, attempt, mean_evidence)
         if box.name == self._box:
             stream = self._local.start(order, attempt, exchange.token)
-            return base.AttemptReply(attempt, stream, DIRECT)
+            return base.AttemptReply(attempt, stream, metrics.DIRECT)
         stream = self._remote.start(box.peer_address, order, attempt, exchange.token)
-        return base.AttemptReply(attempt, stream, FORWARDED)
+        return base.AttemptReply(attempt, stream, metrics.FORWARDED)
 
     def _order(
         self,
--- a/src/croftpulley/observe/metrics.py
+++ b/src/croftpulley/observe/metrics.py
@@ -12,6 +12,9 @@
 import prometheus_client as prometheus
 
 OTHER = "other"
+DIRECT = "direct"
+FORWARDED = "forwarded"
+RELAY_PATHS = (DIRECT, FORWARDED)
 _LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0)
 
 
@@ -85,6 +88,8 @@
             ["path"],
             registry=self.registry,
         )
+        # Looked up once: this is counted for every chunk.
+        self._chunks_by_path = {path: self._chunks.labels(path) for path in RELAY_PATHS}
         self.streams_open = prometheus.Gauge(
             "croftpulley_streams_open", "Requests in flight at this box.", registry=self.registry
         )
@@ -120,7 +125,7 @@
 
     def chunks_relayed(self, path: str, count: int) -> None:
         """Record engine chunks passed on."""
-        self._chunks.labels(path).inc(count)
+        self._chunks_by_path[path].inc(count)
 
     def engine_outstanding(self, engine: str, outstanding: int) -> None:
         """Record the outstanding count of an engine that this box owns."""
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -87,6 +87,7 @@
     coalesce_ms: float = attrs.field(default=0.0, validator=_between(0, 10))
     attempts_per_request: int = attrs.field(default=6, validator=_between(1, 20))
     candidates_per_attempt: int = attrs.field(default=8, validator=_between(1, 64))
+    thread_switch_ms: float = attrs.field(default=5.0, validator=_between(0.1, 1000))
     workspace_labels: int = attrs.field(default=200, validator=_between(1, 5000))
     log_level: str = attrs.field(default="INFO", validator=_level)
 
