Hop between boxes: HTTP event stream instead of gRPC streaming

Ruled out: chunk size (one token each, both ways), the engine side (the direct way delivered all). Change: an entry box serves /v1/dispatch by waitress and reads it as it reads an engine; gRPC stays between entry and control boxes. The connection is made before the attempt counts as sent.

--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -26,18 +26,18 @@
     observe,
     relay,
 )
-from croftpulley.http import caller_app, operator_app, server, wsgi
+from croftpulley.http import caller_app, operator_app, peer_app, server, wsgi
 from croftpulley.observe import events, metrics
 from croftpulley.settings import schema
-from croftpulley.transport import channels, control_client, peer_server
-from croftpulley.transport._generated import fleet_pb2_grpc as services
+from croftpulley.transport import channels, control_client
 
 _LOG = logging.getLogger(__name__)
 _SPARE_HTTP_THREADS = 16
 """Threads beyond the streams, so that asking and refusing work on a full box."""
 _OPERATOR_THREADS = 4
 _SWEEP_INTERVAL_S = 0.05
-_GRPC_STOP_S = 1.0
+_OWNER_WORD_S = 2.0
+"""How much longer another box is waited for than an engine, so that its own word comes first."""
 
 
 class EntryDaemon:
@@ -60,8 +60,8 @@
         self._control = control_client.GrpcControlClient(
             settings.control_addresses, settings.renew_timeout_s, self._channels, self._counters
         )
-        self._grpc = self._make_grpc()
-        self.peer_address = channels.bind(self._grpc, settings.peer_address)
+        self._peer_http = self._make_peer_http()
+        self.peer_address = self._peer_http.address
         self._caller_http = self._make_caller_http()
         self.caller_address = self._caller_http.address
         self._operator_http = self._make_operator_http()
@@ -71,7 +71,7 @@
 
     def start(self) -> None:
         """Begin to serve and to renew."""
-        self._grpc.start()
+        self._peer_http.start()
         self._caller_http.start()
         self._operator_http.start()
         settings = self._settings
@@ -113,7 +113,7 @@
         for ticker in self._tickers:
             ticker.stop()
         self._caller_http.stop()
-        self._grpc.stop(_GRPC_STOP_S).wait()
+        self._peer_http.stop()
         self._operator_http.stop()
         for controller in self._controllers:
             controller.stop()
@@ -153,13 +153,14 @@
             streams.StreamController.start(self._streams),
         )
 
-    def _make_grpc(self) -> Any:
-        grpc_server = channels.make_server(self._settings.streams)
-        service = peer_server.PeerService(
-            self._dispatcher, self._streams, self._clock, self._counters
+    def _make_peer_http(self) -> server.HttpServer:
+        application = peer_app.PeerApp(self._dispatcher, self._streams, self._clock, self._counters)
+        return server.HttpServer(
+            wsgi.Application(application.handle, self._settings.http.header_count),
+            self._settings.peer_address,
+            self._settings.streams,
+            self._settings.http,
         )
-        services.add_PeerServicer_to_server(service, grpc_server)
-        return grpc_server
 
     def _make_caller_http(self) -> server.HttpServer:
         settings = self._settings
@@ -182,7 +183,9 @@
     def _make_filters(self) -> chain.Filters:
         settings = self._settings
         remote_dispatcher = remote.RemoteDispatcher(
-            self._channels, settings.connect_timeout_s, self._counters
+            settings.connect_timeout_s,
+            settings.engine_silence_s + _OWNER_WORD_S,
+            self._counters,
         )
         return chain.Filters(
             observe=observe.Observe(self._counters, self._clock),
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -55,6 +55,7 @@
 
 
 ENGINE_FAILURES = FailureCodes(codes.ResultCode.ENGINE_UNREACHABLE, codes.ResultCode.ENGINE_BROKE)
+PEER_FAILURES = FailureCodes(codes.ResultCode.PEER_LOST, codes.ResultCode.PEER_LOST)
 WORKER_FAILURES = FailureCodes(codes.ResultCode.WORKER_UNREACHABLE, codes.ResultCode.WORKER_BROKE)
 
 
@@ -76,12 +77,14 @@
         self._connection = urllib3.connection.HTTPConnection(
             host, int(port), timeout=target.connect_timeout_s
         )
-        self.response: urllib3.connection.HTTPResponse | None = None  # type: ignore[name-defined]
+        self.response: urllib3.HTTPResponse | None = None
 
-    def begin(self, request: HttpRequest) -> urllib3.HTTPResponse:
+    def begin(
+        self, request: HttpRequest, on_headers: attempts.Phase = attempts.Phase.ANSWERING
+    ) -> urllib3.HTTPResponse:
         """Connect, send the request and return the answer once its headers are there.
 
-        The attempt is `Phase.SENT` before the first byte leaves and `Phase.ANSWERING` when the
+        The attempt is `Phase.SENT` before the first byte leaves and ``on_headers`` when the
         headers have come. Raises `errors.CroftpulleyError`.
         """
         try:
@@ -89,7 +92,10 @@
             self._connection.connect()
             self._token.on_cancel(self.shutdown)
             self._token.check()
-            return self._send(request)
+            response = self._send(request)
+            if on_headers is not self._attempt.phase:
+                self._attempt.enter(on_headers)
+            return response
         except TRANSPORT_ERRORS as failure:
             raise self.failed(failure) from failure
 
@@ -108,10 +114,21 @@
             decode_content=False,
         )
         response = self._connection.getresponse()
-        self._attempt.enter(attempts.Phase.ANSWERING)
         self.response = response
         return response
 
+    def read(self, size_bytes: int) -> bytes:
+        """Return what has arrived of the answer, waiting for some; empty at its end.
+
+        Raises `errors.CroftpulleyError`.
+        """
+        if self.response is None:
+            raise RuntimeError("the answer has not begun")
+        try:
+            return self.response.read1(size_bytes)
+        except TRANSPORT_ERRORS as failure:
+            raise self.failed(failure) from failure
+
     def failed(self, failure: Exception) -> errors.CroftpulleyError:
         """Make the error for a failed exchange from the attempt's phase, or a cancel's reason."""
         unsent = self._attempt.phase is attempts.Phase.UNSENT
--- /dev/null
+++ b/src/croftpulley/endpoints/event_stream.py
@@ -0,0 +1,78 @@
+"""Reading of a server-sent event stream as it arrives, in batches of whole events."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Any, Generic, TypeVar
+
+import orjson
+
+from croftpulley.core import assembly
+from croftpulley.endpoints import connection
+from croftpulley.transport import messages
+
+T = TypeVar("T")
+_READ_SIZE_BYTES = 65_536
+_EVENT_LIMIT_BYTES = 1_048_576
+_DATA_PREFIX = b"data:"
+_EVENT_END = b"\n\n"
+
+
+class EventReader(Generic[T]):
+    """Reads events from an exchange whose answer has begun."""
+
+    def __init__(self, exchange: connection.Exchange, parse: Callable[[dict[str, Any]], T]) -> None:
+        self._exchange = exchange
+        self._parse = parse
+        self._rest = b""
+
+    def batches(self) -> Iterator[tuple[T, ...]]:
+        """Yield the whole events of each read, until the stream ends.
+
+        Raises `errors.CroftpulleyError` when the connection breaks or an event is malformed.
+        """
+        while data := self._exchange.read(_READ_SIZE_BYTES):
+            *events, self._rest = (self._rest + data).split(_EVENT_END)
+            if len(self._rest) > _EVENT_LIMIT_BYTES:
+                raise self._exchange.failed(ValueError("an event is larger than the limit"))
+            if events:
+                yield tuple(self._decode(event) for event in events)
+
+    def _decode(self, event: bytes) -> T:
+        try:
+            return self._parse(orjson.loads(event.removeprefix(_DATA_PREFIX)))
+        except (ValueError, KeyError, TypeError) as failure:
+            raise self._exchange.failed(ValueError(f"malformed event: {failure}")) from failure
+
+
+def encode(document: Any) -> bytes:
+    """Return one event."""
+    return b"data: %b\n\n" % orjson.dumps(document)
+
+
+def parse(fields: dict[str, Any]) -> messages.StreamEvent:
+    """Read a text or end event; raises `ValueError`, `KeyError` or `TypeError`."""
+    if "text" in fields:
+        return assembly.Chunk(count(fields["offset"]), text(fields["text"]))
+    end = fields["end"]
+    return messages.Finished(
+        finish_reason=text(end["finish_reason"]),
+        total_chars=count(end["total_chars"]),
+        prompt_tokens=count(end["prompt_tokens"]),
+        cached_tokens=count(end["cached_tokens"]),
+        completion_tokens=count(end["completion_tokens"]),
+    )
+
+
+def count(value: Any) -> int:
+    """Return a count that is one; raises `ValueError`."""
+    if type(value) is not int or value < 0:
+        raise ValueError(f"got {value!r}, expected a count")
+    return value
+
+
+def text(value: Any) -> str:
+    """Return a text that is one; raises `ValueError`."""
+    if type(value) is not str:
+        raise ValueError(f"got {value!r}, expected text")
+    return value
--- a/src/croftpulley/endpoints/http_engine.py
+++ b/src/croftpulley/endpoints/http_engine.py
@@ -8,18 +8,14 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import Any
 
 import orjson
 
 from croftpulley import cancel, codes, errors
-from croftpulley.core import assembly, attempts
-from croftpulley.endpoints import base, connection
+from croftpulley.core import attempts
+from croftpulley.endpoints import base, connection, event_stream
 from croftpulley.transport import messages
 
-_READ_SIZE_BYTES = 65_536
-_EVENT_LIMIT_BYTES = 1_048_576
-_DATA_PREFIX = b"data:"
 _NOT_RUN_STATUS = 503
 """The status with which an engine says that it did not take the request."""
 
@@ -47,24 +43,17 @@
     def __init__(self, exchange: connection.Exchange, attempt: attempts.Attempt) -> None:
         self._exchange = exchange
         self._attempt = attempt
-        self._rest = b""
+        self._reader = event_stream.EventReader(exchange, event_stream.parse)
 
     def batches(self) -> Iterator[base.EventBatch]:
         """Yield the events of each read."""
-        while True:
-            try:
-                data = self._exchange.response.read1(_READ_SIZE_BYTES)  # type: ignore[union-attr]
-            except connection.TRANSPORT_ERRORS as failure:
-                raise self._exchange.failed(failure) from failure
-            if not data:
-                raise self._exchange.failed(EOFError("the stream ended before its end event"))
-            batch = self._take(data)
-            if batch and isinstance(batch[-1], messages.Finished):
+        for batch in self._reader.batches():
+            if isinstance(batch[-1], messages.Finished):
                 self._attempt.enter(attempts.Phase.DONE)
                 yield batch
                 return
-            if batch:
-                yield batch
+            yield batch
+        raise self._exchange.failed(EOFError("the stream ended before its end event"))
 
     def shutdown(self) -> None:
         """End the read of another thread."""
@@ -74,42 +63,6 @@
         """Close the connection."""
         self._exchange.close()
 
-    def _take(self, data: bytes) -> base.EventBatch:
-        """Return the whole events in what was read; the rest waits for more."""
-        *events, self._rest = (self._rest + data).split(b"\n\n")
-        if len(self._rest) > _EVENT_LIMIT_BYTES:
-            raise self._exchange.failed(ValueError("an event is larger than the limit"))
-        try:
-            return tuple(_parse(event) for event in events if event)
-        except (ValueError, KeyError, TypeError) as failure:
-            raise self._exchange.failed(ValueError(f"malformed event: {failure}")) from failure
-
-
-def _parse(event: bytes) -> messages.StreamEvent:
-    fields = orjson.loads(event.removeprefix(_DATA_PREFIX))
-    if "text" in fields:
-        return assembly.Chunk(_count(fields["offset"]), _text(fields["text"]))
-    end = fields["end"]
-    return messages.Finished(
-        finish_reason=_text(end["finish_reason"]),
-        total_chars=_count(end["total_chars"]),
-        prompt_tokens=_count(end["prompt_tokens"]),
-        cached_tokens=_count(end["cached_tokens"]),
-        completion_tokens=_count(end["completion_tokens"]),
-    )
-
-
-def _count(value: Any) -> int:
-    if type(value) is not int or value < 0:
-        raise ValueError(f"got {value!r}, expected a count")
-    return value
-
-
-def _text(value: Any) -> str:
-    if type(value) is not str:
-        raise ValueError(f"got {value!r}, expected text")
-    return value
-
 
 class HttpEngineClient(base.EngineClient):
     """Speaks to engines over HTTP."""
@@ -151,7 +104,9 @@
         _, body = connection.whole(self._target(address), request, connection.ENGINE_FAILURES)
         try:
             fields = orjson.loads(body)
-            return base.LoadReport(_count(fields["running"]), _count(fields["slots"]))
+            return base.LoadReport(
+                event_stream.count(fields["running"]), event_stream.count(fields["slots"])
+            )
         except (ValueError, KeyError, TypeError) as failure:
             raise errors.CroftpulleyError(
                 codes.ResultCode.ENGINE_BROKE, f"{address}: malformed load report: {failure}"
--- a/src/croftpulley/transport/codec.py
+++ b/src/croftpulley/transport/codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from croftpulley import codes
-from croftpulley.core import assembly, attempts, claims, membership
+from croftpulley.core import claims, membership
 from croftpulley.transport import messages
 from croftpulley.transport._generated import fleet_pb2 as wire
 
@@ -166,95 +166,3 @@
     """Decode the answer to a claim."""
     outcome = outcome_from_wire(reply.outcome) if reply.HasField("outcome") else None
     return claims.ClaimAnswer(claims.ClaimState(reply.state), outcome)
-
-
-def order_to_wire(order: messages.DispatchOrder) -> wire.DispatchRequest:
-    """Encode a dispatch order."""
-    return wire.DispatchRequest(
-        request_id=order.request_id,
-        attempt=order.attempt,
-        engine=order.engine,
-        epoch=order.epoch,
-        workspace=order.workspace,
-        request_class=order.request_class,
-        priority=order.priority,
-        chat_key=order.chat_key,
-        budget_s=order.budget_s,
-        resume_offset_chars=order.resume_offset_chars,
-        prefix_text=order.prefix_text,
-        body_json=order.body_json,
-        mean_evidence=order.mean_evidence,
-    )
-
-
-def order_from_wire(request: wire.DispatchRequest) -> messages.DispatchOrder:
-    """Decode a dispatch order."""
-    return messages.DispatchOrder(
-        request_id=request.request_id,
-        attempt=request.attempt,
-        engine=request.engine,
-        epoch=request.epoch,
-        workspace=request.workspace,
-        request_class=request.request_class,
-        priority=request.priority,
-        chat_key=request.chat_key,
-        budget_s=request.budget_s,
-        resume_offset_chars=request.resume_offset_chars,
-        prefix_text=request.prefix_text,
-        body_json=request.body_json,
-        mean_evidence=request.mean_evidence,
-    )
-
-
-def event_to_wire(event: messages.DispatchEvent) -> wire.DispatchEvent:
-    """Encode one event of a dispatch."""
-    match event:
-        case assembly.Chunk(offset_chars, text):
-            return wire.DispatchEvent(chunk=wire.TextChunk(offset_chars=offset_chars, text=text))
-        case messages.Accepted():
-            return wire.DispatchEvent(accepted=wire.Accepted())
-        case messages.Refused(code, outstanding):
-            refused = wire.Refused(code=code.value, outstanding=outstanding)
-            return wire.DispatchEvent(refused=refused)
-        case messages.Broken(code, phase):
-            return wire.DispatchEvent(broken=wire.Broken(code=code.value, phase=phase.value))
-        case messages.Finished():
-            return wire.DispatchEvent(finished=_finished_to_wire(event))
-
-
-def _finished_to_wire(finished: messages.Finished) -> wire.Finished:
-    return wire.Finished(
-        finish_reason=finished.finish_reason,
-        total_chars=finished.total_chars,
-        prompt_tokens=finished.prompt_tokens,
-        cached_tokens=finished.cached_tokens,
-        completion_tokens=finished.completion_tokens,
-    )
-
-
-def event_from_wire(event: wire.DispatchEvent) -> messages.DispatchEvent:
-    """Decode one event of a dispatch; raises `ValueError` for an empty one."""
-    match event.WhichOneof("kind"):
-        case "chunk":
-            return assembly.Chunk(event.chunk.offset_chars, event.chunk.text)
-        case "accepted":
-            return messages.Accepted()
-        case "refused":
-            code = codes.ResultCode(event.refused.code)
-            return messages.Refused(code, event.refused.outstanding)
-        case "broken":
-            phase = attempts.Phase(event.broken.phase)
-            return messages.Broken(codes.ResultCode(event.broken.code), phase)
-        case "finished":
-            return _finished_from_wire(event.finished)
-    raise ValueError("got a dispatch event of no kind")
-
-
-def _finished_from_wire(finished: wire.Finished) -> messages.Finished:
-    return messages.Finished(
-        finish_reason=finished.finish_reason,
-        total_chars=finished.total_chars,
-        prompt_tokens=finished.prompt_tokens,
-        cached_tokens=finished.cached_tokens,
-        completion_tokens=finished.completion_tokens,
-    )
