--- a/src/croftpulley/filters/observe.py
+++ b/src/croftpulley/filters/observe.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Iterator
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.filters import base
-from croftpulley.observe import metrics
+from croftpulley.observe import events, metrics
+
+_LOG = logging.getLogger(__name__)
 
 
 class Observe(base.Filter):
@@ -55,6 +58,8 @@
             self._ended(exchange, code)
 
     def _ended(self, exchange: base.Exchange, code: codes.ResultCode) -> None:
+        if code is codes.ResultCode.CALLER_GONE:
+            events.emit(_LOG, events.Event.CALLER_GONE, request_id=exchange.request.request_id)
         self._counters.request_ended(
             exchange.workspace_name, exchange.class_name, code.name, self._elapsed_s(exchange)
         )
--- a/src/croftpulley/filters/relay.py
+++ b/src/croftpulley/filters/relay.py
@@ -7,6 +7,8 @@
 import time
 from collections.abc import Callable, Iterator
 
+import attrs
+
 from croftpulley import codes, errors
 from croftpulley.core import assembly, attempts
 from croftpulley.endpoints import base as endpoints
@@ -63,11 +65,13 @@
         """Yield the parts of one attempt; raises `errors.CroftpulleyError` if it breaks off."""
         for batch in reply.stream.batches():
             self._counters.chunks_relayed(reply.path, len(batch))
-            text, end = _take(batch, reply.attempt, answer)
-            if text:
-                yield base.TextPart(text)
-            if end is not None:
-                yield end
+            taken = _take(batch, reply.attempt, answer)
+            if taken.text:
+                yield base.TextPart(taken.text)
+            if taken.failure is not None:
+                raise taken.failure
+            if taken.end is not None:
+                yield taken.end
                 return
             if self._coalesce_s:
                 # What arrives meanwhile waits in the socket and is read at once.
@@ -93,21 +97,42 @@
         events.emit(_LOG, events.Event.ANSWER_RESUMED, request_id=exchange.request.request_id)
 
 
+@attrs.define
+class _Taken:
+    """What a batch gave: the text that is now next, and the end or the failure behind it.
+
+    Text before a failure has been counted as sent, so it must reach the caller all the same.
+    """
+
+    text: str = ""
+    end: base.EndPart | None = None
+    failure: errors.CroftpulleyError | None = None
+
+
 def _take(
     batch: endpoints.EventBatch, attempt: attempts.Attempt, answer: assembly.Assembler
-) -> tuple[str, base.EndPart | None]:
-    """Add a batch to the answer; return the text that is now next and the end if it came."""
-    texts: list[str] = []
+) -> _Taken:
+    """Add a batch to the answer."""
+    taken = _Taken()
     try:
         for event in batch:
             if isinstance(event, messages.Finished):
-                if not answer.check_end(event.total_chars):
-                    raise _corrupt(attempt, f"{event.total_chars} characters were announced")
-                return "".join(texts), _end(event)
-            texts.append(answer.add(attempt.number, event))
+                _check_whole(event, answer)
+                taken.end = _end(event)
+                return taken
+            taken.text += answer.add(attempt.number, event)
     except assembly.ContradictionError as failure:
-        raise _corrupt(attempt, str(failure)) from failure
-    return "".join(texts), None
+        taken.failure = errors.CroftpulleyError(
+            codes.ResultCode.ANSWER_CORRUPT, str(failure), run_state=attempt.run_state
+        )
+    return taken
+
+
+def _check_whole(finished: messages.Finished, answer: assembly.Assembler) -> None:
+    if not answer.check_end(finished.total_chars):
+        raise assembly.ContradictionError(
+            f"got {answer.offset_chars} characters, {finished.total_chars} were announced"
+        )
 
 
 def _end(finished: messages.Finished) -> base.EndPart:
@@ -117,9 +142,3 @@
         finished.cached_tokens,
         finished.completion_tokens,
     )
-
-
-def _corrupt(attempt: attempts.Attempt, detail: str) -> errors.CroftpulleyError:
-    return errors.CroftpulleyError(
-        codes.ResultCode.ANSWER_CORRUPT, detail, run_state=attempt.run_state
-    )
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+import hypothesis
 import pytest
 import urllib3
 
@@ -15,6 +16,10 @@
 from croftpulley.fakes import engine, platform_list, worker
 from croftpulley.settings import schema
 
+# The same examples in every run, so that CI gives the same verdict.
+hypothesis.settings.register_profile("fixed", derandomize=True, deadline=None)
+hypothesis.settings.load_profile("fixed")
+
 ANY_PORT = "127.0.0.1:0"
 WAIT_LIMIT_S = 20.0
 TOKEN = "a-token-for-tests"
--- /dev/null
+++ b/testing/core/test_agreed.py
@@ -0,0 +1,95 @@
+from __future__ import annotations
+
+import pytest
+
+from croftpulley import codes
+from croftpulley.core import agreed, claims, submissions
+
+RAN = claims.Outcome(codes.RunState.RAN, 200, "application/json", b"{}")
+NOT_RUN = claims.Outcome(codes.RunState.NOT_RUN, 0, "", b"")
+
+
+@pytest.fixture
+def state():
+    return agreed.AgreedState()
+
+
+def submit(state, operator="aigerim", number=1, document="{}"):
+    submission = submissions.Submission(operator, number, document)
+    return state.apply(agreed.SubmitConfiguration(submission))
+
+
+def claim(state, key="k", digest="d", claim_id="c-1"):
+    return state.apply(agreed.ClaimCall("clinic", key, digest, claim_id, 100.0))
+
+
+def record(state, outcome, key="k"):
+    return state.apply(agreed.RecordOutcome("clinic", key, outcome))
+
+
+def test_a_resent_submission_gets_its_first_answer_and_reverts_nothing(state):
+    first = submit(state, number=1, document='{"a": 1}')
+    for number in range(2, 302):
+        submit(state, number=number, document=f'{{"a": {number}}}')
+    again = submit(state, number=1, document='{"a": 1}')
+    assert again.winner == first.winner
+    assert state.submissions.version == 301
+    assert state.submissions.document_json == '{"a": 301}'
+
+
+@pytest.mark.parametrize(("operator", "document"), [("aigerim", '{"a": 2}'), ("bolat", '{"a": 1}')])
+def test_an_equal_number_with_other_content_or_operator_names_the_winner(state, operator, document):
+    submit(state, "aigerim", 7, '{"a": 1}')
+    answer = submit(state, operator, 7, document)
+    assert answer.code is codes.ResultCode.SUBMISSION_CONFLICT
+    assert answer.winner.operator == "aigerim"
+    assert state.submissions.version == 1
+
+
+def test_a_key_is_claimed_once(state):
+    assert claim(state, claim_id="c-1").state is claims.ClaimState.FRESH
+    assert claim(state, claim_id="c-2").state is claims.ClaimState.PENDING
+
+
+def test_the_same_claim_asked_again_is_still_fresh(state):
+    # The answer to the first was lost, and the box that asks has sent nothing yet.
+    claim(state, claim_id="c-1")
+    assert claim(state, claim_id="c-1").state is claims.ClaimState.FRESH
+
+
+def test_a_recorded_outcome_is_given_again_and_never_replaced(state):
+    claim(state)
+    assert record(state, RAN)
+    assert not record(state, claims.Outcome(codes.RunState.RAN, 500, "", b"other"))
+    assert claim(state, claim_id="c-2").outcome == RAN
+
+
+def test_a_call_that_did_not_run_frees_its_key(state):
+    claim(state)
+    record(state, NOT_RUN)
+    assert claim(state, claim_id="c-2").state is claims.ClaimState.FRESH
+
+
+def test_a_late_not_run_never_frees_a_key_that_ran(state):
+    claim(state)
+    record(state, RAN)
+    assert not record(state, NOT_RUN)
+    assert claim(state, claim_id="c-2").state is claims.ClaimState.RECORDED
+
+
+def test_a_key_reused_for_another_call_is_a_conflict(state):
+    claim(state, digest="d")
+    assert claim(state, digest="e").state is claims.ClaimState.CONFLICT
+
+
+def test_claims_older_than_the_window_go_a_bounded_number_at_once(state):
+    for number in range(claims.CLAIMS_DROPPED_AT_ONCE + 5):
+        claim(state, key=f"k-{number}")
+    assert state.apply(agreed.DropClaims(101.0)) == claims.CLAIMS_DROPPED_AT_ONCE
+    assert state.apply(agreed.DropClaims(101.0)) == 5
+    assert state.claims.oldest_at_wall_s() is None
+
+
+def test_every_grant_has_a_larger_epoch(state):
+    epochs = [state.apply(agreed.GrantOwnership("e", box)).epoch for box in "aba"]
+    assert epochs == [1, 2, 3]
--- /dev/null
+++ b/testing/core/test_attempts.py
@@ -0,0 +1,42 @@
+from __future__ import annotations
+
+import pytest
+
+from croftpulley import codes
+from croftpulley.core import attempts
+
+
+@pytest.mark.parametrize(
+    ("path", "state"),
+    [
+        ((), codes.RunState.NOT_RUN),
+        (("SENT",), codes.RunState.UNKNOWN),
+        (("SENT", "REFUSED"), codes.RunState.NOT_RUN),
+        (("SENT", "ANSWERING"), codes.RunState.RAN),
+        (("SENT", "ANSWERING", "DONE"), codes.RunState.RAN),
+    ],
+)
+def test_the_run_state_follows_from_the_phase(path, state):
+    attempt = attempts.Attempt(1, "engine")
+    for phase in path:
+        attempt.enter(attempts.Phase[phase])
+    assert attempt.run_state is state
+
+
+def test_an_attempt_never_goes_back():
+    attempt = attempts.Attempt(1, "engine")
+    attempt.enter(attempts.Phase.SENT)
+    attempt.enter(attempts.Phase.ANSWERING)
+    with pytest.raises(ValueError, match="cannot go from ANSWERING to SENT"):
+        attempt.enter(attempts.Phase.SENT)
+    attempt.adopt(attempts.Phase.SENT)
+    assert attempt.phase is attempts.Phase.ANSWERING
+
+
+def test_one_attempt_that_may_have_run_makes_the_request_unknown():
+    log = attempts.AttemptLog()
+    log.begin("a")
+    log.begin("b").enter(attempts.Phase.SENT)
+    log.begin("c")
+    assert log.run_state is codes.RunState.UNKNOWN
+    assert log.failed_count == 1
--- /dev/null
+++ b/testing/settings/test_loader.py
@@ -0,0 +1,71 @@
+from __future__ import annotations
+
+import pathlib
+
+import pytest
+
+from croftpulley import errors
+from croftpulley.settings import fleet, loader, schema
+
+EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
+KINDS = {"entry": schema.EntrySettings, "control": schema.ControlSettings}
+
+
+def faults(text, kind=schema.EntrySettings):
+    with pytest.raises(errors.SettingsErrorGroup) as caught:
+        loader.parse(text, kind, "box.jsonc")
+    return {fault.key: fault.detail for fault in caught.value.exceptions}
+
+
+def test_every_fault_is_reported_at_once_with_file_and_key():
+    found = faults(
+        """{ // a comment
+        "box": 3, "hall": "a b", "caller_address": "localhost:80", "http": {"connections": 1},
+        "peer_address": "127.0.0.1:1", "operator_address": "127.0.0.1:99999",
+        "control_addresses": [], "platform_address": "127.0.0.1:2", "renew_intervall_s": 1 }"""
+    )
+    assert set(found) == {
+        "box",
+        "hall",
+        "caller_address",
+        "http.connections",
+        "operator_address",
+        "control_addresses",
+        "renew_intervall_s",
+    }
+    assert found["box"] == "box.jsonc: box: got 3, allowed is a string"
+    assert "got 1, allowed is 10 to 20000" in found["http.connections"]
+    assert "unknown key; allowed are" in found["renew_intervall_s"]
+
+
+def test_a_missing_key_is_named():
+    assert faults("{}", schema.ControlSettings)["data_folder"].endswith("missing; it is required")
+
+
+@pytest.mark.parametrize("text", ["{", "[]", '{"box": "a", "box": "b"}'])
+def test_what_is_no_object_or_repeats_a_key_is_refused(text):
+    assert len(faults(text)) == 1
+
+
+def test_true_is_no_number():
+    assert "streams" in faults('{"streams": true}')
+
+
+def test_a_file_that_cannot_be_read_is_a_settings_fault(tmp_path):
+    with pytest.raises(errors.SettingsErrorGroup) as caught:
+        loader.load(str(tmp_path / "none.jsonc"), schema.EntrySettings)
+    assert "No such file" in caught.value.exceptions[0].detail
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.glob("*/*.jsonc")), ids=lambda path: path.name)
+def test_every_example_is_valid(path):
+    if path.name == "endpoints.jsonc":
+        return
+    kind = fleet.FleetConfiguration if path.name == "fleet.jsonc" else schema.FakeSettings
+    assert loader.load(str(path), KINDS.get(path.name.split("-")[0], kind))
+
+
+def test_faults_deep_in_a_configuration_are_named():
+    with pytest.raises(errors.SettingsErrorGroup) as caught:
+        fleet.parse('{"models": [{"name": "m"}], "cap_multiple": 0.5}')
+    assert {fault.key for fault in caught.value.exceptions} == {"models[0].pool", "cap_multiple"}
