Failures between box, engine, worker and peer, told as they were

Causes, each found by a test over real sockets and seen failing: - engines between owners: requests were refused with NOT_OWNER; a box published the new directory before its own gate knew of it, and another box hears of a grant before the new owner does. Requests now follow the directory for up to handover_wait_s. - an engine that refused the owner's connection was told as unknown over a hop: the order to the owner counted as sent. The owner's word on the phase now holds until an answer has begun. - the owner's deadline may fire first; the box took that for a failed attempt and tried again past the deadline. It now ends the request. - a request that ended while a load report came was counted as foreign, so the next turn went cold. - a worker's socket limit raced with the deadline and gave worker_broke instead of deadline_passed. - shutting down a response that had just ended raised, and the caller got an internal error. Ruled out: the stand-ins (their records agree with what was told); waiting only for a newer directory (tried first: the new owner may hear later than the asking box, and nothing newer comes).

--- a/src/croftpulley/controllers/endpoints.py
+++ b/src/croftpulley/controllers/endpoints.py
@@ -52,6 +52,7 @@
     def handle(self, message: object) -> None:
         """Read every report once."""
         for engine in self._gate.engines():
+            self._gate.ask(engine.name)
             try:
                 report = self._client.load(engine.address)
             except errors.CroftpulleyError as failure:
--- a/src/croftpulley/controllers/fleet_state.py
+++ b/src/croftpulley/controllers/fleet_state.py
@@ -110,8 +110,9 @@
             directory=answer.directory or known.directory,
             loads=answer.loads,
         )
-        self._view.publish(changed)
+        # The gate first: who sees the new directory may count on it.
         self._gate.follow(changed, renewal.loads)
+        self._view.publish(changed)
 
     def _failed(self, failure: errors.CroftpulleyError) -> None:
         """Log the first failed renewal of a row, and the loss of the lease once."""
--- a/src/croftpulley/controllers/gate.py
+++ b/src/croftpulley/controllers/gate.py
@@ -82,7 +82,7 @@
             code = admission.refusal(owned.count, limits, leaving=owned.engine.leaving)
             if code is not None:
                 return NotAdmitted(code, owned.count.load)
-            owned.count.outstanding += 1
+            owned.count.enter()
             self._counters.engine_outstanding(engine, owned.count.outstanding)
             return Admitted(owned.engine)
 
@@ -91,9 +91,16 @@
         with self._lock:
             owned = self._owned.get(engine)
             if owned is not None and owned.ownership.epoch == epoch:
-                owned.count.outstanding -= 1
+                owned.count.leave()
                 self._counters.engine_outstanding(engine, owned.count.outstanding)
 
+    def ask(self, engine: str) -> None:
+        """Note that an engine is about to be asked for its load report."""
+        with self._lock:
+            owned = self._owned.get(engine)
+            if owned is not None:
+                owned.count.ask()
+
     def report(self, engine: str, running: int, slots: int) -> None:
         """Take an engine's load report."""
         with self._lock:
--- a/src/croftpulley/core/admission.py
+++ b/src/croftpulley/core/admission.py
@@ -18,15 +18,33 @@
 
     outstanding: int = 0
     foreign: int = 0
+    most_since_asked: int = 0
 
     @property
     def load(self) -> int:
         """Requests at the engine."""
         return self.outstanding + self.foreign
 
+    def enter(self) -> None:
+        """Count one request in."""
+        self.outstanding += 1
+        self.most_since_asked = max(self.most_since_asked, self.outstanding)
+
+    def leave(self) -> None:
+        """Count one request out."""
+        self.outstanding -= 1
+
+    def ask(self) -> None:
+        """Begin to ask the engine for its load report."""
+        self.most_since_asked = self.outstanding
+
     def report(self, running: int) -> None:
-        """Take the engine's own load report."""
-        self.foreign = max(0, running - self.outstanding)
+        """Take the load report asked for.
+
+        The engine wrote it at some moment since, when it may have run as many requests of this
+        owner as there were at most; only what goes beyond them is foreign.
+        """
+        self.foreign = max(0, running - self.most_since_asked)
 
 
 def fresh_mean(
--- a/src/croftpulley/core/attempts.py
+++ b/src/croftpulley/core/attempts.py
@@ -69,11 +69,13 @@
         self.phase = phase
 
     def adopt(self, phase: Phase) -> None:
-        """Take over the phase that another box reported for this attempt.
+        """Take over the phase that the box which carries out this attempt reports.
 
-        A report never takes an attempt back to an earlier phase.
+        To this box the attempt is sent once the order has left; only the other box knows whether
+        the engine has seen anything of it. An answer that has begun here is never taken back.
         """
-        self.phase = max(self.phase, phase) if phase is not Phase.REFUSED else phase
+        if self.phase < Phase.ANSWERING or phase > self.phase:
+            self.phase = phase
 
     @property
     def run_state(self) -> codes.RunState:
--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -203,6 +203,8 @@
                 self._dispatcher,
                 remote_dispatcher,
                 settings.candidates_per_attempt,
+                self._view,
+                settings.handover_wait_s,
                 self._clock,
             ),
             claim=claim.Claim(self._control),
@@ -241,5 +243,6 @@
             "draining": known.draining,
             "streams": self._streams.open_count(),
             "owned_engines": [engine.name for engine in self._gate.engines()],
+            "outstanding": sum(load.outstanding for load in self._gate.pool_loads()),
             "loads": [attrs.asdict(load) for load in known.loads],
         }
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -147,8 +147,8 @@
                 self.response.shutdown()
             elif sock is not None:
                 sock.shutdown(2)
-        except (OSError, ValueError):
-            # Closed by its own thread in the meantime: nothing is left to end.
+        except (OSError, ValueError, RuntimeError):
+            # Ended or closed by its own thread in the meantime: nothing is left to end.
             return
 
     def close(self) -> None:
--- a/src/croftpulley/endpoints/http_engine.py
+++ b/src/croftpulley/endpoints/http_engine.py
@@ -84,9 +84,10 @@
         )
         try:
             request = connection.HttpRequest("POST", "/v1/generate", request_body(order))
-            response = exchange.begin(request)
+            response = exchange.begin(request, attempts.Phase.SENT)
             if response.status != 200:
                 raise _refusal(address, response.status, attempt)
+            attempt.enter(attempts.Phase.ANSWERING)
         except BaseException:
             exchange.close()
             raise
@@ -119,7 +120,7 @@
 def _refusal(address: str, status: int, attempt: attempts.Attempt) -> errors.CroftpulleyError:
     """Make the error for an answer that is no stream; 503 says that nothing ran."""
     if status == _NOT_RUN_STATUS:
-        attempt.adopt(attempts.Phase.REFUSED)
+        attempt.enter(attempts.Phase.REFUSED)
     return errors.CroftpulleyError(
         codes.ResultCode.ENGINE_REFUSED,
         f"{address}: the engine answered with status {status}",
--- a/src/croftpulley/fakes/engine.py
+++ b/src/croftpulley/fakes/engine.py
@@ -232,6 +232,8 @@
     """Do what the fault does in the middle of the answer."""
     match fault:
         case faults.Fault.DIE_MID_STREAM:
+            raise _BrokenOff
+        case faults.Fault.RESET_MID_STREAM:
             connection.reset()
             raise _BrokenOff
         case faults.Fault.HALF_EVENT:
--- a/src/croftpulley/fakes/faults.py
+++ b/src/croftpulley/fakes/faults.py
@@ -13,6 +13,7 @@
     RESET_BEFORE_ANSWER = "reset_before_answer"
     RESET_AFTER_RUN = "reset_after_run"
     DIE_MID_STREAM = "die_mid_stream"
+    RESET_MID_STREAM = "reset_mid_stream"
     HALF_EVENT = "half_event"
     SILENT = "silent"
     SILENT_MID_STREAM = "silent_mid_stream"
--- a/src/croftpulley/fakes/stub.py
+++ b/src/croftpulley/fakes/stub.py
@@ -8,7 +8,6 @@
 
 import abc
 import asyncio
-import contextlib
 import struct
 import threading
 from typing import Any
@@ -93,7 +92,9 @@
             raise self._failure
 
     def stop(self) -> None:
-        """Stop listening and end every connection."""
+        """Stop listening and end every connection; a second call does nothing."""
+        if self._loop.is_closed():
+            return
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
@@ -133,8 +134,6 @@
             pass
         finally:
             writer.close()
-            with contextlib.suppress(ConnectionError):
-                await writer.wait_closed()
 
 
 async def _read_request(reader: asyncio.StreamReader) -> StubRequest:
--- a/src/croftpulley/filters/base.py
+++ b/src/croftpulley/filters/base.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from croftpulley import cancel
+from croftpulley import cancel, codes, errors
 from croftpulley.core import attempts, membership
 from croftpulley.endpoints import base as endpoints
 from croftpulley.settings import fleet
@@ -69,11 +69,27 @@
     service: fleet.Service | None = None
     deadline_s: float = float("inf")
     candidates: list[membership.Endpoint] = attrs.field(factory=list)
+    failed_engines: set[str] = attrs.field(factory=set)
     token: cancel.CancelToken = attrs.field(factory=cancel.CancelToken)
     attempts: attempts.AttemptLog = attrs.field(factory=attempts.AttemptLog)
     answer_so_far: str = ""
     at_end: contextlib.ExitStack = attrs.field(factory=contextlib.ExitStack)
 
+    def end_if_over(self, failure: errors.CroftpulleyError) -> None:
+        """Raise ``failure`` if no further attempt can help.
+
+        The owner of an engine watches the same deadline and may be the first to say so.
+        """
+        if failure.code is codes.ResultCode.DEADLINE_PASSED:
+            self.token.cancel(failure.code)
+        if self.token.reason is not None:
+            raise failure
+
+    @property
+    def untried(self) -> list[membership.Endpoint]:
+        """The candidates at which no attempt has failed yet, preferred first."""
+        return [each for each in self.candidates if each.name not in self.failed_engines]
+
     @property
     def workspace_name(self) -> str:
         """The workspace's name, empty before it is known."""
--- a/src/croftpulley/filters/call.py
+++ b/src/croftpulley/filters/call.py
@@ -8,6 +8,9 @@
 from croftpulley.endpoints import base as endpoints
 from croftpulley.filters import base
 
+_GRACE_S = 1.0
+"""The deadline's own watch must end the call, so that its result code says so."""
+
 
 class CallWorker(base.Filter):
     """Tries the workers in order; goes on to the next only where that cannot run a call twice."""
@@ -27,7 +30,7 @@
                 raise errors.CroftpulleyError(codes.ResultCode.DEADLINE_PASSED)
             try:
                 answer = self._client.call(
-                    worker.address, call, attempt, exchange.token, remaining_s
+                    worker.address, call, attempt, exchange.token, remaining_s + _GRACE_S
                 )
             except errors.CroftpulleyError as raised:
                 failure = raised
--- a/src/croftpulley/filters/dispatch.py
+++ b/src/croftpulley/filters/dispatch.py
@@ -6,13 +6,17 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.core import attempts, membership
+from croftpulley.controllers import actors, state
+from croftpulley.core import attempts, choice, membership
 from croftpulley.dispatch import local, remote
 from croftpulley.filters import base
 from croftpulley.observe import events, metrics
 from croftpulley.transport import messages
 
 _LOG = logging.getLogger(__name__)
+_MOVING = (codes.ResultCode.NOT_OWNER, codes.ResultCode.NO_ENGINE, codes.ResultCode.NO_LEASE)
+"""Refusals that end as soon as the engine has its next owner."""
+_MOMENT_S = 0.1
 
 
 class Dispatch(base.Filter):
@@ -24,19 +28,49 @@
         local_dispatcher: local.LocalDispatcher,
         remote_dispatcher: remote.RemoteDispatcher,
         candidates_limit: int,
+        view: actors.View[state.FleetState],
+        handover_wait_s: float,
         clock: clocks.Clock,
     ) -> None:
         self._box = box
         self._local = local_dispatcher
         self._remote = remote_dispatcher
         self._candidates_limit = candidates_limit
+        self._view = view
+        self._handover_wait_s = handover_wait_s
         self._clock = clock
 
     def handle(self, exchange: base.Exchange, proceed: base.Proceed) -> base.Reply:
-        """Start one attempt; raises when no candidate takes it."""
+        """Start one attempt; raises when no candidate takes it.
+
+        While engines move from one owner to another nobody may admit. That is soon over, so the
+        candidates are tried again for a while: at once when the directory changes, and after a
+        moment all the same, since a new owner may hear of its engine later than this box does.
+        """
+        ends_at_s = self._clock.monotonic_s() + self._handover_wait_s
+        while True:
+            try:
+                return self._try_candidates(exchange)
+            except local.NotAdmittedError as refusal:
+                exchange.token.check()
+                if refusal.code not in _MOVING or self._clock.monotonic_s() >= ends_at_s:
+                    raise
+            self._follow_directory(exchange)
+
+    def _follow_directory(self, exchange: base.Exchange) -> None:
+        """Wait a moment for a newer directory and take over the one there is."""
+        version = exchange.directory.version
+        self._view.wait_for(lambda known: known.directory.version != version, _MOMENT_S)
+        if exchange.chat is not None:
+            exchange.directory = self._view.get().directory
+            exchange.candidates = choice.engines_for(
+                exchange.chat.chat_key, exchange.chat.pool, exchange.directory
+            )
+
+    def _try_candidates(self, exchange: base.Exchange) -> base.Reply:
         loads: dict[str, int] = {}
         refusal = errors.CroftpulleyError(codes.ResultCode.NO_ENGINE)
-        for engine in exchange.candidates[: self._candidates_limit]:
+        for engine in exchange.untried[: self._candidates_limit]:
             try:
                 return self._attempt(exchange, engine, 0.0)
             except local.NotAdmittedError as not_admitted:
@@ -58,7 +92,7 @@
         """
         mean = sum(loads.values()) / len(loads)
         least = min(
-            (each for each in exchange.candidates if each.name in loads),
+            (each for each in exchange.untried if each.name in loads),
             key=lambda engine: loads[engine.name],
         )
         return self._attempt(exchange, least, mean)
@@ -108,10 +142,9 @@
         failure: errors.CroftpulleyError,
     ) -> None:
         """Go on to the next candidate, unless the request itself has ended."""
-        if exchange.token.reason is not None:
-            raise failure
+        exchange.end_if_over(failure)
         log_failure(exchange, engine.name, failure)
-        exchange.candidates = [each for each in exchange.candidates if each.name != engine.name]
+        exchange.failed_engines.add(engine.name)
 
 
 def log_failure(exchange: base.Exchange, engine: str, failure: errors.CroftpulleyError) -> None:
--- a/src/croftpulley/filters/relay.py
+++ b/src/croftpulley/filters/relay.py
@@ -84,15 +84,12 @@
         failure: errors.CroftpulleyError,
     ) -> None:
         """Prepare the next attempt, or raise where there is to be none."""
-        if exchange.token.reason is not None:
-            raise failure
+        exchange.end_if_over(failure)
         dispatch.log_failure(exchange, attempt.endpoint, failure)
         if exchange.attempts.failed_count >= self._attempts_limit:
             raise failure
-        exchange.candidates = [
-            each for each in exchange.candidates if each.name != attempt.endpoint
-        ]
-        if not exchange.candidates:
+        exchange.failed_engines.add(attempt.endpoint)
+        if not exchange.untried:
             raise failure
         events.emit(_LOG, events.Event.ANSWER_RESUMED, request_id=exchange.request.request_id)
 
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -133,7 +133,10 @@
     def _is_ready(self, box: entry.EntryDaemon) -> bool:
         answer = self.http.request("GET", f"http://{box.operator_address}/readyz")
         status = self.operate("GET", "/v1/status").json()
-        return answer.status == 200 and len(status["owners"]) == len(self.engines)
+        share = -(-len(self.engines) // len(self.entries))
+        owned = [len(self.owned_engines(each)) for each in self.entries]
+        settled = sum(owned) == len(self.engines) and max(owned) <= share
+        return answer.status == 200 and len(status["boxes"]) == len(self.entries) and settled
 
     def owned_engines(self, box: entry.EntryDaemon) -> list[str]:
         """Return the names of the engines that a box owns."""
@@ -172,6 +175,29 @@
             "POST", f"http://{address}/v1/services/slots/{call}", body=b"{}", headers=headers
         )
 
+    def first_engine(self, chat: str) -> engine.FakeEngine:
+        """Return the engine that a chat goes to, found out by sending one turn."""
+        counts = [len(each.records()) for each in self.engines]
+        assert self.chat(chat).status == 200
+        return next(
+            each
+            for each, count in zip(self.engines, counts, strict=True)
+            if len(each.records()) > count
+        )
+
+    def owner(self, stand_in: engine.FakeEngine) -> entry.EntryDaemon:
+        """Return the box that owns an engine."""
+        name = stand_in.settings.name
+        return next(box for box in self.entries if name in self.owned_engines(box))
+
+    def outstanding(self) -> int:
+        """Return how many requests all owners count at their engines."""
+        boxes = [
+            self.http.request("GET", f"http://{box.operator_address}/v1/status").json()
+            for box in self.entries
+        ]
+        return sum(box["streams"] + box["outstanding"] for box in boxes)
+
     def stop(self) -> None:
         """Stop all that was started."""
         for box in self.entries:
--- a/testing/core/test_admission.py
+++ b/testing/core/test_admission.py
@@ -41,12 +41,24 @@
 
 def test_streams_left_by_an_earlier_owner_count():
     count = admission.EngineCount(outstanding=1)
+    count.ask()
     count.report(running=6)
     assert count.load == 6
+    count.ask()
     count.report(running=0)
     assert count.load == 1
 
 
+def test_a_request_that_ended_while_the_report_came_is_not_foreign():
+    # Counted once more, it sent the next turn of its chat to a cold engine.
+    count = admission.EngineCount()
+    count.enter()
+    count.ask()
+    count.leave()
+    count.report(running=1)
+    assert count.load == 0
+
+
 def test_slots_bound_an_engine_below_the_cap():
     limits = admission.Limits(cap_multiple=CAP, mean=100.0, slots=2)
     assert admission.refusal(admission.EngineCount(2), limits, leaving=False) is not None
--- a/testing/core/test_attempts.py
+++ b/testing/core/test_attempts.py
@@ -33,6 +33,14 @@
     assert attempt.phase is attempts.Phase.ANSWERING
 
 
+def test_the_box_that_carries_an_attempt_out_knows_whether_the_engine_saw_it():
+    # An engine that refused the owner's connection was told to the caller as unknown.
+    attempt = attempts.Attempt(1, "engine")
+    attempt.enter(attempts.Phase.SENT)
+    attempt.adopt(attempts.Phase.UNSENT)
+    assert attempt.run_state is codes.RunState.NOT_RUN
+
+
 def test_one_attempt_that_may_have_run_makes_the_request_unknown():
     log = attempts.AttemptLog()
     log.begin("a")
