--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -25,6 +25,7 @@
     identify,
     observe,
     relay,
+    serving,
 )
 from croftpulley.http import caller_app, operator_app, peer_app, server, wsgi
 from croftpulley.observe import events, metrics
@@ -193,7 +194,8 @@
             deadline=deadline.Deadline(
                 self._streams, settings.default_deadline_ms, settings.deadline_limit_ms
             ),
-            admission=admission.Admission(self._view, self._streams, self._closed, self._clock),
+            serving=serving.Serving(self._view, self._closed, self._clock),
+            admission=admission.Admission(self._streams),
             choose_engine=choice.ChooseEngine(),
             relay=relay.Relay(
                 settings.attempts_per_request, settings.coalesce_ms / 1000, self._counters
--- a/src/croftpulley/dispatch/remote.py
+++ b/src/croftpulley/dispatch/remote.py
@@ -37,8 +37,7 @@
         Nothing is sent before the connection stands, so that an owner that is gone is known not
         to have run anything.
         """
-        target = connection.Target(peer_address, self._connect_timeout_s, self._silence_timeout_s)
-        exchange = connection.Exchange(target, attempt, token, connection.PEER_FAILURES)
+        exchange = self._exchange(peer_address, attempt, token)
         body = wire.encode_order(order)
         self._counters.control_bytes("Dispatch", len(body), 0)
         stream = RemoteAttempt(exchange, attempt, token)
@@ -51,6 +50,12 @@
             raise
         return stream
 
+    def _exchange(
+        self, peer_address: str, attempt: attempts.Attempt, token: cancel.CancelToken
+    ) -> connection.Exchange:
+        target = connection.Target(peer_address, self._connect_timeout_s, self._silence_timeout_s)
+        return connection.Exchange(target, attempt, token, connection.PEER_FAILURES)
+
 
 class RemoteAttempt(base.EngineStream):
     """An attempt that another box carries out."""
--- a/src/croftpulley/filters/chain.py
+++ b/src/croftpulley/filters/chain.py
@@ -15,6 +15,7 @@
     identify,
     observe,
     relay,
+    serving,
 )
 
 
@@ -23,6 +24,7 @@
     """One of each filter, set up by the daemon."""
 
     observe: observe.Observe
+    serving: serving.Serving
     identify: identify.Identify
     deadline: deadline.Deadline
     admission: admission.Admission
@@ -42,6 +44,7 @@
     return base.link(
         (
             filters.observe,
+            filters.serving,
             filters.identify,
             filters.deadline,
             filters.admission,
@@ -57,6 +60,7 @@
     return base.link(
         (
             filters.observe,
+            filters.serving,
             filters.identify,
             filters.deadline,
             filters.admission,
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -55,7 +55,7 @@
         for each in (*self.engines, *self.workers):
             each.start()
         self.list_endpoints()
-        self.control = self._start_control()
+        self.control = self.start_control()
         self.entries = [self.start_entry(f"entry-{n}") for n in range(entries)]
 
     def list_endpoints(self, leaving: tuple[str, ...] = ()) -> None:
@@ -75,13 +75,14 @@
             for kind, pool, each in kinds
         ]
 
-    def _start_control(self) -> control.ControlDaemon:
+    def start_control(self, peer_address: str = ANY_PORT) -> control.ControlDaemon:
+        """Start the control box, over the data that an earlier one left."""
         token_file = self.folder / "token"
         token_file.write_text(TOKEN, encoding="utf-8")
         settings = schema.ControlSettings(
             box="control-0",
             hall="hall-a",
-            peer_address=ANY_PORT,
+            peer_address=peer_address,
             operator_address=ANY_PORT,
             operator_token_file=str(token_file),
             data_folder=str(self.folder / "control-0"),
