A race for the last place at an engine no longer refuses the request

Ruled out: the cap itself (no engine was at its slots) and the mean's lag (the evidence was fresh). Change: as many further questions as engines have said their load, each refusal correcting it, and the candidates again for up to admission_wait_s; an engine that fails then no longer fails the request.

--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -206,7 +206,7 @@
                 remote_dispatcher,
                 settings.candidates_per_attempt,
                 self._view,
-                settings.handover_wait_s,
+                settings.admission_wait_s,
                 self._clock,
             ),
             claim=claim.Claim(self._control),
--- a/src/croftpulley/filters/dispatch.py
+++ b/src/croftpulley/filters/dispatch.py
@@ -14,9 +14,14 @@
 from croftpulley.transport import messages
 
 _LOG = logging.getLogger(__name__)
-_MOVING = (codes.ResultCode.NOT_OWNER, codes.ResultCode.NO_ENGINE, codes.ResultCode.NO_LEASE)
-"""Refusals that end as soon as the engine has its next owner."""
-_MOMENT_S = 0.1
+_SOON_OVER = (
+    codes.ResultCode.NOT_OWNER,
+    codes.ResultCode.NO_ENGINE,
+    codes.ResultCode.NO_LEASE,
+    codes.ResultCode.NO_CAPACITY,
+)
+"""Refusals that end when the engine has its next owner, or when a request ends there."""
+_MOMENT_S = 0.05
 
 
 class Dispatch(base.Filter):
@@ -29,38 +34,41 @@
         remote_dispatcher: remote.RemoteDispatcher,
         candidates_limit: int,
         view: actors.View[state.FleetState],
-        handover_wait_s: float,
+        admission_wait_s: float,
         clock: clocks.Clock,
+        moment_s: float = _MOMENT_S,
     ) -> None:
         self._box = box
         self._local = local_dispatcher
         self._remote = remote_dispatcher
         self._candidates_limit = candidates_limit
         self._view = view
-        self._handover_wait_s = handover_wait_s
+        self._admission_wait_s = admission_wait_s
+        self._moment_s = moment_s
         self._clock = clock
 
     def handle(self, exchange: base.Exchange, proceed: base.Proceed) -> base.Reply:
         """Start one attempt; raises when no candidate takes it.
 
-        While engines move from one owner to another nobody may admit. That is soon over, so the
-        candidates are tried again for a while: at once when the directory changes, and after a
-        moment all the same, since a new owner may hear of its engine later than this box does.
+        While engines move from one owner to another, or are all full, nobody may admit. That may
+        soon be over, so the candidates are tried again for a while: at once when the directory
+        changes, and after a moment all the same, since a new owner may hear of its engine later
+        than this box does.
         """
-        ends_at_s = self._clock.monotonic_s() + self._handover_wait_s
+        ends_at_s = self._clock.monotonic_s() + self._admission_wait_s
         while True:
             try:
                 return self._try_candidates(exchange)
             except local.NotAdmittedError as refusal:
                 exchange.token.check()
-                if refusal.code not in _MOVING or self._clock.monotonic_s() >= ends_at_s:
+                if refusal.code not in _SOON_OVER or self._clock.monotonic_s() >= ends_at_s:
                     raise
             self._follow_directory(exchange)
 
     def _follow_directory(self, exchange: base.Exchange) -> None:
         """Wait a moment for a newer directory and take over the one there is."""
         version = exchange.directory.version
-        self._view.wait_for(lambda known: known.directory.version != version, _MOMENT_S)
+        self._view.wait_for(lambda known: known.directory.version != version, self._moment_s)
         if exchange.chat is not None:
             exchange.directory = self._view.get().directory
             exchange.candidates = choice.engines_for(
@@ -68,34 +76,25 @@
             )
 
     def _try_candidates(self, exchange: base.Exchange) -> base.Reply:
+        """Ask each candidate once, then those that were full with what they said."""
         loads: dict[str, int] = {}
         refusal = errors.CroftpulleyError(codes.ResultCode.NO_ENGINE)
         for engine in exchange.untried[: self._candidates_limit]:
             try:
                 return self._attempt(exchange, engine, 0.0)
-            except local.NotAdmittedError as not_admitted:
-                refusal = not_admitted
-                if not_admitted.load >= 0:
-                    loads[engine.name] = not_admitted.load
             except errors.CroftpulleyError as failure:
                 refusal = failure
-                self._after_failure(exchange, engine, failure)
-        if not loads:
-            raise refusal
-        return self._attempt_least_loaded(exchange, loads)
-
-    def _attempt_least_loaded(self, exchange: base.Exchange, loads: dict[str, int]) -> base.Reply:
-        """Ask the least loaded once more, with the fresh mean that the refusals have shown.
-
-        The mean that an owner knows lags behind a surge. The refusals carry exact counts, and the
-        least loaded of them can be at most at their mean.
-        """
-        mean = sum(loads.values()) / len(loads)
-        least = min(
-            (each for each in exchange.untried if each.name in loads),
-            key=lambda engine: loads[engine.name],
-        )
-        return self._attempt(exchange, least, mean)
+                self._after_failure(exchange, engine, failure, loads)
+        for _ in range(len(loads)):
+            engine, mean = _least_loaded(exchange, loads)
+            try:
+                return self._attempt(exchange, engine, mean)
+            except errors.CroftpulleyError as failure:
+                refusal = failure
+                self._after_failure(exchange, engine, failure, loads)
+            if not loads:
+                break
+        raise refusal
 
     def _attempt(
         self, exchange: base.Exchange, engine: membership.Endpoint, mean_evidence: float
@@ -140,13 +139,33 @@
         exchange: base.Exchange,
         engine: membership.Endpoint,
         failure: errors.CroftpulleyError,
+        loads: dict[str, int],
     ) -> None:
-        """Go on to the next candidate, unless the request itself has ended."""
+        """Note what a refusal tells of the engine's load; go on unless the request has ended."""
+        loads.pop(engine.name, None)
+        if isinstance(failure, local.NotAdmittedError):
+            if failure.load >= 0:
+                loads[engine.name] = failure.load
+            return
         exchange.end_if_over(failure)
         log_failure(exchange, engine.name, failure)
         exchange.failed_engines.add(engine.name)
 
 
+def _least_loaded(
+    exchange: base.Exchange, loads: dict[str, int]
+) -> tuple[membership.Endpoint, float]:
+    """Return the least loaded engine and the mean, by what refusals have shown.
+
+    The mean that an owner knows lags behind a surge. The refusals carry exact counts, and the
+    least loaded of them can be at most at their mean. Others may have taken its place since; then
+    its next refusal corrects the count.
+    """
+    mean = sum(loads.values()) / len(loads)
+    known = [each for each in exchange.untried if each.name in loads]
+    return min(known, key=lambda engine: loads[engine.name]), mean
+
+
 def log_failure(exchange: base.Exchange, engine: str, failure: errors.CroftpulleyError) -> None:
     """Write the event of an attempt that did not finish."""
     events.emit(
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -86,7 +86,7 @@
     engine_silence_s: float = attrs.field(default=10.0, validator=_between(0.1, 600))
     coalesce_ms: float = attrs.field(default=0.0, validator=_between(0, 10))
     attempts_per_request: int = attrs.field(default=6, validator=_between(1, 20))
-    handover_wait_s: float = attrs.field(default=2.0, validator=_between(0, 60))
+    admission_wait_s: float = attrs.field(default=2.0, validator=_between(0, 60))
     candidates_per_attempt: int = attrs.field(default=8, validator=_between(1, 64))
     thread_switch_ms: float = attrs.field(default=5.0, validator=_between(0.1, 1000))
     workspace_labels: int = attrs.field(default=200, validator=_between(1, 5000))
