--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# Targets for a newcomer: demo, demo-up, demo-down, test, lint, format, bench-path.
+# Targets for a newcomer: demo, demo-up, demo-down, test, lint, format, bench-path, bench-control.
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo demo-up demo-down test lint format bench-path generate
+.PHONY: demo demo-up demo-down test lint format bench-path bench-control generate
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -33,7 +33,10 @@
 	$(BIN)/ruff check --fix .
 
 bench-path: $(STAMP)
-	scripts/bench-path.sh
+	scripts/bench.sh path
+
+bench-control: $(STAMP)
+	scripts/bench.sh control
 
 # Only for those who change the messages: the generated code is committed.
 generate: $(STAMP)
--- a/src/croftpulley/bench/fleet_files.py
+++ b/src/croftpulley/bench/fleet_files.py
@@ -18,6 +18,7 @@
 
     entries: tuple[schema.EntrySettings, ...]
     engines: tuple[schema.FakeSettings, ...]
+    controls: tuple[schema.ControlSettings, ...]
     workers: tuple[schema.FakeSettings, ...]
 
 
@@ -26,6 +27,7 @@
     return Fleet(
         entries=_load_all(folder, "entry-*.jsonc", schema.EntrySettings),
         engines=_load_all(folder, "engine-*.jsonc", schema.FakeSettings),
+        controls=_load_all(folder, "control-*.jsonc", schema.ControlSettings),
         workers=_load_all(folder, "worker-*.jsonc", schema.FakeSettings),
     )
 
--- a/src/croftpulley/bench/scrape.py
+++ b/src/croftpulley/bench/scrape.py
@@ -18,8 +18,12 @@
 
 def metrics(operator_address: str) -> list[Any]:
     """Read all samples of a daemon's metrics."""
-    text = _POOL.request("GET", f"http://{operator_address}/metrics").data.decode()
-    families = parser.text_string_to_metric_families(text)
+    return parse(_POOL.request("GET", f"http://{operator_address}/metrics").data)
+
+
+def parse(text: bytes) -> list[Any]:
+    """Read all samples of a rendered registry."""
+    families = parser.text_string_to_metric_families(text.decode())
     return [sample for family in families for sample in family.samples]
 
 
--- a/src/croftpulley/cli/bench.py
+++ b/src/croftpulley/cli/bench.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from croftpulley import codes, errors
+from croftpulley.bench import control as control_bench
 from croftpulley.bench import demo as demo_bench
 from croftpulley.bench import fleet_files, scrape, table
 from croftpulley.bench import path as path_bench
@@ -90,3 +91,15 @@
     if not streams:
         rows += path_bench.streams(examples)
     click.echo(table.as_json(rows) if as_json else table.plain(rows))
+
+
+@bench.command()
+@click.option("--examples", default="examples/bench", show_default=True)
+@_JSON
+def control(examples: str, as_json: bool) -> None:
+    """Measure renewals by number of boxes, claims, the directory's size and one choice.
+
+    Example: make bench-control
+    """
+    rows = control_bench.run(examples)
+    click.echo(table.as_json(rows) if as_json else table.plain(rows))
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -17,7 +17,7 @@
     413: codes.ResultCode.BODY_TOO_LARGE,
     431: codes.ResultCode.HEADER_TOO_LARGE,
 }
-_SHUTDOWN_TIMEOUT_S = 5
+_SHUTDOWN_TIMEOUT_S = 0.5
 
 
 class _CodedErrorTask(waitress.task.ErrorTask):
@@ -84,6 +84,6 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop listening and end the threads; replies under way are given a moment."""
+        """Stop listening and end the threads; a planned stop has waited for replies before."""
         self._server.close()
         self._server.task_dispatcher.shutdown(timeout=_SHUTDOWN_TIMEOUT_S)
--- a/src/croftpulley/transport/codec.py
+++ b/src/croftpulley/transport/codec.py
@@ -63,7 +63,8 @@
     return membership.PoolLoad(load.pool, load.outstanding, load.engines)
 
 
-def _directory_to_wire(directory: membership.Directory) -> wire.Directory:
+def directory_to_wire(directory: membership.Directory) -> wire.Directory:
+    """Encode a directory."""
     return wire.Directory(
         version=directory.version,
         boxes=[box_to_wire(box) for box in directory.boxes],
@@ -117,7 +118,7 @@
         lease_s=answer.lease_s,
         configuration_version=answer.configuration_version,
         configuration_json=(answer.configuration_json or "").encode(),
-        directory=_directory_to_wire(directory) if directory is not None else None,
+        directory=directory_to_wire(directory) if directory is not None else None,
         engines_version=answer.engines_version,
         loads=[_load_to_wire(load) for load in answer.loads],
     )
--- a/testing/storage/test_record_log.py
+++ b/testing/storage/test_record_log.py
@@ -59,6 +59,16 @@
     assert "offset 0" in caught.value.detail
 
 
+def test_damage_in_every_record_is_no_torn_end(path):
+    write(path, b"one", b"two")
+    data = bytearray(path.read_bytes())
+    data[9] ^= 0x40
+    data[-1] ^= 0x40
+    path.write_bytes(data)
+    with pytest.raises(errors.CroftpulleyError, match="offset 0"):
+        record_log.open_log(path)
+
+
 class FullDisk(files.DiskFile):
     """A disk that takes no more once told so."""
 
--- a/testing/test_engine_failures.py
+++ b/testing/test_engine_failures.py
@@ -150,7 +150,7 @@
 
 
 def test_a_caller_that_goes_away_cancels_its_stream_at_the_engine(scene):
-    fleet, box, first, _ = scene
+    fleet, box, first, second = scene
     first.faults.add(Fault.SILENT_MID_STREAM)
     done = len(first.records())
     host, _, port = box.caller_address.rpartition(":")
@@ -171,6 +171,8 @@
         lambda: [record.outcome for record in first.records()[done:]] == ["cancelled"],
         "the engine has stopped",
     )
+    # Found out by watching the caller, not by the engine's silence and a second attempt.
+    assert second.records() == []
     wait_until(lambda: fleet.outstanding() == 0, "nothing is counted as outstanding")
 
 
--- a/testing/test_lifecycle.py
+++ b/testing/test_lifecycle.py
@@ -120,6 +120,7 @@
     assert stream.status == 200
     os.kill(process.pid, signal.SIGTERM)
     wait_until(lambda: address not in named(fleet), "the process is named no more")
+    assert process.poll() is None
     assert stream.read().endswith(b"data: [DONE]\n\n")
     assert process.wait(PROCESS_LIMIT_S) == 0
     wait_until(
