--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -38,7 +38,7 @@
     """
     settings = loader.load(path, schema.EntrySettings)
     logs.set_up(settings.box, settings.log_level)
-    sys.setswitchinterval(float(__import__("os").environ.get("SWI", "0.005")))
+    sys.setswitchinterval(settings.thread_switch_ms / 1000)
     stopped = stop_signal()
     daemon = entry_daemon.EntryDaemon(settings)
     daemon.start()
