--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -75,6 +75,16 @@
         self._peer_http.start()
         self._caller_http.start()
         self._operator_http.start()
+        events.emit(
+            _LOG,
+            events.Event.DAEMON_STARTED,
+            caller_address=self.caller_address,
+            peer_address=self.peer_address,
+            operator_address=self.operator_address,
+        )
+        self._start_tickers()
+
+    def _start_tickers(self) -> None:
         settings = self._settings
         intervals_s = (
             settings.platform_interval_s,
@@ -85,13 +95,6 @@
         for controller, interval_s in zip(self._controllers, intervals_s, strict=True):
             controller.tell(actors.Tick())
             self._tickers.append(actors.Ticker(controller, interval_s))
-        events.emit(
-            _LOG,
-            events.Event.DAEMON_STARTED,
-            caller_address=self.caller_address,
-            peer_address=self.peer_address,
-            operator_address=self.operator_address,
-        )
 
     def drain(self) -> bool:
         """Stop by plan: be named no more, give up all engines, end every stream.
--- a/testing/test_lifecycle.py
+++ b/testing/test_lifecycle.py
@@ -99,12 +99,26 @@
     return [entry["address"] for entry in fleet.http.request("GET", url).json()["entries"]]
 
 
-def test_a_planned_stop_cuts_off_nothing_and_exits_with_0(entry_process):
+def chat_owned_by(fleet, address):
+    """Return a chat whose engine belongs to the box at ``address``."""
+    url = f"http://{fleet.entries[0].caller_address}/v1/entry"
+    for number in range(200):
+        fields = {"workspace": "clinic", "chat": f"c-{number}"}
+        entries = fleet.http.request("GET", url, fields=fields).json()["entries"]
+        if entries[0]["address"] == address:
+            return f"c-{number}"
+    raise LookupError(address)
+
+
+@pytest.mark.parametrize("way", ["direct", "forwarded"])
+def test_a_planned_stop_cuts_off_nothing_and_exits_with_0(entry_process, way):
     fleet, process, address = entry_process
     wait_until(lambda: address in named(fleet), "the process is named")
+    wait_until(lambda: len(fleet.owned_engines(fleet.entries[0])) == 1, "both own an engine")
+    send_to = address if way == "direct" else fleet.entries[0].caller_address
     stream = fleet.http.request(
         "POST",
-        f"http://{address}/v1/chat/completions",
+        f"http://{send_to}/v1/chat/completions",
         body=json.dumps(
             {
                 "model": "triage",
@@ -114,7 +128,7 @@
                 "metadata": {"token_interval_ms": 20},
             }
         ),
-        headers={"X-Workspace": "clinic"},
+        headers={"X-Workspace": "clinic", "X-Chat": chat_owned_by(fleet, address)},
         preload_content=False,
     )
     assert stream.status == 200
@@ -123,6 +137,8 @@
     assert process.poll() is None
     assert stream.read().endswith(b"data: [DONE]\n\n")
     assert process.wait(PROCESS_LIMIT_S) == 0
+    # One attempt was enough: nothing was cut off and resumed.
+    assert sum(len(engine.records()) for engine in fleet.engines) == 1
     wait_until(
         lambda: len(fleet.owned_engines(fleet.entries[0])) == 2, "its engines have a new owner"
     )
