Socket silence limits by the system instead of a poll before each read

Cause: Python's socket timeout polls before every read, so a chunk passes the interpreter lock once more than it must, and the box's throughput hangs on how often threads pass it. Ruled out: the switch interval (measured before this). Change: SO_RCVTIMEO and SO_SNDTIMEO on a blocking socket; a read that waits too long gives nothing, which ends the attempt as before.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Starts and stops the demo's fleet: plain processes on 127.0.0.1, their ids and logs under run/.
 set -euo pipefail
+shopt -s nullglob
 cd "$(dirname "$0")/.."
 
 BIN=.venv/bin
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import http.client
+import socket
+import struct
 
 import attrs
 import urllib3
@@ -100,9 +102,9 @@
             raise self.failed(failure) from failure
 
     def _send(self, request: HttpRequest) -> urllib3.HTTPResponse:
-        if self._connection.sock is not None:
-            self._connection.sock.settimeout(self._target.silence_timeout_s)
-        self._connection.timeout = self._target.silence_timeout_s
+        _limit_silence(self._connection.sock, self._target.silence_timeout_s)
+        # The library sets this on the socket once more before it reads.
+        self._connection.timeout = None
         headers = {"Content-Type": request.content_type, **request.extra_headers}
         self._attempt.enter(attempts.Phase.SENT)
         self._connection.request(
@@ -159,6 +161,19 @@
         self._connection.close()
 
 
+def _limit_silence(sock: socket.socket, silence_s: float) -> None:
+    """Have the system end a read or write that waits too long; the read then gives nothing.
+
+    Python's own socket timeout polls before each read, and so passes the interpreter lock twice a
+    chunk instead of once (``docs/design/005-streams-and-threads.md``).
+    """
+    whole_s = int(silence_s)
+    limit = struct.pack("ll", whole_s, int((silence_s - whole_s) * 1_000_000))
+    sock.settimeout(None)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO, limit)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
+
+
 def whole(
     target: Target,
     request: HttpRequest,
