--- a/testing/test_lifecycle.py
+++ b/testing/test_lifecycle.py
@@ -82,16 +82,16 @@
     process = subprocess.Popen(
         [str(command), "entry", "--settings", str(path)], stderr=subprocess.PIPE, text=True
     )
-    first_line = json.loads(process.stderr.readline())
-    assert first_line["event_name"] == "daemon_started"
-    drain = threading.Thread(target=process.stderr.read, daemon=True)
-    drain.start()
-    yield fleet, process, first_line["caller_address"]
-    if process.poll() is None:
-        process.kill()
-    process.wait(PROCESS_LIMIT_S)
-    drain.join()
-    process.stderr.close()
+    try:
+        started = json.loads(process.stderr.readline())
+        assert started["event_name"] == "daemon_started", started
+        drain = threading.Thread(target=process.stderr.read, daemon=True)
+        drain.start()
+        yield fleet, process, started["caller_address"]
+    finally:
+        if process.poll() is None:
+            process.kill()
+        process.wait(PROCESS_LIMIT_S)
 
 
 def named(fleet):
