--- a/src/croftpulley/bench/path.py
+++ b/src/croftpulley/bench/path.py
@@ -124,13 +124,20 @@
 
 def _latency(target: _Target, way: str) -> list[table.Row]:
     shots = target.shots(way, _LATENCY_SHOTS, _chat_body(_LATENCY_TOKENS, _LATENCY_INTERVAL_MS))
+    operator = target.fleet.entries[0].operator_address
+    before = scrape.metrics(operator)
     samples = asyncio.run(load.at_rate(shots, _LATENCY_RATE_PER_S))
+    cpu_s = _change(before, scrape.metrics(operator), _CPU)
     first = sorted(sample.first_text_s for sample in samples if not math.isnan(sample.first_text_s))
-    return [
+    rows = [
         table.Row(f"{way}_first_token_p50_ms", _ms(table.percentile(first, 0.5))),
         table.Row(f"{way}_first_token_p99_ms", _ms(table.percentile(first, 0.99))),
         table.Row(f"{way}_not_whole", sum(not sample.whole for sample in samples)),
     ]
+    if way != "engine":
+        # Each request has _LATENCY_TOKENS chunks; the box's idle work is in the figure too.
+        rows.append(table.Row(f"{way}_requests_per_core_s", round(len(shots) / cpu_s)))
+    return rows
 
 
 def _added(rows: list[table.Row]) -> list[table.Row]:
--- a/src/croftpulley/controllers/fleet_state.py
+++ b/src/croftpulley/controllers/fleet_state.py
@@ -33,7 +33,6 @@
     def __init__(
         self,
         box: membership.Box,
-        incarnation: str,
         margin_s: float,
         control: control_client.ControlClient,
         endpoints: actors.View[tuple[membership.Endpoint, ...]],
@@ -43,7 +42,6 @@
     ) -> None:
         super().__init__()
         self._box = box
-        self._incarnation = incarnation
         self._lease = leases.HeldLease(margin_s)
         self._control = control
         self._endpoints = endpoints
@@ -86,7 +84,6 @@
         give_up = placement.to_give_up(self._box.name, known.directory, self._box.draining)
         return messages.Renewal(
             box=self._box,
-            incarnation=self._incarnation,
             configuration_version=known.configuration.version,
             directory_version=known.directory.version,
             engines_version=version,
--- a/src/croftpulley/daemons/control.py
+++ b/src/croftpulley/daemons/control.py
@@ -6,9 +6,8 @@
 import pathlib
 from typing import Any
 
-import pykka
-
 from croftpulley import clock as clocks
+from croftpulley import codes
 from croftpulley.controllers import actors, agreement, directory
 from croftpulley.core import agreed, claims, submissions
 from croftpulley.http import operator_app, server, wsgi
@@ -105,10 +104,12 @@
         answer = self._propose(agreed.SubmitConfiguration(submission))
         if not isinstance(answer, submissions.SubmissionAnswer):
             raise TypeError(f"got {answer!r} for a submission")
-        conflict = answer.code.name == "SUBMISSION_CONFLICT"
+        event = events.Event.CONFIGURATION_COMMITTED
+        if answer.code is codes.ResultCode.SUBMISSION_CONFLICT:
+            event = events.Event.SUBMISSION_CONFLICT
         events.emit(
             _LOG,
-            events.Event.SUBMISSION_CONFLICT if conflict else events.Event.CONFIGURATION_COMMITTED,
+            event,
             operator=submission.operator,
             number=submission.number,
             configuration_version=answer.winner.version,
@@ -123,8 +124,3 @@
         if isinstance(answer, Exception):
             raise answer
         return answer
-
-
-def stop_all_actors() -> None:
-    """End whatever controllers still run; for the end of a process."""
-    pykka.ActorRegistry.stop_all()
--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -145,7 +145,6 @@
             endpoints.PlatformController.start(platform, self._endpoints),
             fleet_state.FleetStateController.start(
                 box,
-                str(uuid6.uuid7()),
                 settings.lease_margin_s,
                 self._control,
                 self._endpoints,
--- a/src/croftpulley/endpoints/http_platform.py
+++ b/src/croftpulley/endpoints/http_platform.py
@@ -10,9 +10,6 @@
 from croftpulley.endpoints import base, connection
 
 _CONVERTER = cattrs.Converter()
-_FAILURES = connection.FailureCodes(
-    codes.ResultCode.ENGINE_UNREACHABLE, codes.ResultCode.ENGINE_BROKE
-)
 
 
 class HttpPlatformList(base.PlatformList):
@@ -24,7 +21,7 @@
     def read(self) -> tuple[membership.Endpoint, ...]:
         """Read the list."""
         request = connection.HttpRequest("GET", "/v1/endpoints")
-        _, body = connection.whole(self._target, request, _FAILURES)
+        _, body = connection.whole(self._target, request, connection.ENGINE_FAILURES)
         try:
             document = orjson.loads(body)
             listed = _CONVERTER.structure(document, tuple[membership.Endpoint, ...])
--- a/src/croftpulley/fakes/stub.py
+++ b/src/croftpulley/fakes/stub.py
@@ -79,6 +79,8 @@
         self._thread = threading.Thread(target=self._run, name="stub", daemon=True)
         self._server: asyncio.Server | None = None
         self.address = ""
+        self.resets_connections = False
+        """Every connection is reset before a byte of its request is read."""
 
     @abc.abstractmethod
     async def answer(self, request: StubRequest, connection: StubConnection) -> None:
@@ -126,6 +128,9 @@
             self._loop.run_until_complete(asyncio.wait(tasks))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.resets_connections:
+            StubConnection(writer).reset()
+            return
         try:
             request = await _read_request(reader)
             await self.answer(request, StubConnection(writer))
--- a/src/croftpulley/transport/codec.py
+++ b/src/croftpulley/transport/codec.py
@@ -86,7 +86,6 @@
     """Encode a renewal."""
     return wire.RenewRequest(
         box=box_to_wire(renewal.box),
-        incarnation=renewal.incarnation,
         configuration_version=renewal.configuration_version,
         directory_version=renewal.directory_version,
         engines_version=renewal.engines_version if renewal.engines is not None else 0,
@@ -101,7 +100,6 @@
     engines = tuple(_engine_from_wire(engine) for engine in request.engines)
     return messages.Renewal(
         box=box_from_wire(request.box),
-        incarnation=request.incarnation,
         configuration_version=request.configuration_version,
         directory_version=request.directory_version,
         engines_version=request.engines_version,
--- a/src/croftpulley/transport/messages.py
+++ b/src/croftpulley/transport/messages.py
@@ -16,7 +16,6 @@
     """
 
     box: membership.Box
-    incarnation: str
     configuration_version: int
     directory_version: int
     engines_version: int
