--- a/testing/http/test_limits.py
+++ b/testing/http/test_limits.py
@@ -8,6 +8,7 @@
 import pytest
 
 from conftest import CONFIGURATION, wait_until
+from croftpulley.settings import schema
 
 POST = "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
 
@@ -52,6 +53,15 @@
     assert fleet.chat("chat").status == 200
 
 
+def test_a_connection_that_never_completes_its_request_is_closed(fleet):
+    box = fleet.start_entry("entry-9", http=schema.HttpLimits(idle_connection_s=1))
+    fleet.entries.append(box)
+    host, _, port = box.caller_address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=20) as caller:
+        caller.sendall(POST.encode())
+        assert caller.recv(100) == b""
+
+
 @pytest.mark.parametrize(
     ("headers", "fields", "status", "kind"),
     [
