A large order is no longer refused by the engine's owner

Cause: found on reading the hop's diff: the owner's address had the callers' body limit, but an order holds the caller's body escaped once more and the answer so far. A body near the limit was refused with 413 over a hop, and the chat went cold to another engine (test seen failing, forwarded only). Ruled out: the direct way (passes without the change). Change: the limit at the address for other boxes is four times the callers'. Conclusion: both ways take the same bodies.

--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -36,6 +36,8 @@
 _SPARE_HTTP_THREADS = 16
 """Threads beyond the streams, so that asking and refusing work on a full box."""
 _OPERATOR_THREADS = 4
+_ORDER_SIZE_FACTOR = 4
+"""An order to another box holds the caller's body, up to twice as long escaped, and the answer."""
 _SWEEP_INTERVAL_S = 0.05
 _OWNER_WORD_S = 2.0
 """How much longer another box is waited for than an engine, so that its own word comes first."""
@@ -163,6 +165,7 @@
             self._settings.peer_address,
             self._settings.streams,
             self._settings.http,
+            _ORDER_SIZE_FACTOR,
         )
 
     def _make_caller_http(self) -> server.HttpServer:
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -53,7 +53,12 @@
     """One listening address with its own threads."""
 
     def __init__(
-        self, application: wsgi.Application, address: str, threads: int, limits: schema.HttpLimits
+        self,
+        application: wsgi.Application,
+        address: str,
+        threads: int,
+        limits: schema.HttpLimits,
+        body_factor: int = 1,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._map: dict[int, Any] = {}
@@ -68,7 +73,7 @@
             connection_limit=limits.connections,
             channel_timeout=limits.idle_connection_s,
             cleanup_interval=max(1, limits.idle_connection_s // 4),
-            max_request_body_size=limits.body_size_bytes,
+            max_request_body_size=limits.body_size_bytes * body_factor,
             max_request_header_size=limits.header_size_bytes,
             # Lets waitress notice a caller that goes away while its request runs.
             channel_request_lookahead=1,
--- a/testing/test_engine_failures.py
+++ b/testing/test_engine_failures.py
@@ -219,3 +219,14 @@
     for _ in range(5):
         fleet.chat("chat", box)
     assert len(first.records()) == after
+
+
+def test_a_body_near_the_limit_reaches_the_chats_engine_either_way(scene):
+    # Quotes are escaped once more on the hop; the owner then refused the order as too large, and
+    # the chat went cold to another engine.
+    fleet, box, first, second = scene
+    messages = [{"role": "user", "content": '"' * 450_000}]
+    done = len(first.records())
+    assert fleet.chat("chat", box, messages=messages).status == 200
+    assert len(first.records()) == done + 1
+    assert second.records() == []
