The cap counts all engines of the pool, not only those already reported

Cause: an owner divided the load it knew of by the number of engines whose owners had reported. Just after engines got their owners one box knew of 2 of 3, so its mean was 1.5 times too high and test_surge.py found 12 to 14 requests where 11 are allowed (printed at each admission above 11: mean 9.0 to 10.5 from 18 to 21 requests over engines=2, where 24 over 3 is 8). Ruled out: load counted twice between two reports (the totals were exact), the evidence of refusals (0.0 in every admission above the cap), reports of earlier owners (foreign was 0). Change: the mean divides by the engines that the directory lists and are not leaving, if more. A test of the core fails without it.

--- a/src/croftpulley/controllers/gate.py
+++ b/src/croftpulley/controllers/gate.py
@@ -51,6 +51,7 @@
     cap_multiple: float = 1.0
     heard: dict[str, membership.PoolLoad] = attrs.field(factory=dict)
     reported: dict[str, membership.PoolLoad] = attrs.field(factory=dict)
+    listed_engines: dict[str, int] = attrs.field(factory=dict)
 
 
 class EngineGate:
@@ -128,7 +129,8 @@
         nothing = membership.PoolLoad(pool, 0, 0)
         heard = self._terms.heard.get(pool, nothing)
         reported = self._terms.reported.get(pool, nothing)
-        return admission.fresh_mean(heard, reported, self._pool_load(pool))
+        listed = self._terms.listed_engines.get(pool, 0)
+        return admission.fresh_mean(heard, reported, self._pool_load(pool), listed)
 
     def give_up(self, engines: tuple[str, ...]) -> tuple[membership.Ownership, ...]:
         """Admit nothing more to ``engines``; return all ownerships given up and not yet moved."""
@@ -155,6 +157,7 @@
                 cap_multiple=fleet_state.configuration.cap_multiple,
                 heard={load.pool: load for load in fleet_state.loads},
                 reported={load.pool: load for load in reported},
+                listed_engines=directory.engine_counts(),
             )
             self._given_up &= mine
             self._drop_lost(mine)
--- a/src/croftpulley/core/admission.py
+++ b/src/croftpulley/core/admission.py
@@ -48,7 +48,10 @@
 
 
 def fresh_mean(
-    heard: membership.PoolLoad, reported: membership.PoolLoad, current: membership.PoolLoad
+    heard: membership.PoolLoad,
+    reported: membership.PoolLoad,
+    current: membership.PoolLoad,
+    listed_engines: int = 0,
 ) -> float:
     """Return a pool's mean load with this box's own part as it is now.
 
@@ -56,12 +59,17 @@
     ``current`` what this box counts now. Without this, the first moments of a surge are refused
     against a mean from before it.
 
+    ``listed_engines`` is how many engines the directory has in the pool. Just after an engine got
+    its owner, ``heard`` does not include it yet; divided by too few engines the mean would be too
+    high and an engine would be buried (``testing/test_surge.py``).
+
     >>> load = membership.PoolLoad
     >>> fresh_mean(load("llm", 4, 4), load("llm", 2, 2), load("llm", 10, 2))
     3.0
     """
     outstanding = heard.outstanding - reported.outstanding + current.outstanding
-    engines = heard.engines - reported.engines + current.engines
+    reporting = heard.engines - reported.engines + current.engines
+    engines = max(reporting, listed_engines)
     return max(0, outstanding) / engines if engines > 0 else 0.0
 
 
--- a/src/croftpulley/core/membership.py
+++ b/src/croftpulley/core/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import enum
 
 import attrs
@@ -67,6 +68,10 @@
         """Return the engine called ``name``."""
         return next((engine for engine in self.engines if engine.name == name), None)
 
+    def engine_counts(self) -> dict[str, int]:
+        """Return how many engines each pool has that are not leaving."""
+        return dict(collections.Counter(each.pool for each in self.engines if not each.leaving))
+
     def owner_of(self, engine: str) -> Ownership | None:
         """Return the ownership of ``engine``."""
         return next((each for each in self.owners if each.engine == engine), None)
--- a/testing/core/test_admission.py
+++ b/testing/core/test_admission.py
@@ -71,6 +71,13 @@
     assert admission.fresh_mean(heard, reported, membership.PoolLoad("llm", 10, 2)) == 2.5
 
 
+def test_the_mean_counts_engines_whose_owner_has_not_reported_yet():
+    # Two of three engines had reported, and 12 to 14 requests went where 11 were allowed.
+    nothing = membership.PoolLoad("llm", 0, 0)
+    mine = membership.PoolLoad("llm", 18, 2)
+    assert admission.fresh_mean(nothing, nothing, mine, listed_engines=3) == 6.0
+
+
 def test_a_workspace_at_its_limit_does_not_keep_others_out():
     in_flight = admission.InFlight(streams_limit=3)
     assert in_flight.enter("large", 1) is None
