Replicated log: the pure core, and a seeded scheduler that breaks it

Cause: one control box decides alone; whatever stops it stops configuration, leases and claims. Ruled out: a quorum register for the configuration alone (members and claims need an order too).

--- /dev/null
+++ b/src/croftpulley/core/replication/replica.py
@@ -0,0 +1,551 @@
+"""One replica of the log: elections, replication and commits, without I/O or clock."""
+
+from __future__ import annotations
+
+import enum
+import random
+
+import attrs
+
+from croftpulley.core.replication import log as logs
+from croftpulley.core.replication import membership, messages, progress
+
+APPEND_SIZE_BYTES = 256 * 1024
+"""The payload of one append request; a large configuration still goes in one."""
+
+
+class Role(enum.Enum):
+    """What a replica does at the moment."""
+
+    FOLLOWER = "follower"
+    TRIAL = "trial"
+    """Asks whether there would be votes, without starting a term."""
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@attrs.frozen(kw_only=True)
+class Timing:
+    """How long a replica waits for what, in seconds.
+
+    ``election_s``: a voter gives no vote within this of hearing a leader, and asks for votes after
+    one to two times it. ``drift``: what part of it a leader counts on for its authority, so that
+    steady clocks may run apart by the rest. ``silent_s``: a replica unheard of for so long may be
+    replaced; ``gone_s``: one that the set does not need may be removed.
+    """
+
+    election_s: float = 0.7
+    heartbeat_s: float = 0.15
+    answer_s: float = 0.5
+    drift: float = 0.8
+    silent_s: float = 2.0
+    gone_s: float = 6.0
+
+
+@attrs.define
+class Effects:
+    """What the caller must do, in this order: write and sync, then send, answer and apply."""
+
+    write: messages.Write | None = None
+    sends: list[messages.Request] = attrs.field(factory=list)
+    reply: messages.Reply | None = None
+
+
+class Replica:
+    """A replica; every method takes the time and returns `Effects`.
+
+    A caller whose disk refuses a write must drop the replica and make a new one from the disk.
+    """
+
+    def __init__(
+        self,
+        replica: str,
+        stored: messages.Stored,
+        timing: Timing,
+        chance: random.Random,
+        now_s: float,
+    ) -> None:
+        self.id = replica
+        self.term = stored.term
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.log = logs.Log(stored.snapshot, list(stored.entries))
+        self.commit_index = stored.snapshot.index
+        self._applied_index = stored.snapshot.index
+        self._voted_for = stored.voted_for
+        self._timing = timing
+        self._chance = chance
+        # A vote given before a restart may be forgotten no sooner than a leader's authority ends.
+        self._heard_s = now_s
+        self._election_at_s = 0.0
+        self._rest(now_s)
+        self._votes: set[str] = set()
+        self._progress: dict[str, progress.Progress] = {}
+        self._start_index = 0
+        self._leader_since_s = 0.0
+        self._installed: messages.Snapshot | None = None
+        self._unknown_to_others = False
+
+    @property
+    def members(self) -> messages.Members:
+        """The set of replicas as this one knows it."""
+        return self.log.members()
+
+    @property
+    def is_voter(self) -> bool:
+        """Tell whether this replica has a vote in its own set."""
+        return self.id in self.members.voters
+
+    @property
+    def must_join(self) -> bool:
+        """Tell whether this replica should ask to be taken in."""
+        return self.members.find(self.id) is None or self._unknown_to_others
+
+    def leader_address(self) -> str:
+        """Return the address of the leader as last heard, empty if unknown."""
+        member = self.members.find(self.leader)
+        return member.address if member else ""
+
+    def authority_until_s(self, now_s: float) -> float:
+        """Return until when no other replica can have become leader, ``-inf`` if unknown.
+
+        A quorum has followed this leader at the moment returned by its progress, and none of them
+        gives a vote within ``election_s`` of it. Until the first entry of the term is committed a
+        leader may not know all that its predecessors committed.
+        """
+        if self.role is not Role.LEADER or self.commit_index < self._start_index:
+            return float("-inf")
+        return self._quorum_sent_s(now_s) + self._timing.election_s * self._timing.drift
+
+    # --- time ---------------------------------------------------------------------------------
+
+    def tick(self, now_s: float) -> Effects:
+        """Do what the time asks for: heartbeats, elections, stepping down, membership."""
+        effects = Effects()
+        if self.role is Role.LEADER:
+            self._lead(now_s, effects)
+        elif now_s >= self._election_at_s and self.is_voter:
+            self._start_trial(now_s, effects)
+        return effects
+
+    def _lead(self, now_s: float, effects: Effects) -> None:
+        heard_s = max(self._quorum_sent_s(now_s), self._leader_since_s)
+        if now_s - heard_s > 2 * self._timing.election_s:
+            self._follow(self.term, "", now_s)
+            return
+        change = self._next_members(now_s)
+        if change is not None:
+            self._append((self._entry(messages.EntryKind.MEMBERS, members=change),), effects)
+            self._advance(now_s)
+        self._send_appends(now_s, effects, heartbeat=True)
+
+    def _quorum_sent_s(self, now_s: float) -> float:
+        """Return when a quorum is known to have followed this leader."""
+        members = self.members
+        times = [
+            now_s if voter == self.id else self._progress[voter].acknowledged_sent_s
+            for voter in members.voters
+            if voter == self.id or voter in self._progress
+        ]
+        return progress.quorum_value(times, members.quorum)
+
+    def _next_members(self, now_s: float) -> messages.Members | None:
+        """Return the next set, if one is due and the last change is committed."""
+        if self.log.members_index() > self.commit_index or self.commit_index < self._start_index:
+            return None
+        members = self.members
+        ready = tuple(
+            each
+            for each in members.members
+            if not each.voter and self._caught_up(each.replica, now_s)
+        )
+        change = membership.promoted(members, ready, self._silent(now_s, self._timing.silent_s))
+        return change or membership.without_silent(
+            members, self._silent(now_s, self._timing.gone_s)
+        )
+
+    def _caught_up(self, replica: str, now_s: float) -> bool:
+        known = self._progress.get(replica)
+        if known is None or known.match_index < self.commit_index:
+            return False
+        return now_s - known.acknowledged_sent_s < self._timing.election_s
+
+    def _silent(self, now_s: float, after_s: float) -> frozenset[str]:
+        return frozenset(
+            replica
+            for replica, known in self._progress.items()
+            if now_s - max(known.acknowledged_sent_s, known.since_s) > after_s
+        )
+
+    # --- elections ----------------------------------------------------------------------------
+
+    def _rest(self, now_s: float) -> None:
+        """Put the next election off by a random time."""
+        wait_s = self._timing.election_s * (1 + self._chance.random())
+        self._election_at_s = now_s + wait_s
+
+    def _start_trial(self, now_s: float, effects: Effects) -> None:
+        self._rest(now_s)
+        self.role = Role.TRIAL
+        self.leader = ""
+        self._votes = {self.id}
+        self._ask_for_votes(self.term + 1, trial=True, effects=effects)
+        self._count_votes(now_s, effects)
+
+    def _start_election(self, now_s: float, effects: Effects) -> None:
+        self._rest(now_s)
+        self.role = Role.CANDIDATE
+        self.term += 1
+        self._voted_for = self.id
+        self._votes = {self.id}
+        self._save(effects)
+        self._ask_for_votes(self.term, trial=False, effects=effects)
+        self._count_votes(now_s, effects)
+
+    def _ask_for_votes(self, term: int, *, trial: bool, effects: Effects) -> None:
+        for voter in self.members.voters:
+            if voter != self.id:
+                effects.sends.append(
+                    messages.VoteRequest(
+                        to=voter,
+                        term=term,
+                        candidate=self.id,
+                        last_index=self.log.last_index,
+                        last_term=self.log.last_term,
+                        trial=trial,
+                    )
+                )
+
+    def _count_votes(self, now_s: float, effects: Effects) -> None:
+        voters = self.members.voters
+        if len(self._votes.intersection(voters)) < self.members.quorum:
+            return
+        if self.role is Role.TRIAL:
+            self._start_election(now_s, effects)
+        elif self.role is Role.CANDIDATE:
+            self._become_leader(now_s, effects)
+
+    def _become_leader(self, now_s: float, effects: Effects) -> None:
+        self.role = Role.LEADER
+        self.leader = self.id
+        self._leader_since_s = now_s
+        self._progress = {}
+        self._append((self._entry(messages.EntryKind.START),), effects)
+        self._start_index = self.log.last_index
+        self._advance(now_s)
+        self._send_appends(now_s, effects, heartbeat=True)
+
+    def _on_vote_request(self, request: messages.VoteRequest, now_s: float) -> Effects:
+        effects = Effects()
+        granted = self._would_vote(request, now_s)
+        if granted and not request.trial:
+            if request.term > self.term:
+                self._follow(request.term, "", now_s)
+            self._voted_for = request.candidate
+            self._rest(now_s)
+            self._save(effects)
+        effects.reply = messages.VoteReply(
+            voter=self.id,
+            term=self.term,
+            granted=granted,
+            trial=request.trial,
+            member=self.members.find(request.candidate) is not None,
+        )
+        return effects
+
+    def _would_vote(self, request: messages.VoteRequest, now_s: float) -> bool:
+        # Nothing of a request is taken up while a leader is heard, not even its term: a replica
+        # that was cut off must not end the leader's term when it comes back.
+        hears_leader = now_s - self._heard_s < self._timing.election_s
+        if self.role is Role.LEADER or hears_leader or request.term < self.term:
+            return False
+        ours = (self.log.last_term, self.log.last_index)
+        if (request.last_term, request.last_index) < ours:
+            return False
+        if request.trial:
+            return request.term > self.term
+        return request.term > self.term or self._voted_for in ("", request.candidate)
+
+    def _on_vote_reply(self, reply: messages.VoteReply, now_s: float) -> Effects:
+        effects = Effects()
+        if not reply.member:
+            self._unknown_to_others = True
+        if reply.term > self.term and not reply.granted:
+            self._follow(reply.term, "", now_s)
+            self._save(effects)
+            return effects
+        expected = Role.TRIAL if reply.trial else Role.CANDIDATE
+        if reply.granted and self.role is expected:
+            self._votes.add(reply.voter)
+            self._count_votes(now_s, effects)
+        return effects
+
+    def _follow(self, term: int, leader: str, now_s: float) -> None:
+        """Become a follower; a newer term has no vote yet."""
+        if term > self.term:
+            self.term = term
+            self._voted_for = ""
+        if self.role is not Role.FOLLOWER:
+            self._rest(now_s)
+        self.role = Role.FOLLOWER
+        self.leader = leader
+
+    # --- following ----------------------------------------------------------------------------
+
+    def receive(self, request: messages.Request, now_s: float) -> Effects:
+        """Handle a request of another replica; without a reply it was not for this one."""
+        if request.to != self.id:
+            return Effects()
+        match request:
+            case messages.VoteRequest():
+                return self._on_vote_request(request, now_s)
+            case messages.AppendRequest():
+                return self._on_append(request, now_s)
+            case messages.SnapshotRequest():
+                return self._on_snapshot(request, now_s)
+
+    def _hear(self, term: int, leader: str, now_s: float) -> bool:
+        """Follow the leader of ``term`` unless it is an old one; return whether the term is new."""
+        is_new = term > self.term
+        self._follow(term, leader, now_s)
+        self._heard_s = now_s
+        self._rest(now_s)
+        self._unknown_to_others = False
+        return is_new
+
+    def _on_append(self, request: messages.AppendRequest, now_s: float) -> Effects:
+        effects = Effects()
+        if request.term < self.term:
+            effects.reply = self._append_reply(False, 0)
+            return effects
+        is_new_term = self._hear(request.term, request.leader, now_s)
+        matches = self.log.term_at(request.previous_index) == request.previous_term
+        behind_snapshot = request.previous_index < self.log.snapshot.index
+        if not matches and not behind_snapshot:
+            if is_new_term:
+                self._save(effects)
+            effects.reply = self._append_reply(False, self._hint(request.previous_index))
+            return effects
+        self._take_entries(request, is_new_term, effects)
+        last_index = request.previous_index + len(request.entries)
+        self.commit_index = max(self.commit_index, min(request.commit_index, last_index))
+        effects.reply = self._append_reply(True, last_index)
+        return effects
+
+    def _take_entries(
+        self, request: messages.AppendRequest, is_new_term: bool, effects: Effects
+    ) -> None:
+        first_index = request.previous_index + 1
+        new_index = self.log.new_among(first_index, request.entries)
+        if new_index is not None:
+            entries = request.entries[new_index - first_index :]
+            self.log.put(new_index, entries)
+            self._save(effects, new_index, entries)
+        elif is_new_term:
+            self._save(effects)
+
+    def _hint(self, previous_index: int) -> int:
+        """Return an index from which the leader may go on: before the term that contradicts."""
+        if previous_index > self.log.last_index:
+            return self.log.last_index
+        term = self.log.term_at(previous_index)
+        index = previous_index
+        while index > self.log.snapshot.index and self.log.term_at(index) == term:
+            index -= 1
+        return index
+
+    def _on_snapshot(self, request: messages.SnapshotRequest, now_s: float) -> Effects:
+        effects = Effects()
+        if request.term < self.term:
+            effects.reply = self._append_reply(False, 0)
+            return effects
+        self._hear(request.term, request.leader, now_s)
+        snapshot = request.snapshot
+        if snapshot.index > self.commit_index:
+            self.log.compact(snapshot)
+            self.commit_index = snapshot.index
+            self._applied_index = snapshot.index
+            self._installed = snapshot
+        self._save(effects)
+        effects.reply = self._append_reply(True, snapshot.index)
+        return effects
+
+    def _append_reply(self, success: bool, match_index: int) -> messages.AppendReply:
+        return messages.AppendReply(
+            replica=self.id, term=self.term, success=success, match_index=match_index
+        )
+
+    # --- leading ------------------------------------------------------------------------------
+
+    def propose(self, payloads: list[str], now_s: float) -> tuple[Effects, int]:
+        """Append commands; return the index of the first, 0 if this replica does not lead."""
+        effects = Effects()
+        if self.role is not Role.LEADER:
+            return effects, 0
+        first_index = self.log.last_index + 1
+        entries = [self._entry(messages.EntryKind.COMMAND, payload) for payload in payloads]
+        self._append(tuple(entries), effects)
+        self._advance(now_s)
+        self._send_appends(now_s, effects, heartbeat=False)
+        return effects, first_index
+
+    def admit(self, request: messages.JoinRequest, now_s: float) -> tuple[Effects, bool]:
+        """Take a replica in as a learner; return whether it is in the set now."""
+        effects = Effects()
+        if self.role is not Role.LEADER:
+            return effects, False
+        if self.members.find(request.replica) is not None:
+            return effects, True
+        if self.log.members_index() > self.commit_index or self.commit_index < self._start_index:
+            return effects, False
+        change = membership.with_learner(self.members, request.replica, request.address)
+        self._append((self._entry(messages.EntryKind.MEMBERS, members=change),), effects)
+        self._advance(now_s)
+        self._send_appends(now_s, effects, heartbeat=False)
+        return effects, True
+
+    def reply(self, reply: messages.Reply, sent_s: float, now_s: float) -> Effects:
+        """Handle the answer to a request that was sent at ``sent_s``."""
+        if isinstance(reply, messages.VoteReply):
+            return self._on_vote_reply(reply, now_s)
+        return self._on_append_reply(reply, sent_s, now_s)
+
+    def failed(self, replica: str, now_s: float) -> None:
+        """Note that a request to ``replica`` got no answer."""
+        known = self._progress.get(replica)
+        if known is not None:
+            known.in_flight = False
+
+    def _on_append_reply(self, reply: messages.AppendReply, sent_s: float, now_s: float) -> Effects:
+        effects = Effects()
+        if reply.term > self.term:
+            self._follow(reply.term, "", now_s)
+            self._save(effects)
+            return effects
+        known = self._progress.get(reply.replica)
+        if self.role is not Role.LEADER or known is None or reply.term < self.term:
+            return effects
+        known.in_flight = False
+        known.acknowledged(sent_s)
+        if reply.success:
+            known.match_index = max(known.match_index, reply.match_index)
+            known.next_index = known.match_index + 1
+            self._advance(now_s)
+        else:
+            known.next_index = max(1, min(known.next_index - 1, reply.match_index + 1))
+        self._send_appends(now_s, effects, heartbeat=False)
+        return effects
+
+    def _entry(
+        self,
+        kind: messages.EntryKind,
+        payload: str = "",
+        members: messages.Members | None = None,
+    ) -> messages.Entry:
+        return messages.Entry(self.term, kind, payload, members)
+
+    def _append(self, entries: tuple[messages.Entry, ...], effects: Effects) -> None:
+        first_index = self.log.last_index + 1
+        self.log.put(first_index, entries)
+        self._save(effects, first_index, entries)
+
+    def _save(
+        self, effects: Effects, first_index: int = 0, entries: tuple[messages.Entry, ...] = ()
+    ) -> None:
+        """Add to the one write of these effects."""
+        before = effects.write
+        if before is not None and before.entries:
+            first_index = before.first_index
+            entries = before.entries + entries
+        effects.write = messages.Write(
+            self.term, self._voted_for, first_index or self.log.last_index + 1, entries
+        )
+
+    def _advance(self, now_s: float) -> None:
+        """Commit what a quorum holds, if the newest of it is of this term."""
+        members = self.members
+        matches = [
+            float(self.log.last_index)
+            if voter == self.id
+            else float(self._progress[voter].match_index if voter in self._progress else 0)
+            for voter in members.voters
+        ]
+        index = int(max(0.0, progress.quorum_value(matches, members.quorum)))
+        if index > self.commit_index and self.log.term_at(index) == self.term:
+            self.commit_index = index
+
+    def _send_appends(self, now_s: float, effects: Effects, *, heartbeat: bool) -> None:
+        """Send to each replica that is due and has no request under way."""
+        self._follow_members(now_s)
+        for replica, known in self._progress.items():
+            if known.in_flight and now_s - known.sent_s < self._timing.answer_s:
+                continue
+            behind = known.next_index <= self.log.last_index
+            due = heartbeat and now_s - known.sent_s >= self._timing.heartbeat_s
+            if behind or due:
+                known.in_flight = True
+                known.sent_s = now_s
+                effects.sends.append(self._append_request(replica, known.next_index))
+
+    def _follow_members(self, now_s: float) -> None:
+        """Keep progress for exactly the other replicas of the set."""
+        others = {each.replica for each in self.members.members if each.replica != self.id}
+        for replica in others - set(self._progress):
+            self._progress[replica] = progress.Progress(self.log.last_index + 1, since_s=now_s)
+        for replica in set(self._progress) - others:
+            del self._progress[replica]
+
+    def _append_request(self, replica: str, next_index: int) -> messages.Request:
+        previous_index = next_index - 1
+        previous_term = self.log.term_at(previous_index)
+        if previous_term is None:
+            return messages.SnapshotRequest(
+                to=replica, term=self.term, leader=self.id, snapshot=self.log.snapshot
+            )
+        return messages.AppendRequest(
+            to=replica,
+            term=self.term,
+            leader=self.id,
+            previous_index=previous_index,
+            previous_term=previous_term,
+            entries=self.log.slice(next_index, APPEND_SIZE_BYTES),
+            commit_index=self.commit_index,
+        )
+
+    # --- applying -----------------------------------------------------------------------------
+
+    def take_installed(self) -> messages.Snapshot | None:
+        """Return the leader's snapshot if one replaced this log since the last call.
+
+        The caller restores the agreed state from it and writes the disk anew, before it applies
+        what `take_committed` returns.
+        """
+        installed, self._installed = self._installed, None
+        return installed
+
+    def take_committed(self) -> list[tuple[int, messages.Entry]]:
+        """Return the committed entries that were not taken yet, with their indexes."""
+        taken = [
+            (index, self.log.entry(index))
+            for index in range(self._applied_index + 1, self.commit_index + 1)
+        ]
+        self._applied_index = self.commit_index
+        return taken
+
+    def snapshot(self, state: str) -> messages.Snapshot:
+        """Compact the log; ``state`` is the agreed state after all entries taken so far."""
+        index = self._applied_index
+        snapshot = messages.Snapshot(
+            index=index,
+            term=self.log.term_at(index) or 0,
+            members=self.log.members_at(index),
+            state=state,
+        )
+        self.log.compact(snapshot)
+        return snapshot
+
+    def stored(self) -> messages.Stored:
+        """Return all that the disk must hold when it is written anew."""
+        return messages.Stored(
+            self.term, self._voted_for, self.log.snapshot, tuple(self.log.entries)
+        )
--- /dev/null
+++ b/testing/core/replication/cluster.py
@@ -0,0 +1,202 @@
+"""Replicas under a seeded scheduler: messages are dropped, delayed, doubled and reordered, and
+replicas are paused, crash before or after a sync, lose their disks and come back.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+
+import attrs
+
+from croftpulley.core.replication import messages, replica
+
+TICK_S = 0.05
+ADDRESSES = ("a:1", "b:1", "c:1")
+
+
+@attrs.define
+class Machine:
+    """A replica with its disk; ``alive`` is false while it is down or paused."""
+
+    address: str
+    disk: messages.Stored
+    running: replica.Replica
+    applied: list[str] = attrs.field(factory=list)
+    alive: bool = True
+    restarts: int = 0
+
+
+@attrs.define
+class InFlight:
+    """A message on its way."""
+
+    at_s: float
+    source: str
+    target: str
+    sent_s: float
+    body: messages.Request | messages.Reply
+
+
+class Cluster:
+    """Three voters, and whatever joins; every step checks that committed logs agree."""
+
+    def __init__(self, seed: int, loss: float = 0.0, delay_s: float = 0.02) -> None:
+        self.chance = random.Random(seed)
+        self.now_s = 0.0
+        self.loss = loss
+        self.delay_s = delay_s
+        self.cut: set[frozenset[str]] = set()
+        self.network: list[InFlight] = []
+        self.timing = replica.Timing()
+        members = messages.Members(
+            tuple(messages.Member(f"{address}#0", address) for address in ADDRESSES)
+        )
+        self.machines: dict[str, Machine] = {}
+        for address in ADDRESSES:
+            stored = messages.Stored(snapshot=messages.Snapshot(members=members))
+            self.start(address, f"{address}#0", stored)
+        self.committed: dict[int, messages.Entry] = {}
+        self.acknowledged: list[str] = []
+        self.waiting: dict[tuple[int, int], str] = {}
+        self.authorities: list[tuple[str, int, float]] = []
+
+    def start(self, address: str, name: str, stored: messages.Stored) -> None:
+        running = replica.Replica(
+            name, stored, self.timing, random.Random(self.chance.random()), self.now_s
+        )
+        self.machines[address] = Machine(address, stored, running)
+        self.machines[address].applied = _commands(stored.snapshot.state)
+
+    def crash(self, address: str) -> None:
+        """Take a machine down; what was synced stays."""
+        self.machines[address].alive = False
+
+    def restart(self, address: str, *, wiped: bool = False) -> None:
+        """Bring a machine back, with its disk or with a new id on an empty one."""
+        machine = self.machines[address]
+        restarts = machine.restarts + 1
+        name = machine.running.id
+        stored = machine.disk
+        if wiped:
+            name = f"{address}#{restarts}"
+            stored = messages.Stored()
+        self.start(address, name, copy.deepcopy(stored))
+        self.machines[address].restarts = restarts
+
+    def leaders(self) -> list[Machine]:
+        """Return the machines that may act as leader at this moment."""
+        return [
+            each
+            for each in self.machines.values()
+            if each.alive and each.running.authority_until_s(self.now_s) > self.now_s
+        ]
+
+    def propose(self, command: str) -> bool:
+        """Propose at a leader, if there is one."""
+        for machine in self.leaders():
+            effects, index = machine.running.propose([command], self.now_s)
+            self.waiting[(index, machine.running.term)] = command
+            self.carry_out(machine, effects)
+            return True
+        return False
+
+    def run(self, seconds_s: float) -> None:
+        """Let time pass."""
+        ends_at_s = self.now_s + seconds_s
+        while self.now_s < ends_at_s:
+            self.step()
+
+    def step(self) -> None:
+        """Deliver what is due, tick everyone and check."""
+        self.now_s += TICK_S
+        due = [each for each in self.network if each.at_s <= self.now_s]
+        self.network = [each for each in self.network if each.at_s > self.now_s]
+        self.chance.shuffle(due)
+        for message in due:
+            self.deliver(message)
+        for machine in list(self.machines.values()):
+            if machine.alive:
+                self.carry_out(machine, machine.running.tick(self.now_s))
+                self.join(machine)
+        self.check_leaders()
+
+    def join(self, machine: Machine) -> None:
+        """Ask to be taken in, as a replica that is in no set does."""
+        if not machine.running.must_join:
+            return
+        request = messages.JoinRequest(replica=machine.running.id, address=machine.address)
+        for other in self.leaders():
+            if frozenset((machine.address, other.address)) not in self.cut:
+                effects, _ = other.running.admit(request, self.now_s)
+                self.carry_out(other, effects)
+
+    def carry_out(self, machine: Machine, effects: replica.Effects) -> None:
+        """Write, then send and apply, as the driver does."""
+        if effects.write is not None:
+            machine.disk = machine.running.stored()
+        for request in effects.sends:
+            self.send(machine, self.address_of(machine, request.to), request)
+        self.apply(machine)
+
+    @staticmethod
+    def address_of(machine: Machine, name: str) -> str:
+        member = machine.running.members.find(name)
+        return member.address if member else ""
+
+    def send(
+        self, machine: Machine, target: str, body: messages.Request | messages.Reply, sent_s=None
+    ) -> None:
+        copies = 2 if self.chance.random() < self.loss / 2 else 1
+        for _ in range(copies):
+            if self.chance.random() < self.loss:
+                continue
+            delay_s = self.delay_s * (0.5 + self.chance.random())
+            if self.chance.random() < self.loss:
+                delay_s *= 20
+            sent = self.now_s if sent_s is None else sent_s
+            self.network.append(InFlight(self.now_s + delay_s, machine.address, target, sent, body))
+
+    def deliver(self, message: InFlight) -> None:
+        target = self.machines.get(message.target)
+        linked = frozenset((message.source, message.target)) not in self.cut
+        if target is None or not target.alive or not linked:
+            return
+        if isinstance(message.body, (messages.VoteReply, messages.AppendReply)):
+            effects = target.running.reply(message.body, message.sent_s, self.now_s)
+            self.carry_out(target, effects)
+            return
+        effects = target.running.receive(message.body, self.now_s)
+        if effects.write is not None and self.chance.random() < self.loss / 4:
+            # A crash before the sync: neither the write nor the answer happened.
+            self.crash(target.address)
+            return
+        self.carry_out(target, effects)
+        if effects.reply is not None:
+            self.send(target, message.source, effects.reply, message.sent_s)
+
+    def apply(self, machine: Machine) -> None:
+        """Apply commits and check that every replica commits the same entries."""
+        installed = machine.running.take_installed()
+        if installed is not None:
+            machine.applied = _commands(installed.state)
+        for index, entry in machine.running.take_committed():
+            known = self.committed.setdefault(index, entry)
+            assert known == entry, f"entry {index}: got {entry}, expected {known}"
+            if entry.kind is messages.EntryKind.COMMAND:
+                machine.applied.append(entry.payload)
+            command = self.waiting.pop((index, entry.term), None)
+            if command is not None:
+                self.acknowledged.append(command)
+        if len(machine.running.log.entries) > 8:
+            machine.running.snapshot("\n".join(machine.applied))
+            machine.disk = machine.running.stored()
+
+    def check_leaders(self) -> None:
+        """At no moment do two replicas believe that they alone may act."""
+        names = [each.running.id for each in self.leaders()]
+        assert len(names) <= 1, f"got leaders {names}, expected at most one"
+
+
+def _commands(state: str) -> list[str]:
+    return state.split("\n") if state else []
