Tests of the whole path on the platform; sockets are closed by their own thread

Cause: the path stood without tests. They found: a stopped server's address stayed taken for up to a second (its listening socket was closed while another thread polled it); a reply that arrived as its controller stopped ended the sender's thread; early answers and cancels were unproved.

--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import random
 from collections.abc import Callable
@@ -247,15 +248,20 @@
         sent_s = self._clock.monotonic_s()
 
         def on_answer(body: bytes) -> None:
-            self.actor_ref.tell(_Answered(json_codec.decode(body, json_codec.REPLY), sent_s))
+            self._tell_self(_Answered(json_codec.decode(body, json_codec.REPLY), sent_s))
 
         def on_failure(_failure: errors.CroftpulleyError) -> None:
-            self.actor_ref.tell(_Unanswered(request.to))
+            self._tell_self(_Unanswered(request.to))
 
         body = json_codec.encode(request, json_codec.REQUEST)
         job = senders.Job(REQUEST_PATH, body, on_answer, on_failure)
         self._outgoing.to(member.address).send(job)
 
+    def _tell_self(self, message: object) -> None:
+        """Queue a message from a sender's thread, which may outlive this controller a moment."""
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor_ref.tell(message)
+
     def _publish(self, replica: replicas.Replica) -> None:
         before = self._view.get()
         standing = Standing(
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -96,6 +96,14 @@
             operator_address=self.operator_address,
         )
 
+    def standing(self) -> replica.Standing:
+        """Return what the replica is at the moment."""
+        return self._standing.get()
+
+    def leads(self) -> bool:
+        """Tell whether this box alone may answer for the agreed state."""
+        return self.standing().leads(self._clock.monotonic_s())
+
     def stop(self) -> None:
         """Stop serving and close the log."""
         events.emit(_LOG, events.Event.DAEMON_STOPPING)
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -113,6 +113,10 @@
             control_addresses=list(settings.control_addresses),
         )
 
+    def lease_left_s(self) -> float:
+        """Return for how long this box may still act on its lease."""
+        return self._view.get().lease_until_s - self._clock.monotonic_s()
+
     def drain(self) -> bool:
         """Stop by plan: be named no more, serve who still comes, end every stream.
 
@@ -231,7 +235,7 @@
         return {
             "box": self._settings.box,
             "configuration_version": known.configuration.version,
-            "lease_left_s": known.lease_until_s - now_s,
+            "lease_left_s": self.lease_left_s(),
             "heard_age_s": now_s - known.heard_at_s,
             "draining": known.draining,
             "streams": self._streams.open_count(),
--- a/src/croftpulley/fakes/faults.py
+++ b/src/croftpulley/fakes/faults.py
@@ -24,6 +24,15 @@
     WRONG_TOTAL = "wrong_total"
     WRONG_LENGTH = "wrong_length"
     NOT_JSON = "not_json"
+    ERROR = "error"
+    DECLINE = "decline"
+    MISDIRECTED = "misdirected"
+    UNMARKED_503 = "unmarked_503"
+    NO_PROOF = "no_proof"
+    WRONG_ID = "wrong_id"
+    SURPLUS = "surplus"
+    UNFRAMED = "unframed"
+    ANSWER_EARLY = "answer_early"
 
 
 class FaultQueue:
@@ -42,3 +51,11 @@
         """Return the fault for this request."""
         with self._lock:
             return self._queue.pop(0) if self._queue else None
+
+    def take_if(self, fault: Fault) -> bool:
+        """Take the next fault if it is this one; return whether it was."""
+        with self._lock:
+            if not self._queue or self._queue[0] is not fault:
+                return False
+            self._queue.pop(0)
+            return True
--- /dev/null
+++ b/src/croftpulley/fakes/forwarded.py
@@ -0,0 +1,168 @@
+"""A stand-in for an endpoint of forwarded requests: records what it ran and answers with proof."""
+
+from __future__ import annotations
+
+import asyncio
+
+from croftpulley.fakes import faults, stub
+from croftpulley.forwarding import vocabulary
+from croftpulley.settings import schema
+
+STREAM_MARK = "/stream/"
+"""Paths that hold this are answered with an event stream."""
+EVENTS = 5
+PROOF = "a-proof"
+
+
+class ForwardedEndpoint(stub.Stub):
+    """Runs whatever it is sent, but for what is meant for another incarnation."""
+
+    def __init__(
+        self,
+        settings: schema.FakeSettings,
+        names: vocabulary.Vocabulary = vocabulary.OWN,
+        incarnation: str = "",
+    ) -> None:
+        super().__init__(settings.address)
+        self.settings = settings
+        self.names = names
+        self.incarnation = incarnation or settings.name
+        self.faults = faults.FaultQueue()
+        self.runs: list[stub.StubRequest] = []
+        self.cancelled: list[str] = []
+        self.may_go_on = asyncio.Event()
+        self.may_go_on.set()
+
+    async def read_request(self, reader: asyncio.StreamReader) -> stub.StubRequest:
+        """Read one request, or only its head if the answer is to come early."""
+        if self.faults.take_if(faults.Fault.ANSWER_EARLY):
+            head = await stub.read_head(reader)
+            head.headers[_EARLY] = "1"
+            return head
+        return await super().read_request(reader)
+
+    async def answer(self, request: stub.StubRequest, connection: stub.StubConnection) -> None:
+        """Answer one request."""
+        if request.headers.get(self.names.expected_incarnation) != self.incarnation:
+            await self._decline(request, connection, 421)
+            return
+        if _EARLY in request.headers:
+            await self._decline(request, connection, 503)
+            return
+        fault = self.faults.take()
+        match fault:
+            case faults.Fault.RESET_BEFORE_ANSWER:
+                connection.reset()
+            case faults.Fault.DECLINE:
+                await self._decline(request, connection, 503)
+            case faults.Fault.MISDIRECTED:
+                await self._decline(request, connection, 421)
+            case _:
+                await self._run_request(request, connection, fault)
+
+    async def _run_request(
+        self,
+        request: stub.StubRequest,
+        connection: stub.StubConnection,
+        fault: faults.Fault | None,
+    ) -> None:
+        self.runs.append(request)
+        if fault is faults.Fault.RESET_AFTER_RUN:
+            connection.reset()
+        elif fault is faults.Fault.SILENT:
+            await self._wait_for_caller(request, connection)
+        elif fault is faults.Fault.ERROR:
+            await self._whole(request, connection, 500, b"broken")
+        elif fault is faults.Fault.UNMARKED_503:
+            await self._whole(request, connection, 503, b"broken")
+        elif STREAM_MARK in request.path:
+            await self._stream(request, connection, fault)
+        else:
+            await self._whole(request, connection, 200, body_of(request), fault)
+
+    async def _wait_for_caller(
+        self, request: stub.StubRequest, connection: stub.StubConnection
+    ) -> None:
+        """Work until the connection ends, as a worker does that notices it."""
+        await connection.reader.read()
+        self.cancelled.append(request.headers[self.names.request_id])
+
+    async def _decline(
+        self, request: stub.StubRequest, connection: stub.StubConnection, status: int
+    ) -> None:
+        extra = b"" if status == 421 else f"{self.names.not_run}: 1\r\n".encode()
+        await connection.send(
+            self._head(request, status, faults.Fault.NO_PROOF)
+            + extra
+            + b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+        )
+
+    def _head(self, request: stub.StubRequest, status: int, fault: faults.Fault | None) -> bytes:
+        request_id = request.headers.get(self.names.request_id, "")
+        if fault is faults.Fault.WRONG_ID:
+            request_id = "another"
+        lines = [f"HTTP/1.1 {status} Fake", f"{self.names.request_id}: {request_id}"]
+        if fault is not faults.Fault.NO_PROOF:
+            lines.append(f"{self.names.proof}: {PROOF}")
+        return ("\r\n".join(lines) + "\r\n").encode()
+
+    async def _whole(
+        self,
+        request: stub.StubRequest,
+        connection: stub.StubConnection,
+        status: int,
+        body: bytes,
+        fault: faults.Fault | None = None,
+    ) -> None:
+        length = b"Content-Length: %d\r\n" % len(body)
+        if fault is faults.Fault.UNFRAMED:
+            length = b""
+        sent = body[:-3] if fault is faults.Fault.WRONG_LENGTH else body
+        if fault is faults.Fault.SURPLUS:
+            sent += b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+        head = self._head(request, status, fault)
+        await connection.send(head + length + b"Connection: close\r\n\r\n" + sent)
+
+    async def _stream(
+        self,
+        request: stub.StubRequest,
+        connection: stub.StubConnection,
+        fault: faults.Fault | None,
+    ) -> None:
+        head = self._head(request, 200, fault)
+        await connection.send(
+            head + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        first = int(request.headers.get(self.names.last_event_id, "0")) + 1
+        for number in range(first, EVENTS + 1):
+            await self.may_go_on.wait()
+            event = event_of(request, number)
+            if number == first + 1 and fault is faults.Fault.HALF_EVENT:
+                await connection.send(_chunk(event[:5]))
+                return
+            if number == first + 1 and fault is faults.Fault.RESET_MID_STREAM:
+                connection.reset()
+                return
+            if number == first + 1 and fault is faults.Fault.SILENT_MID_STREAM:
+                await self._wait_for_caller(request, connection)
+                return
+            await connection.send(_chunk(event))
+        await connection.send(b"0\r\n\r\n")
+
+
+def body_of(request: stub.StubRequest) -> bytes:
+    """Return the answer to a request that is no stream."""
+    return b"ran " + request.method.encode() + b" " + request.path.encode() + b" " + request.body
+
+
+def event_of(request: stub.StubRequest, number: int) -> bytes:
+    """Return one event; it depends on the request and its number alone."""
+    return f"id: {number}\ndata: {request.path} {number}\n\n".encode()
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+_EARLY = ":early"
+"""Marks a request whose body was not read; no header can have this name."""
--- a/src/croftpulley/fakes/stub.py
+++ b/src/croftpulley/fakes/stub.py
@@ -36,8 +36,9 @@
 class StubConnection:
     """The socket of one request."""
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, writer: asyncio.StreamWriter, reader: asyncio.StreamReader) -> None:
         self.writer = writer
+        self.reader = reader
 
     async def respond(self, document: Any, status: int = 200, extra_length_bytes: int = 0) -> None:
         """Answer with JSON; ``extra_length_bytes`` announces more than is sent."""
@@ -129,23 +130,29 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.resets_connections:
-            StubConnection(writer).reset()
+            StubConnection(writer, reader).reset()
             return
         try:
-            request = await _read_request(reader)
-            await self.answer(request, StubConnection(writer))
+            request = await self.read_request(reader)
+            await self.answer(request, StubConnection(writer, reader))
         except (ConnectionError, asyncio.IncompleteReadError):
             # The other side went away, which is what many tests are about.
             pass
         finally:
             writer.close()
 
+    async def read_request(self, reader: asyncio.StreamReader) -> StubRequest:
+        """Read one request whole."""
+        head = await read_head(reader)
+        size_bytes = int(head.headers.get("content-length", "0"))
+        return attrs.evolve(head, body=await reader.readexactly(size_bytes))
 
-async def _read_request(reader: asyncio.StreamReader) -> StubRequest:
+
+async def read_head(reader: asyncio.StreamReader) -> StubRequest:
+    """Read a request up to its body."""
     head = await reader.readuntil(_HEADER_END)
     lines = head.decode("latin-1").split("\r\n")
     method, path, _ = lines[0].split(" ", 2)
     pairs = (line.split(":", 1) for line in lines[1:] if ":" in line)
     headers = {name.strip().lower(): value.strip() for name, value in pairs}
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return StubRequest(method, path, headers, body)
+    return StubRequest(method, path, headers, b"")
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -10,6 +10,7 @@
 import waitress.parser
 import waitress.server
 import waitress.task
+import waitress.wasyncore
 
 from croftpulley import codes, errors
 from croftpulley.http import wsgi
@@ -171,9 +172,20 @@
         self._server.closes_connections = True
 
     def stop(self) -> None:
-        """Stop listening and end the threads; a planned stop has waited for replies before."""
-        self._server.close()
+        """End the threads, then every socket; a planned stop has waited for replies before.
+
+        The sockets are closed by the thread that waits on them: closed by another they would stay
+        open until that wait ends, and the address with them.
+        """
         self._server.task_dispatcher.shutdown(timeout=_SHUTDOWN_TIMEOUT_S)
+        if not self._thread.is_alive():
+            self._close_all()
+            return
+        self._server.trigger.pull_trigger(self._close_all)
+        self._thread.join(_SHUTDOWN_TIMEOUT_S)
+
+    def _close_all(self) -> None:
+        waitress.wasyncore.close_all(self._map, ignore_all=True)
 
     def _end_idle(self, _now_s: float) -> None:
         """End connections that rest too long or whose request takes too long to come."""
--- /dev/null
+++ b/src/croftpulley/platform/stand_ins.py
@@ -0,0 +1,125 @@
+"""Stand-ins for the platform: its list of endpoints, and an operator. For tests and the demo."""
+
+from __future__ import annotations
+
+import time
+import urllib.parse
+from typing import Any
+
+import attrs
+import orjson
+
+from croftpulley import errors
+from croftpulley.core import membership
+from croftpulley.endpoints import connection
+from croftpulley.fakes import stub
+
+_PAGE_SIZE = 2
+"""Small, so that a few endpoints take several pages."""
+
+
+class FakeInstances(stub.Stub):
+    """Answers ``GET /instances`` page by page."""
+
+    def __init__(self, address: str = "127.0.0.1:0") -> None:
+        super().__init__(address)
+        self.listed: tuple[membership.Endpoint, ...] = ()
+        self.calls = 0
+        self.fails = False
+
+    async def answer(self, request: stub.StubRequest, connection: stub.StubConnection) -> None:
+        """Answer one request."""
+        self.calls += 1
+        url = urllib.parse.urlsplit(request.path)
+        if self.fails or url.path != "/instances":
+            await connection.respond({}, 429 if self.fails else 404)
+            return
+        start = int(dict(urllib.parse.parse_qsl(url.query)).get("pageToken", "0"))
+        end = start + _PAGE_SIZE
+        page = self.listed[start:end]
+        document = {
+            "instances": [_instance(each) for each in page],
+            "nextPageToken": str(end) if end < len(self.listed) else None,
+        }
+        await connection.respond(document)
+
+
+def _instance(endpoint: membership.Endpoint) -> dict[str, Any]:
+    described = {
+        "id": endpoint.incarnation,
+        "service": endpoint.pool,
+        "address": endpoint.address,
+        "zone": endpoint.hall,
+        "version": "v1",
+        "slots": 64,
+        "state": "draining" if endpoint.leaving else "ready",
+        "coldRemainingMs": 0,
+    }
+    if endpoint.kind is membership.EndpointKind.ENGINE:
+        described["stage"] = "prefill_decode"
+    return described
+
+
+_ROUNDS = 8
+_PAUSE_S = 0.1
+_REDIRECTS = 2
+
+
+@attrs.frozen
+class OperatorAnswer:
+    """What the operator was told in the end, and how many boxes it asked."""
+
+    status: int
+    body: bytes
+    asked: int
+    location: str = ""
+
+    @property
+    def is_clear(self) -> bool:
+        """Tell whether no other box need be asked."""
+        return self.status == 200 or 400 <= self.status < 500
+
+
+class Operator:
+    """Submits and reads documents as the platform's operator does: any box, two redirects."""
+
+    def __init__(self, addresses: tuple[str, ...]) -> None:
+        self.addresses = addresses
+
+    def submit(self, document: dict[str, Any], first: int = 0) -> OperatorAnswer:
+        """Submit a document, asking each box in turn until one gives a clear answer."""
+        body = orjson.dumps(document)
+        return self._ask("POST", "/Configuration.Replace", body, first)
+
+    def read(self, first: int = 0) -> OperatorAnswer:
+        """Read the newest document."""
+        return self._ask("GET", "/Configuration.Read", None, first)
+
+    def _ask(self, method: str, path: str, body: bytes | None, first: int) -> OperatorAnswer:
+        """Ask each box in turn, with a pause after each round, until one answers clearly."""
+        asked = 0
+        answer = OperatorAnswer(0, b"", 0)
+        for position in range(_ROUNDS * len(self.addresses)):
+            if position and position % len(self.addresses) == 0:
+                time.sleep(_PAUSE_S)
+            address = self.addresses[(first + position) % len(self.addresses)]
+            for _ in range(1 + _REDIRECTS):
+                asked += 1
+                answer = self._ask_one(address, connection.HttpRequest(method, path, body), asked)
+                if answer.status != 307:
+                    break
+                address = answer.location
+            if answer.is_clear:
+                break
+        return answer
+
+    @staticmethod
+    def _ask_one(address: str, request: connection.HttpRequest, asked: int) -> OperatorAnswer:
+        target = connection.Target(address, 1.0, 5.0)
+        try:
+            response, data = connection.whole(target, request, connection.PEER_FAILURES)
+        except errors.CroftpulleyError:
+            # A box that is down: the next one is asked.
+            return OperatorAnswer(0, b"", asked)
+        location = urllib.parse.urlsplit(response.headers.get("Location", "")).netloc
+        return OperatorAnswer(response.status, data, asked, location)
--- a/src/croftpulley/transport/senders.py
+++ b/src/croftpulley/transport/senders.py
@@ -59,11 +59,10 @@
                 self._link.close()
                 return
             try:
-                answer = self._link.post(job.path, job.body)
+                job.on_answer(self._link.post(job.path, job.body))
             except errors.CroftpulleyError as failure:
+                # No answer, or one that cannot be read.
                 job.on_failure(failure)
-                continue
-            job.on_answer(answer)
 
 
 class Senders:
--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -12,6 +12,7 @@
 import pytest
 import urllib3
 
+import site_of_routers as sites
 from croftpulley.daemons import control, entry
 from croftpulley.fakes import engine, platform_list, worker
 from croftpulley.settings import schema
@@ -234,6 +235,23 @@
         fleet.stop()
 
 
+@pytest.fixture
+def make_site(tmp_path: pathlib.Path) -> Iterator[Callable[..., sites.Site]]:
+    """Make sites of routers that are ready and end with the test."""
+    made = []
+
+    def make(**wanted: Any) -> sites.Site:
+        site = sites.Site(tmp_path, **wanted)
+        made.append(site)
+        wait_until(lambda: site.operator.submit(sites.DOCUMENT).status == 200, "it is accepted")
+        wait_until(site.is_ready, "every router is ready")
+        return site
+
+    yield make
+    for site in made:
+        site.stop()
+
+
 KNOWN_RED = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
 
 
--- /dev/null
+++ b/testing/daemons/test_replicas.py
@@ -0,0 +1,199 @@
+"""Three control boxes: racing operators, lost answers, lost boxes, lost disks."""
+
+from __future__ import annotations
+
+import copy
+import shutil
+import threading
+
+import orjson
+import pytest
+
+from conftest import wait_until
+from croftpulley.core.replication import replica
+from croftpulley.platform import names
+from site_of_routers import DOCUMENT
+
+NAMES = names.VOCABULARY
+
+
+def document(version, path="/cancel/", **changes):
+    made = copy.deepcopy(DOCUMENT)
+    made["version"] = version
+    made["routes"][3]["pathPrefix"] = path
+    return made | changes
+
+
+@pytest.fixture
+def site(make_site):
+    return make_site(control=3, routers=2)
+
+
+def leader(site):
+    """Return the number of the leading control box."""
+    found = []
+
+    def is_found():
+        found[:] = [n for n, each in enumerate(site.control) if each and each.leads()]
+        return len(found) == 1
+
+    wait_until(is_found, "one control box leads")
+    return found[0]
+
+
+def read(site, first=0):
+    return site.operator.read(first)
+
+
+def accepted(site, made, first=0):
+    wait_until(lambda: site.operator.submit(made, first).status == 200, "it is accepted")
+
+
+class TestSubmissions:
+    """What operators are told, at any box."""
+
+    @pytest.mark.parametrize("first", range(3))
+    def test_any_box_takes_a_document_and_it_is_in_force_everywhere(self, site, first):
+        assert site.operator.submit(document(5, "/moved/"), first).status == 200
+        for each in site.routers:
+            address = each.caller_address
+            assert site.ask("GET", "/moved/x", address=address).status == 200
+            assert site.ask("GET", "/cancel/x", address=address).status == 404
+
+    @pytest.mark.parametrize("first", range(3))
+    def test_what_was_accepted_is_read_back_as_it_was_sent(self, site, first):
+        sent = document(7, unknown_field={"a": [1, 2]})
+        assert site.operator.submit(sent).status == 200
+        answer = read(site, first)
+        assert (answer.status, answer.body) == (200, orjson.dumps(sent))
+
+    def test_an_older_document_is_acknowledged_and_changes_nothing(self, site):
+        site.operator.submit(document(9, "/new/"))
+        assert site.operator.submit(document(8, "/old/")).status == 200
+        assert site.ask("GET", "/new/x").status == 200
+        assert site.ask("GET", "/old/x").status == 404
+
+    def test_other_content_under_the_number_held_is_neither_obeyed_nor_read_back(self, site):
+        site.operator.submit(document(9, "/first/"))
+        before = read(site).body
+        site.operator.submit(document(9, "/second/"))
+        assert read(site).body == before
+        assert site.ask("GET", "/second/x").status == 404
+
+    def test_a_document_sent_again_after_many_changes_is_acknowledged(self, site):
+        first = document(2, "/early/")
+        site.operator.submit(first)
+        for version in range(3, 40):
+            assert site.operator.submit(document(version)).status == 200
+        assert site.operator.submit(first, 1).status == 200
+        assert site.ask("GET", "/early/x").status == 404
+
+    def test_an_invalid_document_is_refused_everywhere_and_not_in_force(self, site):
+        invalid = document(9, "/bad/")
+        invalid["routes"][0]["service"] = "nowhere"
+        answers = {site.operator.submit(invalid, first).status for first in range(3)}
+        assert answers == {400}
+        assert site.ask("GET", "/bad/x").status == 404
+
+
+class TestLosses:
+    """Control boxes that go and come back."""
+
+    def test_the_leader_is_lost_and_nothing_accepted_is(self, site):
+        site.operator.submit(document(5, "/kept/"))
+        gone = leader(site)
+        site.stop_control(gone)
+        accepted(site, document(6, "/kept/", note="after the loss"))
+        site.start_control(gone)
+        assert b"after the loss" in read(site, gone).body
+        assert site.ask("GET", "/kept/x").status == 200
+
+    def test_all_are_lost_at_once_and_come_back(self, site):
+        site.operator.submit(document(5, "/kept/"))
+        before = read(site).body
+        for number in range(3):
+            site.stop_control(number)
+        for number in range(3):
+            site.start_control(number)
+        wait_until(lambda: read(site).status == 200, "a leader is there again")
+        assert read(site).body == before
+        accepted(site, document(6))
+
+    def test_a_lost_disk_then_another_box_lose_nothing(self, site):
+        site.operator.submit(document(5, "/kept/"))
+        wiped = (leader(site) + 1) % 3
+        site.stop_control(wiped)
+        shutil.rmtree(site.folder / f"control-{wiped}")
+        accepted(site, document(6, "/kept/"))
+        site.start_control(wiped)
+        wait_until(lambda: is_voter(site, wiped), "the new replica has a vote")
+        site.stop_control(next(n for n in range(3) if n not in (wiped, leader(site))))
+        accepted(site, document(7, "/kept/", note="with the new replica's vote"))
+        assert b"new replica's vote" in read(site).body
+
+    def test_without_a_quorum_nothing_is_read_or_accepted(self, site):
+        leading = leader(site)
+        for number in range(3):
+            if number != leading:
+                site.stop_control(number)
+        wait_until(lambda: not site.control[leading].leads(), "its authority has ended")
+        # Asked at one address only: the others are down.
+        operator = type(site.operator)((site.operators[leading],))
+        assert operator.read().status == 503
+        assert operator.submit(document(6)).status == 503
+
+
+def is_voter(site, number):
+    standing = site.control[leader(site)].standing()
+    here = [each for each in standing.members.members if each.address == site.peers[number]]
+    return any(each.voter and not each.replica.startswith("first-") for each in here)
+
+
+class TestLeases:
+    """What a router does without word from control."""
+
+    def test_without_a_lease_no_key_is_honoured_and_nothing_is_said_of_routes(self, site):
+        for number in range(3):
+            site.stop_control(number)
+        wait_until(lambda: site.ask("GET", "/cancel/x").status == 503, "the lease has ended")
+        answer = site.ask("GET", "/cancel/x")
+        assert answer.headers["x-run-state"] == "not_run"
+        assert float(answer.headers["retry-after"]) > 0
+        assert site.ask("GET", "/nowhere/x").status == 503
+        assert site.ask("GET", "/open/x").status == 200
+        assert not site.is_ready()
+
+    def test_a_submission_waits_for_a_router_until_its_lease_has_ended(self, site):
+        silent = site.routers[1]
+        silent.stop()
+        address = silent.caller_address
+        assert site.operator.submit(document(5)).status == 200
+        # It was accepted only once the silent router's lease had ended.
+        assert silent.lease_left_s() <= 0
+        assert address
+
+    def test_a_router_that_stops_by_plan_is_named_no_more(self, site):
+        leaving = site.routers[1]
+        stop = threading.Thread(target=leaving.drain)
+        stop.start()
+        other = site.routers[0]
+        wait_until(lambda: leaving.caller_address not in named(site, other), "it is not named")
+        stop.join()
+
+    def test_the_list_is_read_by_a_router_itself_while_control_is_away(self, site):
+        for number in range(3):
+            site.stop_control(number)
+        calls = site.instances.calls
+        wait_until(lambda: site.instances.calls > calls, "a router reads the list")
+
+
+def named(site, router):
+    path = "/resolution?name=x&region=r&zone=hall-a"
+    answer = site.ask("GET", path, address=router.directory_address)
+    return orjson.loads(answer.body)["addresses"]
+
+
+def test_timing_lets_authority_end_before_another_can_be_elected():
+    timing = replica.Timing()
+    assert timing.drift < 1
+    assert timing.heartbeat_s < timing.election_s * timing.drift
--- /dev/null
+++ b/testing/forwarding/test_forwarding.py
@@ -0,0 +1,325 @@
+"""Forwarded requests over real sockets: what reaches endpoints and what callers get."""
+
+from __future__ import annotations
+
+import copy
+import socket
+
+import pytest
+
+from conftest import wait_until
+from croftpulley.fakes import faults, forwarded
+from croftpulley.platform import names
+from site_of_routers import DOCUMENT, HOST
+
+Fault = faults.Fault
+NAMES = names.VOCABULARY
+
+
+@pytest.fixture
+def site(make_site):
+    return make_site()
+
+
+def only_run(site):
+    ((name, run),) = site.runs()
+    return name, run
+
+
+class TestPassingOn:
+    """Requests and answers go through as they are."""
+
+    def test_method_path_query_and_body_arrive_as_sent(self, site):
+        path = "/cancel/a%2Fb//c;d?q=%20x&&y="
+        answer = site.ask("PUT", path, body=b"\x00\xff body")
+        _, run = only_run(site)
+        assert (run.method, run.path, run.body) == ("PUT", path, b"\x00\xff body")
+        assert answer.status == 200
+        assert answer.body == b"ran PUT " + path.encode() + b" \x00\xff body"
+        assert answer.headers[NAMES.proof] == forwarded.PROOF
+        assert answer.headers[NAMES.request_id] == "request-1"
+
+    def test_headers_arrive_but_for_those_of_one_connection_and_the_key(self, site):
+        own = {
+            "X-Custom": "a, b",
+            "Connection": "X-Hop",
+            "X-Hop": "1",
+            "X-Forwarded-For": "1.2.3.4",
+        }
+        site.ask("GET", "/cancel/x", headers=own)
+        _, run = only_run(site)
+        assert run.headers["x-custom"] == "a, b"
+        assert run.headers["host"] == HOST
+        assert run.headers["x-forwarded-for"] == "1.2.3.4"
+        assert run.headers[NAMES.workspace] == "clinic"
+        assert "x-hop" not in run.headers
+        assert NAMES.key not in run.headers
+        assert "user-agent" not in run.headers
+        assert 4000 < int(run.headers[NAMES.budget_ms]) <= 5000
+
+    def test_a_workspace_that_the_caller_claims_is_replaced(self, site):
+        site.ask("GET", "/cancel/x", headers={NAMES.workspace: "another"})
+        assert only_run(site)[1].headers[NAMES.workspace] == "clinic"
+
+    def test_a_body_in_chunks_arrives_whole(self, site):
+        connection = site.connect()
+        blocks = iter([b"one ", b"two"])
+        connection.request("POST", "/cancel/x", blocks, site.headers("r"), encode_chunked=True)
+        assert connection.getresponse().status == 200
+        connection.close()
+        assert only_run(site)[1].body == b"one two"
+
+    def test_a_long_body_arrives_whole(self, site):
+        body = bytes(range(256)) * 700
+        site.ask("POST", "/cancel/x", body=body)
+        assert only_run(site)[1].body == body
+
+    def test_events_come_as_they_are_made_and_the_connection_is_kept(self, site):
+        engine = site.engines[0]
+        site.engines[1].faults.add(*[Fault.DECLINE] * 3)
+        connection = site.connect()
+        for number in range(2):
+            connection.request("POST", "/stream/chat/x", b"", site.headers(f"r-{number}"))
+            response = connection.getresponse()
+            body = response.read()
+            assert body.count(b"data:") == forwarded.EVENTS
+        connection.close()
+        assert len(engine.runs) + len(site.engines[1].runs) == 2
+
+    def test_an_answer_without_a_length_is_whole(self, site):
+        for each in site.workers:
+            each.faults.add(Fault.UNFRAMED)
+        answer = site.ask("POST", "/confirm/x", body=b"b")
+        assert (answer.status, answer.body) == (200, b"ran POST /confirm/x b")
+
+    def test_bytes_after_a_whole_answer_reach_nobody(self, site):
+        for each in site.workers:
+            each.faults.add(Fault.SURPLUS)
+        connection = site.connect()
+        for number in range(2):
+            connection.request("POST", "/confirm/x", b"b", site.headers(f"r-{number}"))
+            assert connection.getresponse().read() == b"ran POST /confirm/x b"
+        connection.close()
+
+
+class TestRoutesAndKeys:
+    """Who may ask for what."""
+
+    @pytest.mark.parametrize(
+        ("path", "headers", "status"),
+        [
+            ("/nowhere/x", {}, 404),
+            ("/cancel", {}, 404),
+            ("/cancel/x", {"Host": "other.example"}, 404),
+            ("/cancel/x", {NAMES.key: ""}, 401),
+            ("/cancel/x", {NAMES.key: "wrong"}, 401),
+            ("/open/x", {NAMES.key: ""}, 200),
+        ],
+    )
+    def test_each_is_told_what_it_may(self, site, path, headers, status):
+        assert site.ask("GET", path, headers=headers).status == status
+        assert len(site.runs()) == (1 if status == 200 else 0)
+
+    def test_a_time_limit_is_kept_and_told_at_once(self, site):
+        for each in site.workers:
+            each.faults.add(Fault.SILENT)
+        answer = site.ask("GET", "/open/x")
+        assert answer.status == 504
+        assert answer.headers["x-run-state"] == "unknown"
+
+    def test_a_new_configuration_replaces_the_routes(self, site):
+        changed = copy.deepcopy(DOCUMENT)
+        changed["version"] = 2
+        changed["routes"] = changed["routes"][:3]
+        assert site.operator.submit(changed).status == 200
+        assert site.ask("GET", "/cancel/x").status == 404
+
+    def test_a_key_that_was_taken_away_is_refused_once_that_is_acknowledged(self, site):
+        changed = copy.deepcopy(DOCUMENT)
+        changed["version"] = 2
+        changed["tenants"][0]["apiKeys"] = ["another"]
+        assert site.operator.submit(changed).status == 200
+        assert site.ask("GET", "/cancel/x").status == 401
+        assert site.ask("GET", "/cancel/x", headers={NAMES.key: "another"}).status == 200
+
+
+class TestFailures:
+    """What becomes of a request when an endpoint fails it."""
+
+    @pytest.mark.parametrize("fault", [Fault.DECLINE, Fault.MISDIRECTED])
+    @pytest.mark.parametrize("path", ["/confirm/x", "/cancel/x", "/stream/chat/x"])
+    def test_a_declined_request_runs_elsewhere(self, site, fault, path):
+        first = site.engines if path.startswith("/stream") else site.workers
+        for each in first:
+            each.faults.add(fault)
+        first[0].faults.take()
+        assert site.ask("POST", path).status == 200
+        assert len(site.runs()) == 1
+
+    @pytest.mark.parametrize("fault", [Fault.DECLINE, Fault.MISDIRECTED])
+    def test_a_request_that_everyone_declines_is_refused_and_has_not_run(self, site, fault):
+        for each in site.workers:
+            each.faults.add(fault)
+        answer = site.ask("POST", "/confirm/x")
+        assert answer.status == 503
+        assert answer.headers["x-run-state"] == "not_run"
+        assert float(answer.headers["retry-after"]) > 0
+        assert answer.headers[NAMES.request_id] == "request-1"
+        assert site.runs() == []
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            Fault.RESET_AFTER_RUN,
+            Fault.WRONG_LENGTH,
+            Fault.NO_PROOF,
+            Fault.WRONG_ID,
+            Fault.UNMARKED_503,
+        ],
+    )
+    def test_a_request_that_may_run_once_runs_once_and_its_failure_promises_nothing(
+        self, site, fault
+    ):
+        for each in site.workers:
+            each.faults.add(fault)
+        answer = site.ask("POST", "/confirm/x")
+        assert answer.status == 502
+        assert answer.headers["x-run-state"] in ("unknown", "ran")
+        assert NAMES.proof not in answer.headers
+        assert len(site.runs()) == 1
+
+    @pytest.mark.parametrize(
+        "fault",
+        [
+            Fault.RESET_AFTER_RUN,
+            Fault.RESET_BEFORE_ANSWER,
+            Fault.WRONG_LENGTH,
+            Fault.NO_PROOF,
+            Fault.WRONG_ID,
+            Fault.UNMARKED_503,
+            Fault.ERROR,
+        ],
+    )
+    def test_a_request_that_may_repeat_is_answered_by_another(self, site, fault):
+        for each in site.workers:
+            each.faults.add(fault)
+        site.workers[0].faults.take()
+        answer = site.ask("GET", "/cancel/x")
+        assert (answer.status, answer.body) == (200, b"ran GET /cancel/x ")
+
+    def test_an_endpoints_own_failure_is_passed_on_as_it_is(self, site):
+        for each in site.workers:
+            each.faults.add(Fault.ERROR)
+        answer = site.ask("POST", "/confirm/x")
+        assert (answer.status, answer.body) == (500, b"broken")
+        assert answer.headers[NAMES.proof] == forwarded.PROOF
+
+    def test_an_early_answer_to_a_long_body_is_understood(self, site):
+        for each in site.workers:
+            each.faults.add(Fault.ANSWER_EARLY)
+        site.workers[0].faults.take()
+        answer = site.ask("POST", "/confirm/x", body=b"b" * 150_000)
+        assert answer.status == 200
+        assert len(site.runs()) == 1
+
+    def test_an_endpoint_that_is_gone_costs_no_request(self, site):
+        site.workers[0].stop()
+        answers = [site.ask("POST", "/confirm/x", request_id=f"r-{n}").status for n in range(8)]
+        assert answers == [200] * 8
+
+
+class TestStreams:
+    """Event streams that break off."""
+
+    @pytest.mark.parametrize("fault", [Fault.HALF_EVENT, Fault.RESET_MID_STREAM])
+    def test_a_resumable_stream_goes_on_elsewhere_within_the_answer(self, site, fault):
+        for each in site.engines:
+            each.faults.add(fault)
+        site.engines[0].faults.take()
+        answer = site.ask("POST", "/stream/note/x")
+        events = (
+            b"".join(
+                forwarded.event_of(site.engines[0].runs[0], number)
+                for number in range(1, forwarded.EVENTS + 1)
+            )
+            if site.engines[0].runs
+            else b""
+        )
+        assert answer.whole
+        assert answer.body == events
+
+    @pytest.mark.parametrize("fault", [Fault.HALF_EVENT, Fault.RESET_MID_STREAM])
+    def test_another_stream_breaks_visibly_and_runs_once(self, site, fault):
+        for each in site.engines:
+            each.faults.add(fault)
+        answer = site.ask("POST", "/stream/chat/x")
+        assert not answer.whole
+        assert answer.body.count(b"\n\n") == 1
+        assert len(site.runs()) == 1
+
+    def test_a_callers_last_event_is_passed_on(self, site):
+        answer = site.ask("POST", "/stream/note/x", headers={"Last-Event-ID": "3"})
+        assert answer.body.startswith(b"id: 4\n")
+
+
+def test_work_for_a_caller_that_left_is_cancelled(site):
+    for each in site.workers:
+        each.faults.add(Fault.SILENT)
+    connection = site.connect()
+    connection.request("POST", "/confirm/x", b"", site.headers("gone"))
+    wait_until(lambda: site.runs(), "the request runs")
+    connection.close()
+    wait_until(
+        lambda: any("gone" in each.cancelled for each in site.workers), "the work is cancelled"
+    )
+
+
+class TestWire:
+    """What a router refuses to read."""
+
+    @pytest.mark.parametrize(
+        "head",
+        [
+            b"POST /cancel/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n",
+            b"POST /cancel/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n",
+            b"GET /cancel/x HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n folded\r\n\r\n",
+            b"GET /cancel/x HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+            b"GET /cancel/x HTTP/1.1\r\nHost: h\r\ncroftpulley-credential: a\r\n"
+            b"croftpulley-credential: b\r\n\r\n",
+            b"POST /cancel/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"GET http://h/cancel/x HTTP/1.1\r\nHost: h\r\n\r\n",
+        ],
+    )
+    def test_an_ambiguous_request_is_refused_and_nothing_runs(self, site, head):
+        assert status_of(raw(site, head)) == b"400"
+        assert site.runs() == []
+
+    @pytest.mark.parametrize(
+        ("head", "status"),
+        [
+            (b"GET /cancel/x HTTP/1.1\r\nHost: h\r\nX-A: %b\r\n\r\n" % (b"a" * 5000), b"431"),
+            (b"POST /cancel/x HTTP/1.1\r\nHost: h\r\nContent-Length: 200001\r\n\r\n", b"413"),
+        ],
+    )
+    def test_the_limits_of_the_configuration_hold(self, site, head, status):
+        wait_until(lambda: status_of(raw(site, head)) == status, "limits are in use")
+
+    def test_a_body_of_just_the_limit_passes(self, site):
+        assert site.ask("POST", "/cancel/x", body=b"b" * 200_000).status == 200
+
+
+def raw(site, head):
+    """Send bytes and return what comes back first."""
+    host, _, port = site.routers[0].caller_address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=1) as sock:
+        sock.sendall(head)
+        try:
+            return sock.recv(65_536)
+        except TimeoutError:
+            # The limits were not in use yet, and the server waits for the body.
+            return b""
+
+
+def status_of(answer):
+    return answer.split(b" ")[1] if answer else b""
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -75,6 +75,12 @@
         fleet.FleetConfiguration,
         fleet.Workspace,
         fleet.Service,
+        fleet.Route,
+        fleet.Share,
+        fleet.Pool,
+        fleet.WireLimits,
+        schema.RouterSettings,
+        schema.ReplicaSettings,
     ],
 )
 def test_every_setting_has_its_row(kind):
