--- a/src/croftpulley/codes.py
+++ b/src/croftpulley/codes.py
@@ -119,13 +119,13 @@
     ResultCode.TOO_MANY_STREAMS: ResultInfo(503, 1.0, "This box relays as many as it may."),
     ResultCode.DRAINING: ResultInfo(503, 0.0, "This box is stopping; ask for another."),
     ResultCode.NO_LEASE: ResultInfo(
-        503, 2.0, "This box has lost touch with the control boxes; ask for another."
+        503, 1.0, "This box has lost touch with the control boxes; ask for another."
     ),
     ResultCode.NOT_OWNER: ResultInfo(503, 0.5, "The box does not own the engine."),
     ResultCode.ENGINE_LEAVING: ResultInfo(503, 0.5, "The engine is leaving."),
     ResultCode.NO_ENGINE: ResultInfo(503, 2.0, "No engine of the pool is in service."),
     ResultCode.NO_CONFIGURATION: ResultInfo(
-        503, 0.5, "This box knows no configuration yet; ask for another."
+        503, 1.0, "This box knows no configuration yet; ask for another."
     ),
     ResultCode.DECLINED: ResultInfo(503, 0.5, "Every endpoint asked declined to run the request."),
     ResultCode.DEADLINE_PASSED: ResultInfo(504, 1.0, "The answer cannot be had in time."),
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -129,6 +129,7 @@
             boxes_version=known.boxes_version,
             endpoints_version=known.endpoints_version,
             in_flight=own_loads,
+            part_tokens=self._counts.take_part_tokens(),
         )
         if address not in self._links:
             self._links[address] = links.Link(address, self._timeout_s, self._counters)
@@ -172,6 +173,7 @@
             loads=answer.loads,
             own_loads=own_loads,
             loads_at_s=sent_at_s,
+            spreads=answer.spreads,
             heard_at_s=sent_at_s,
         )
         if answer.boxes is not None:
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -13,7 +13,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, listing, replica
-from croftpulley.core import agreed, membership, sessions, versions
+from croftpulley.core import agreed, membership, sessions, spread, versions
 from croftpulley.observe import events
 from croftpulley.transport import messages
 
@@ -67,6 +67,7 @@
         self._waiting: list[WhenInForce] = []
         self._registering: set[str] = set()
         self._forget_at_s: dict[str, float] = {}
+        self._work = spread.PartWork()
         self._boxes: versions.Versioned[tuple[membership.Box, ...]] = versions.Versioned(())
 
     def handle(self, message: object) -> object:
@@ -112,6 +113,7 @@
             report.in_flight,
             self._clock.monotonic_s(),
         )
+        self._work.add(report.part_tokens, self._clock.monotonic_s())
         self._settle()
         return self._answer(report, state)
 
@@ -150,6 +152,7 @@
             endpoints_version=listed.endpoints.version,
             endpoints=listed.endpoints.unless(report.endpoints_version),
             loads=self._sessions.loads(),
+            spreads=self._work.spreads(_engine_count(listed)),
         )
 
     def _tick(self) -> None:
@@ -194,5 +197,10 @@
         return StatusAnswer(self._sessions.boxes(now_s), late)
 
 
+def _engine_count(listed: listing.Listing) -> int:
+    engines = membership.EndpointKind.ENGINE
+    return sum(each.kind is engines and not each.leaving for each in listed.endpoints.value)
+
+
 def _addresses(standing: replica.Standing) -> tuple[str, ...]:
     return tuple(member.address for member in standing.members.members)
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -22,6 +22,7 @@
         self._clock = clock
         self._lock = threading.Lock()
         self._in_flight: collections.Counter[str] = collections.Counter()
+        self._part_tokens: collections.Counter[str] = collections.Counter()
         self._trust: dict[str, trust.Trust] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
 
@@ -42,6 +43,18 @@
         with self._lock:
             return dict(self._in_flight)
 
+    def sent_prompt(self, first_part: str, tokens: int) -> None:
+        """Count the prompt of a request that was sent, by its first part."""
+        with self._lock:
+            self._part_tokens[first_part] += tokens
+
+    def take_part_tokens(self) -> dict[str, int]:
+        """Return the prompt tokens counted since the last call."""
+        with self._lock:
+            taken = dict(self._part_tokens)
+            self._part_tokens.clear()
+            return taken
+
     def candidates(
         self, endpoints: list[membership.Endpoint], state: router_state.RouterState
     ) -> list[selection.Candidate]:
--- a/src/croftpulley/core/calls.py
+++ b/src/croftpulley/core/calls.py
@@ -25,9 +25,14 @@
     last_event_id: str = ""
 
     @property
-    def shared_part(self) -> PromptPart | None:
-        """The longest beginning that other requests have too: the last part is the caller's own."""
-        return self.prompt[-2] if len(self.prompt) > 1 else None
+    def shared(self) -> tuple[PromptPart, ...]:
+        """The beginning that other requests have too: the last part is the caller's own."""
+        return self.prompt[:-1]
+
+    @property
+    def prompt_tokens(self) -> int:
+        """The tokens of the whole prompt."""
+        return sum(part.tokens for part in self.prompt)
 
 
 def parse_prompt(text: str) -> tuple[PromptPart, ...]:
--- a/src/croftpulley/core/replication/replica.py
+++ b/src/croftpulley/core/replication/replica.py
@@ -34,8 +34,8 @@
     replaced; ``gone_s``: one that the set does not need may be removed.
     """
 
-    election_s: float = 0.7
-    heartbeat_s: float = 0.15
+    election_s: float = 0.45
+    heartbeat_s: float = 0.1
     answer_s: float = 0.5
     drift: float = 0.8
     silent_s: float = 2.0
--- a/src/croftpulley/core/selection.py
+++ b/src/croftpulley/core/selection.py
@@ -1,13 +1,15 @@
 """Which endpoint a forwarded request goes to.
 
 Requests that share the beginning of their prompt go to the same engine as long as that is not much
-busier than the others: first in the order that rendezvous hashing gives the shared part, the next
-in the same order when it is. Requests without a shared part go to the least busy endpoint.
+busier than the others. Rendezvous hashing orders the engines for the prompt's first part; the first
+few of them (``core/spread.py`` says how many) are then ordered for its last shared part, so that
+few engines read the first part and one reads the rest. A request spills in that order. Requests
+without a shared part go to the least busy endpoint.
 """
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import attrs
 
@@ -53,14 +55,32 @@
     return [min(candidates, key=lambda each: each.avoid_until_s)]
 
 
-def by_affinity(key: str, candidates: Sequence[Candidate], spill: Spill) -> Candidate:
-    """Choose for a shared part; ``candidates`` is not empty."""
+@attrs.frozen(kw_only=True)
+class Affinity:
+    """What a prompt shares: its first part and the last shared one, which may be the same.
+
+    ``spread`` is over how many engines prompts with this first part are spread.
+    """
+
+    first_part: str
+    last_part: str
+    spread: int = 1
+
+    def order(self, names: Iterable[str]) -> list[str]:
+        """Return the engines in the order of preference."""
+        by_first = choice.order(self.first_part, names)
+        few = choice.order(self.last_part, by_first[: self.spread])
+        return few + by_first[self.spread :]
+
+
+def by_affinity(affinity: Affinity, candidates: Sequence[Candidate], spill: Spill) -> Candidate:
+    """Choose for a shared beginning; ``candidates`` is not empty."""
     by_name = {each.name: each for each in candidates}
     most = spill.most([each.load for each in candidates])
-    for name in choice.order(key, by_name):
+    for name in affinity.order(by_name):
         if by_name[name].load + 1 <= most:
             return by_name[name]
-    return least_busy(key, candidates, "")
+    return least_busy(affinity.last_part, candidates, "")
 
 
 def least_busy(key: str, candidates: Sequence[Candidate], hall: str) -> Candidate:
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -11,12 +11,12 @@
 import pykka
 
 from croftpulley import clock as clocks
-from croftpulley import interface as interfaces
 from croftpulley.controllers import actors, control_plane, listing, replica, sessions
 from croftpulley.core import agreed, submissions
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import replica as replicas
 from croftpulley.http import operator_app, replica_app, server, wsgi
+from croftpulley.interfaces import operators
 from croftpulley.observe import events, metrics
 from croftpulley.settings import schema
 from croftpulley.storage import replica_store
@@ -46,11 +46,11 @@
     def __init__(
         self,
         settings: schema.ReplicaSettings,
-        interface: interfaces.Interface | None = None,
+        interface: operators.OperatorInterface | None = None,
         clock: clocks.Clock | None = None,
     ) -> None:
         self._settings = settings
-        self._interface = interface or interfaces.OwnInterface()
+        self._interface = interface or operators.OwnOperatorInterface()
         self._clock = clock or clocks.SystemClock()
         self._counters = metrics.Metrics()
         self._standing = actors.View(replica.Standing())
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -10,11 +10,11 @@
 import pykka
 
 from croftpulley import clock as clocks
-from croftpulley import interface as interfaces
 from croftpulley.controllers import actors, listing, renewal, router_state, streams, traffic
 from croftpulley.core import membership, retry_budget, selection
 from croftpulley.forwarding import chain, observe, place, relay, rules, sender
 from croftpulley.http import forward_app, operator_app, server, wsgi
+from croftpulley.interfaces import callers
 from croftpulley.observe import events, metrics
 from croftpulley.settings import fleet, schema
 
@@ -52,11 +52,11 @@
     def __init__(
         self,
         settings: schema.RouterSettings,
-        interface: interfaces.Interface | None = None,
+        interface: callers.CallerInterface | None = None,
         clock: clocks.Clock | None = None,
     ) -> None:
         self._settings = settings
-        self._interface = interface or interfaces.OwnInterface()
+        self._interface = interface or callers.OwnCallerInterface()
         self._clock = clock or clocks.SystemClock()
         self._chance = random.Random(uuid.uuid4().int)
         self._counters = metrics.Metrics(settings.workspace_labels)
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -46,9 +46,15 @@
     def _choose(
         self, exchange: base.Exchange, candidates: list[selection.Candidate]
     ) -> selection.Candidate:
-        shared = exchange.facts.shared_part if exchange.known_route.sticky else None
-        if shared is not None:
-            return selection.by_affinity(shared.part, candidates, self._spill)
+        shared = exchange.facts.shared
+        if shared and exchange.known_route.sticky:
+            first_part = shared[0].part
+            affinity = selection.Affinity(
+                first_part=first_part,
+                last_part=shared[-1].part,
+                spread=exchange.state.spreads.get(first_part, 1),
+            )
+            return selection.by_affinity(affinity, candidates, self._spill)
         return selection.least_busy(exchange.facts.request_id, candidates, self._hall)
 
     def _log(
--- a/src/croftpulley/forwarding/relay.py
+++ b/src/croftpulley/forwarding/relay.py
@@ -66,6 +66,9 @@
     def handle(self, exchange: base.Exchange, proceed: base.Proceed) -> base.ForwardReply:
         """Return the endpoint's answer; raises `errors.CroftpulleyError` if there is none."""
         self._counts.request(self._pool(exchange))
+        if exchange.facts.shared:
+            first_part = exchange.facts.shared[0].part
+            self._counts.sent_prompt(first_part, exchange.facts.prompt_tokens)
         tried: set[str] = set()
         while True:
             current = self._begin(exchange, tried, exchange.facts.last_event_id)
--- a/src/croftpulley/interface.py
+++ b/src/croftpulley/interfaces/callers.py
@@ -1,4 +1,4 @@
-"""What the outside speaks: one abstract class, with the fleet's own interface as its first case."""
+"""What callers and the platform speak with a router."""
 
 from __future__ import annotations
 
@@ -6,10 +6,8 @@
 import urllib.parse
 from collections.abc import Callable
 
-import orjson
-
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, control_plane, router_state
+from croftpulley.controllers import actors, router_state
 from croftpulley.core import membership
 from croftpulley.endpoints import base as endpoints
 from croftpulley.endpoints import http_platform
@@ -17,11 +15,11 @@
 from croftpulley.http import wsgi
 from croftpulley.settings import formats
 
-_LIST_TIMEOUT_S = 1.0
+LIST_TIMEOUT_S = 1.0
 """The platform's list answers within milliseconds; a reader that waits longer is cut off."""
 
 
-class Interface(abc.ABC):
+class CallerInterface(abc.ABC):
     """Names, formats and calls of the outside world; decides nothing."""
 
     @property
@@ -46,12 +44,8 @@
     def readiness(self, not_ready: Callable[[], str]) -> wsgi.Handler:
         """Make the handler that tells whether this box is ready."""
 
-    @abc.abstractmethod
-    def operator(self, plane: control_plane.ControlPlane, address: str) -> wsgi.Handler:
-        """Make the handler of operators' calls on ``address``."""
-
 
-class OwnInterface(Interface):
+class OwnCallerInterface(CallerInterface):
     """The fleet's own interface (``docs/INTERFACES.md``)."""
 
     @property
@@ -66,7 +60,7 @@
 
     def endpoint_list(self, address: str) -> endpoints.PlatformList:
         """Make the reader of ``GET /v1/endpoints``."""
-        return http_platform.HttpPlatformList(address, _LIST_TIMEOUT_S)
+        return http_platform.HttpPlatformList(address, LIST_TIMEOUT_S)
 
     def directory(self, view: actors.View[router_state.RouterState], ttl_s: float) -> wsgi.Handler:
         """Make the handler of ``GET /v1/entry``: boxes of the caller's hall first."""
@@ -84,23 +78,6 @@
         """Make the handler of ``GET /readyz``."""
         return readiness_handler("/readyz", not_ready)
 
-    def operator(self, plane: control_plane.ControlPlane, address: str) -> wsgi.Handler:
-        """Make the handler of ``/v1/config`` and ``/v1/status``."""
-
-        def handle(request: wsgi.Request) -> wsgi.Response:
-            if (request.method, request.path) == ("POST", "/v1/config/submissions"):
-                number, document = _parse_submission(request.body)
-                version = plane.submit(number, document)
-                return wsgi.json_response({"version": version, "in_force": True})
-            if (request.method, request.path) == ("GET", "/v1/status"):
-                return wsgi.json_response(plane.status())
-            require(request, "GET", "/v1/config")
-            current = plane.read()
-            document_json = orjson.loads(current.document_json)
-            return wsgi.json_response({"version": current.version, "document": document_json})
-
-        return handle
-
 
 def named_boxes(boxes: tuple[membership.Box, ...], hall: str) -> list[membership.Box]:
     """Return the boxes that callers may use, those of their ``hall`` first; raises if none is."""
@@ -127,18 +104,3 @@
     if request.path != path:
         raise errors.CroftpulleyError(codes.ResultCode.NOT_FOUND, f"got path {request.path!r}")
     wsgi.require_method(request, method)
-
-
-def _parse_submission(body: bytes) -> tuple[int, str]:
-    try:
-        fields = orjson.loads(body)
-        number, document = fields["number"], fields["document"]
-    except (ValueError, KeyError, TypeError) as failure:
-        raise errors.CroftpulleyError(
-            codes.ResultCode.BAD_REQUEST, 'expected a JSON object with "number" and "document"'
-        ) from failure
-    if type(number) is not int or number < 1:
-        raise errors.CroftpulleyError(
-            codes.ResultCode.BAD_REQUEST, f"got number {number!r}, expected a number from 1"
-        )
-    return number, orjson.dumps(document).decode()
--- /dev/null
+++ b/src/croftpulley/interfaces/operators.py
@@ -0,0 +1,77 @@
+"""What operators speak with a control box."""
+
+from __future__ import annotations
+
+import abc
+
+import orjson
+
+from croftpulley import codes, errors
+from croftpulley.controllers import control_plane
+from croftpulley.endpoints import base as endpoints
+from croftpulley.endpoints import http_platform
+from croftpulley.http import wsgi
+from croftpulley.interfaces import callers
+from croftpulley.settings import formats
+
+
+class OperatorInterface(abc.ABC):
+    """Formats and calls of operators; decides nothing."""
+
+    @property
+    @abc.abstractmethod
+    def documents(self) -> formats.DocumentFormat:
+        """How a submitted configuration is written."""
+
+    @abc.abstractmethod
+    def endpoint_list(self, address: str) -> endpoints.PlatformList:
+        """Make the reader of the platform's list at ``address``."""
+
+    @abc.abstractmethod
+    def operator(self, plane: control_plane.ControlPlane, address: str) -> wsgi.Handler:
+        """Make the handler of operators' calls on ``address``."""
+
+
+class OwnOperatorInterface(OperatorInterface):
+    """The fleet's own interface (``docs/INTERFACES.md``)."""
+
+    @property
+    def documents(self) -> formats.DocumentFormat:
+        """JSON with comments."""
+        return formats.OwnFormat()
+
+    def endpoint_list(self, address: str) -> endpoints.PlatformList:
+        """Make the reader of ``GET /v1/endpoints``."""
+        return http_platform.HttpPlatformList(address, callers.LIST_TIMEOUT_S)
+
+    def operator(self, plane: control_plane.ControlPlane, address: str) -> wsgi.Handler:
+        """Make the handler of ``/v1/config`` and ``/v1/status``."""
+
+        def handle(request: wsgi.Request) -> wsgi.Response:
+            if (request.method, request.path) == ("POST", "/v1/config/submissions"):
+                number, document = _parse_submission(request.body)
+                version = plane.submit(number, document)
+                return wsgi.json_response({"version": version, "in_force": True})
+            if (request.method, request.path) == ("GET", "/v1/status"):
+                return wsgi.json_response(plane.status())
+            callers.require(request, "GET", "/v1/config")
+            current = plane.read()
+            document_json = orjson.loads(current.document_json)
+            return wsgi.json_response({"version": current.version, "document": document_json})
+
+        return handle
+
+
+def _parse_submission(body: bytes) -> tuple[int, str]:
+    try:
+        fields = orjson.loads(body)
+        number, document = fields["number"], fields["document"]
+    except (ValueError, KeyError, TypeError) as failure:
+        raise errors.CroftpulleyError(
+            codes.ResultCode.BAD_REQUEST, 'expected a JSON object with "number" and "document"'
+        ) from failure
+    if type(number) is not int or number < 1:
+        raise errors.CroftpulleyError(
+            codes.ResultCode.BAD_REQUEST, f"got number {number!r}, expected a number from 1"
+        )
+    return number, orjson.dumps(document).decode()
--- /dev/null
+++ b/src/croftpulley/platform/callers.py
@@ -0,0 +1,51 @@
+"""The calls by which callers and the platform reach a router there."""
+
+from __future__ import annotations
+
+import urllib.parse
+from collections.abc import Callable
+
+from croftpulley.controllers import actors, router_state
+from croftpulley.endpoints import base as endpoints
+from croftpulley.forwarding import vocabulary
+from croftpulley.http import wsgi
+from croftpulley.interfaces import callers
+from croftpulley.platform import documents, instances, names
+from croftpulley.settings import formats
+
+_MOST_ADDRESSES = 64
+"""Callers look at no more addresses of one answer."""
+
+
+class PlatformCallers(callers.CallerInterface):
+    """The platform's interface for callers."""
+
+    @property
+    def names(self) -> vocabulary.Vocabulary:
+        """The names of the headers."""
+        return names.VOCABULARY
+
+    @property
+    def documents(self) -> formats.DocumentFormat:
+        """The platform's form of a configuration."""
+        return documents.PlatformDocuments()
+
+    def endpoint_list(self, address: str) -> endpoints.PlatformList:
+        """Make the reader of ``GET /instances``."""
+        return instances.InstanceList(address)
+
+    def directory(self, view: actors.View[router_state.RouterState], ttl_s: float) -> wsgi.Handler:
+        """Make the handler of ``GET /resolution``."""
+
+        def handle(request: wsgi.Request) -> wsgi.Response:
+            callers.require(request, "GET", "/resolution")
+            hall = dict(urllib.parse.parse_qsl(request.query)).get("zone", "")
+            boxes = callers.named_boxes(view.get().boxes, hall)
+            addresses = [box.caller_address for box in boxes[:_MOST_ADDRESSES]]
+            return wsgi.json_response({"addresses": addresses, "ttlS": ttl_s})
+
+        return handle
+
+    def readiness(self, not_ready: Callable[[], str]) -> wsgi.Handler:
+        """Make the handler of ``GET /readiness``."""
+        return callers.readiness_handler("/readiness", not_ready)
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -34,12 +34,12 @@
 def _run_entry(path: str) -> int:
     # Each program imports only its own half: it starts sooner and takes less memory.
     from croftpulley.daemons import router
-    from croftpulley.platform import boot, interface
+    from croftpulley.platform import boot, callers
 
     settings = boot.router_settings(path)
     logs.set_up(settings.box, settings.log_level)
     stopped = _signals()
-    daemon = router.RouterDaemon(settings, interface.PlatformInterface())
+    daemon = router.RouterDaemon(settings, callers.PlatformCallers())
     daemon.start()
     stopped.wait()
     ended = daemon.drain()
@@ -49,12 +49,12 @@
 
 def _run_control(path: str) -> int:
     from croftpulley.daemons import replica
-    from croftpulley.platform import boot, interface
+    from croftpulley.platform import boot, operators
 
     settings = boot.replica_settings(path)
     logs.set_up(settings.box, settings.log_level)
     stopped = _signals()
-    daemon = replica.ReplicaDaemon(settings, interface.PlatformInterface())
+    daemon = replica.ReplicaDaemon(settings, operators.PlatformOperators())
     daemon.start()
     stopped.wait()
     daemon.stop()
--- a/src/croftpulley/platform/interface.py
+++ b/src/croftpulley/platform/operators.py
@@ -1,31 +1,21 @@
-"""The calls by which callers, operators and the platform reach the fleet there."""
+"""The calls by which the platform's operator reaches a control box."""
 
 from __future__ import annotations
 
-import urllib.parse
-from collections.abc import Callable
-
-from croftpulley import codes, errors, interface
-from croftpulley.controllers import actors, control_plane, router_state
+from croftpulley import codes, errors
+from croftpulley.controllers import control_plane
 from croftpulley.endpoints import base as endpoints
-from croftpulley.forwarding import vocabulary
 from croftpulley.http import wsgi
-from croftpulley.platform import documents, instances, names
+from croftpulley.interfaces import callers, operators
+from croftpulley.platform import documents, instances
 from croftpulley.settings import formats
 
 _SUBMIT_PATH = "/Configuration.Replace"
 _READ_PATH = "/Configuration.Read"
-_MOST_ADDRESSES = 64
-"""Callers look at no more addresses of one answer."""
-
 
-class PlatformInterface(interface.Interface):
-    """The platform's interface."""
 
-    @property
-    def names(self) -> vocabulary.Vocabulary:
-        """The names of the headers."""
-        return names.VOCABULARY
+class PlatformOperators(operators.OperatorInterface):
+    """The platform's interface for operators."""
 
     @property
     def documents(self) -> formats.DocumentFormat:
@@ -36,22 +26,6 @@
         """Make the reader of ``GET /instances``."""
         return instances.InstanceList(address)
 
-    def directory(self, view: actors.View[router_state.RouterState], ttl_s: float) -> wsgi.Handler:
-        """Make the handler of ``GET /resolution``."""
-
-        def handle(request: wsgi.Request) -> wsgi.Response:
-            interface.require(request, "GET", "/resolution")
-            hall = dict(urllib.parse.parse_qsl(request.query)).get("zone", "")
-            boxes = interface.named_boxes(view.get().boxes, hall)
-            addresses = [box.caller_address for box in boxes[:_MOST_ADDRESSES]]
-            return wsgi.json_response({"addresses": addresses, "ttlS": ttl_s})
-
-        return handle
-
-    def readiness(self, not_ready: Callable[[], str]) -> wsgi.Handler:
-        """Make the handler of ``GET /readiness``."""
-        return interface.readiness_handler("/readiness", not_ready)
-
     def operator(self, plane: control_plane.ControlPlane, address: str) -> wsgi.Handler:
         """Make the handler of the operator's two calls; a box that does not lead names the leader.
 
@@ -74,7 +48,7 @@
         document_json = _text(request.body)
         version = plane.submit(documents.number(document_json), document_json)
         return wsgi.json_response({"version": version})
-    interface.require(request, "GET", _READ_PATH)
+    callers.require(request, "GET", _READ_PATH)
     current = plane.read()
     if not current.version:
         raise errors.CroftpulleyError(codes.ResultCode.NO_CONFIGURATION)
--- a/src/croftpulley/transport/messages.py
+++ b/src/croftpulley/transport/messages.py
@@ -41,7 +41,8 @@
     """What a router tells the leading control box at each renewal.
 
     The versions say what it knows, so that the answer holds only what is new; ``in_flight`` is how
-    many requests it has at each endpoint.
+    many requests it has at each endpoint, ``part_tokens`` how many prompt tokens it sent since the
+    last report, by the prompt's first part.
     """
 
     box: membership.Box
@@ -50,6 +51,7 @@
     boxes_version: int
     endpoints_version: int
     in_flight: dict[str, int]
+    part_tokens: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
@@ -57,7 +59,8 @@
     """What a control box answers; ``None`` means unchanged.
 
     ``lease_s`` is 0 where none is granted: then ``leader_address`` may say who grants. ``loads``
-    are the requests in flight at each endpoint from all routers as last reported.
+    are the requests in flight at each endpoint from all routers as last reported, ``spreads`` over
+    how many engines to spread prompts with some first part, where that is more than one.
     """
 
     lease_s: float = 0.0
@@ -70,6 +73,7 @@
     endpoints_version: int = 0
     endpoints: tuple[membership.Endpoint, ...] | None = None
     loads: dict[str, int] = attrs.field(factory=dict)
+    spreads: dict[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/site_of_routers.py
+++ b/testing/site_of_routers.py
@@ -9,12 +9,10 @@
 
 import attrs
 
-from croftpulley import interface as interfaces
 from croftpulley.core import membership
 from croftpulley.daemons import replica, router
 from croftpulley.fakes import forwarded
-from croftpulley.platform import interface as platform
-from croftpulley.platform import names, stand_ins
+from croftpulley.platform import callers, names, operators, stand_ins
 from croftpulley.settings import schema
 
 ANY_PORT = "127.0.0.1:0"
@@ -98,7 +96,7 @@
 
 
 class Site:
-    """Boxes and stand-ins; ``interface`` is what the outside speaks."""
+    """Boxes and stand-ins that speak the platform's interface."""
 
     def __init__(
         self,
@@ -111,7 +109,6 @@
     ) -> None:
         self.folder = folder
         self.changes = changes
-        self.interface: interfaces.Interface = platform.PlatformInterface()
         self.instances = stand_ins.FakeInstances()
         self.instances.start()
         self.engines = [self.start_endpoint(f"engine-{n}") for n in range(engines)]
@@ -168,7 +165,7 @@
             drift_margin_s=0.05,
             platform_interval_s=0.05,
         )
-        daemon = replica.ReplicaDaemon(settings, self.interface)
+        daemon = replica.ReplicaDaemon(settings, operators.PlatformOperators())
         daemon.start()
         self.control[number] = daemon
 
@@ -197,7 +194,7 @@
             "silence_s": 5.0,
         }
         daemon = router.RouterDaemon(
-            schema.RouterSettings(**(wanted | self.changes)), self.interface
+            schema.RouterSettings(**(wanted | self.changes)), callers.PlatformCallers()
         )
         daemon.start()
         return daemon
