--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -60,6 +60,7 @@
         self._chance = chance
         self._links: dict[str, links.Link] = {}
         self._leader = ""
+        self._next_note = 0
         self._fails = False
 
     def handle(self, message: object) -> None:
@@ -130,6 +131,8 @@
             endpoints_version=known.endpoints_version,
             in_flight=own_loads,
             part_tokens=self._counts.take_part_tokens(),
+            notes=self._counts.take_notes(),
+            next_note=self._next_note,
         )
         if address not in self._links:
             self._links[address] = links.Link(address, self._timeout_s, self._counters)
@@ -166,6 +169,8 @@
         self, answer: messages.BoxReportAnswer, sent_at_s: float, own_loads: dict[str, int]
     ) -> None:
         known = self._view.get()
+        self._counts.learn_notes(answer.notes)
+        self._next_note = answer.next_note
         changed = attrs.evolve(
             known,
             lease_until_s=self._lease.until_s,
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -13,11 +13,12 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, listing, replica
-from croftpulley.core import agreed, membership, sessions, spread, versions
+from croftpulley.core import agreed, membership, places, sessions, spread, versions
 from croftpulley.observe import events
 from croftpulley.transport import messages
 
 _LOG = logging.getLogger(__name__)
+_NOTES_A_TERM = 1 << 32
 FORGET_AFTER_S = 5.0
 """How long after the end of its lease a box leaves the agreed state; one that only restarted does
 not write to the log again."""
@@ -68,6 +69,7 @@
         self._registering: set[str] = set()
         self._forget_at_s: dict[str, float] = {}
         self._work = spread.PartWork()
+        self._bulletin = places.Bulletin()
         self._boxes: versions.Versioned[tuple[membership.Box, ...]] = versions.Versioned(())
 
     def handle(self, message: object) -> object:
@@ -94,6 +96,8 @@
             self._leads_term = standing.term
             self._registering.clear()
             self._forget_at_s.clear()
+            # Another leader's numbers must not be taken for these.
+            self._bulletin = places.Bulletin(standing.term * _NOTES_A_TERM)
             self._sessions.begin(tuple(self._agreement.read().boxes), now_s)
         return True
 
@@ -114,6 +118,7 @@
             self._clock.monotonic_s(),
         )
         self._work.add(report.part_tokens, self._clock.monotonic_s())
+        self._bulletin.post(report.notes)
         self._settle()
         return self._answer(report, state)
 
@@ -153,6 +158,8 @@
             endpoints=listed.endpoints.unless(report.endpoints_version),
             loads=self._sessions.loads(),
             spreads=self._work.spreads(_engine_count(listed)),
+            notes=self._bulletin.since(report.next_note),
+            next_note=self._bulletin.next_number,
         )
 
     def _tick(self) -> None:
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -11,7 +11,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley.controllers import router_state
-from croftpulley.core import membership, retry_budget, selection, trust
+from croftpulley.core import calls, membership, places, retry_budget, selection, trust
 
 
 class Traffic:
@@ -23,6 +23,8 @@
         self._lock = threading.Lock()
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._part_tokens: collections.Counter[str] = collections.Counter()
+        self._places = places.Places()
+        self._notes: list[places.Note] = []
         self._trust: dict[str, trust.Trust] = {}
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
 
@@ -43,10 +45,34 @@
         with self._lock:
             return dict(self._in_flight)
 
-    def sent_prompt(self, first_part: str, tokens: int) -> None:
-        """Count the prompt of a request that was sent, by its first part."""
+    def sent_prompt(self, facts: calls.CallFacts, engine: str) -> None:
+        """Count the prompt of a request that was sent, and note where its shared parts lie."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            self._part_tokens[first_part] += tokens
+            self._part_tokens[facts.shared[0].part] += facts.prompt_tokens
+            for part in facts.shared:
+                note = places.Note(part.part, engine)
+                if self._places.note(note, now_s):
+                    self._notes.append(note)
+
+    def holders(self, part: str) -> list[str]:
+        """Return the engines that likely hold a part."""
+        with self._lock:
+            return self._places.holders(part, self._clock.monotonic_s())
+
+    def take_notes(self) -> tuple[places.Note, ...]:
+        """Return the notes made since the last call."""
+        with self._lock:
+            taken = tuple(self._notes)
+            self._notes.clear()
+            return taken
+
+    def learn_notes(self, notes: tuple[places.Note, ...]) -> None:
+        """Take the notes of other routers, and one's own once more."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            for note in notes:
+                self._places.note(note, now_s)
 
     def take_part_tokens(self) -> dict[str, int]:
         """Return the prompt tokens counted since the last call."""
--- /dev/null
+++ b/src/croftpulley/core/places.py
@@ -0,0 +1,84 @@
+"""Where the parts of prompts lie: at the engines that lately read them.
+
+Each router notes what it sends, and the leading control box passes the notes of all routers on in
+the order in which they came. A note may be wrong (an engine drops what is not used for long): then
+the prompt is read once more, where it would have been read anyway.
+"""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Iterable
+
+import attrs
+
+KEPT_S = 60.0
+"""An engine that has not been seen with a part for so long has likely dropped it."""
+REFRESH_S = 20.0
+"""How often a note that is still true is sent again."""
+MOST_PARTS = 50_000
+"""Bounds the memory of a router: about 10 MB."""
+MOST_NOTES = 4096
+"""Notes that a control box keeps for routers that come late; older ones are soon out of date."""
+
+
+@attrs.frozen
+class Note:
+    """A prompt with this part was sent to this engine."""
+
+    part: str
+    engine: str
+
+
+@attrs.define
+class Places:
+    """What one router knows, oldest first.
+
+    >>> places = Places()
+    >>> places.note(Note("p", "e"), 0.0), places.note(Note("p", "e"), 1.0)
+    (True, False)
+    >>> places.holders("p", 1.0), places.holders("p", 100.0)
+    (['e'], [])
+    """
+
+    _seen_s: collections.OrderedDict[str, dict[str, float]] = attrs.field(
+        factory=collections.OrderedDict
+    )
+
+    def note(self, note: Note, now_s: float) -> bool:
+        """Take a note; return whether others should have it too."""
+        engines = self._seen_s.setdefault(note.part, {})
+        self._seen_s.move_to_end(note.part)
+        if len(self._seen_s) > MOST_PARTS:
+            self._seen_s.popitem(last=False)
+        is_old = now_s - engines.get(note.engine, float("-inf")) > REFRESH_S
+        if is_old:
+            engines[note.engine] = now_s
+        return is_old
+
+    def holders(self, part: str, now_s: float) -> list[str]:
+        """Return the engines that likely hold a part."""
+        engines = self._seen_s.get(part, {})
+        return [engine for engine, seen_s in engines.items() if now_s - seen_s <= KEPT_S]
+
+
+@attrs.define
+class Bulletin:
+    """The notes of all routers, numbered in the order in which they came."""
+
+    next_number: int = 0
+    _notes: collections.deque[Note] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MOST_NOTES)
+    )
+
+    def post(self, notes: Iterable[Note]) -> None:
+        """Add notes."""
+        for note in notes:
+            self._notes.append(note)
+            self.next_number += 1
+
+    def since(self, number: int) -> tuple[Note, ...]:
+        """Return the notes from ``number`` on; all there are for a number of another leader."""
+        first = self.next_number - len(self._notes)
+        skipped = number - first if first <= number <= self.next_number else 0
+        return tuple(self._notes)[skipped:]
--- a/src/croftpulley/core/selection.py
+++ b/src/croftpulley/core/selection.py
@@ -1,10 +1,10 @@
 """Which endpoint a forwarded request goes to.
 
-Requests that share the beginning of their prompt go to the same engine as long as that is not much
-busier than the others. Rendezvous hashing orders the engines for the prompt's first part; the first
-few of them (``core/spread.py`` says how many) are then ordered for its last shared part, so that
-few engines read the first part and one reads the rest. A request spills in that order. Requests
-without a shared part go to the least busy endpoint.
+Requests that share the beginning of their prompt go to an engine that likely holds it, as long as
+that is not much busier than the others. If none holds it, rendezvous hashing orders the engines for
+the prompt's first part; the first few of them (``core/spread.py`` says how many) are then ordered
+for its last shared part, so that few engines read the first part and one reads the rest. A request
+spills in that order. Requests without a shared part go to the least busy endpoint.
 """
 
 from __future__ import annotations
@@ -73,6 +73,15 @@
         return few + by_first[self.spread :]
 
 
+def by_holding(
+    holders: Sequence[str], candidates: Sequence[Candidate], spill: Spill
+) -> Candidate | None:
+    """Choose the least busy engine that holds a shared part, if one is not too busy."""
+    most = spill.most([each.load for each in candidates])
+    fit = [each for each in candidates if each.name in holders and each.load + 1 <= most]
+    return min(fit, key=lambda each: (each.load, each.name)) if fit else None
+
+
 def by_affinity(affinity: Affinity, candidates: Sequence[Candidate], spill: Spill) -> Candidate:
     """Choose for a shared beginning; ``candidates`` is not empty."""
     by_name = {each.name: each for each in candidates}
--- a/src/croftpulley/forwarding/headers.py
+++ b/src/croftpulley/forwarding/headers.py
@@ -46,6 +46,8 @@
     endpoint: membership.Endpoint
     budget_s: float
     last_event_id: str
+    cache_from: str = ""
+    """The address of an engine that holds what this one lacks of the prompt."""
 
 
 def to_endpoint(
@@ -55,7 +57,8 @@
     request = exchange.request
     named = _named_by_connection(request.headers.get("connection", ""))
     ours = {names.key, names.budget_ms, names.workspace, names.expected_incarnation}
-    left_out = _OF_ONE_CONNECTION | named | ours | {names.priority, "content-length"}
+    ours |= {names.priority, names.cache_from}
+    left_out = _OF_ONE_CONNECTION | named | ours | {"content-length"}
     headers = {name: value for name, value in request.headers.items() if name not in left_out}
     headers[names.budget_ms] = str(max(1, int(outgoing.budget_s * 1000)))
     headers[names.expected_incarnation] = outgoing.endpoint.incarnation
@@ -63,6 +66,8 @@
         headers[names.workspace] = exchange.workspace.name
     if exchange.known_route.sticky:
         headers[names.priority] = str(urgency(exchange))
+    if outgoing.cache_from:
+        headers[names.cache_from] = outgoing.cache_from
     if outgoing.last_event_id:
         headers[names.last_event_id] = outgoing.last_event_id
     return headers
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -12,6 +12,8 @@
 from croftpulley.observe import events
 
 _LOG = logging.getLogger(__name__)
+LEAST_FETCHED_TOKENS = 300
+"""Reading fewer takes an engine less time than asking another for them."""
 
 
 class Placement:
@@ -48,6 +50,11 @@
     ) -> selection.Candidate:
         shared = exchange.facts.shared
         if shared and exchange.known_route.sticky:
+            holding = selection.by_holding(
+                self._counts.holders(shared[-1].part), candidates, self._spill
+            )
+            if holding is not None:
+                return holding
             first_part = shared[0].part
             affinity = selection.Affinity(
                 first_part=first_part,
@@ -57,6 +64,27 @@
             return selection.by_affinity(affinity, candidates, self._spill)
         return selection.least_busy(exchange.facts.request_id, candidates, self._hall)
 
+    def cache_source(self, exchange: base.Exchange, engine: membership.Endpoint) -> str:
+        """Return the address of an engine that holds more of the prompt than ``engine`` does.
+
+        One that is leaving will do. Empty if there is none, or if reading is as cheap.
+        """
+        if not exchange.known_route.sticky:
+            return ""
+        peers = {
+            each.name: each.address
+            for each in exchange.state.endpoints
+            if each.pool == engine.pool and each.name != engine.name
+        }
+        for part in reversed(exchange.facts.shared):
+            holders = self._counts.holders(part.part)
+            if engine.name in holders:
+                return ""
+            others = sorted(peers[name] for name in holders if name in peers)
+            if others and part.tokens >= LEAST_FETCHED_TOKENS:
+                return others[0]
+        return ""
+
     def _log(
         self,
         exchange: base.Exchange,
--- a/src/croftpulley/forwarding/relay.py
+++ b/src/croftpulley/forwarding/relay.py
@@ -66,9 +66,6 @@
     def handle(self, exchange: base.Exchange, proceed: base.Proceed) -> base.ForwardReply:
         """Return the endpoint's answer; raises `errors.CroftpulleyError` if there is none."""
         self._counts.request(self._pool(exchange))
-        if exchange.facts.shared:
-            first_part = exchange.facts.shared[0].part
-            self._counts.sent_prompt(first_part, exchange.facts.prompt_tokens)
         tried: set[str] = set()
         while True:
             current = self._begin(exchange, tried, exchange.facts.last_event_id)
@@ -125,8 +122,13 @@
             raise _final(exchange, errors.CroftpulleyError(codes.ResultCode.DEADLINE_PASSED))
         attempt = exchange.attempts.begin(endpoint.name)
         outgoing = headers.Outgoing(
-            endpoint=endpoint, budget_s=budget_s, last_event_id=last_event_id
+            endpoint=endpoint,
+            budget_s=budget_s,
+            last_event_id=last_event_id,
+            cache_from=self._placement.cache_source(exchange, endpoint),
         )
+        if exchange.facts.shared:
+            self._counts.sent_prompt(exchange.facts, endpoint.name)
         order = sender.Order(
             endpoint=endpoint,
             method=exchange.request.method,
--- a/src/croftpulley/forwarding/vocabulary.py
+++ b/src/croftpulley/forwarding/vocabulary.py
@@ -28,6 +28,8 @@
     """Any other endpoint at the address answers 421 and does not run the request."""
     priority: str = "x-priority"
     """0 to 9, 0 goes first."""
+    cache_from: str = "x-cache-from"
+    """The address of an engine from which to take what it holds of the prompt."""
     # Set by the endpoint.
     proof: str = "x-proof"
     """Shows that the endpoint made the answer; a success without it is none."""
--- a/src/croftpulley/platform/names.py
+++ b/src/croftpulley/platform/names.py
@@ -18,6 +18,7 @@
     # An instance id is new with every start: it names an incarnation.
     expected_incarnation="croftpulley-expected-instance",
     priority="croftpulley-request-priority",
+    cache_from="kv-fetch",
     proof="croftpulley-server-signature",
     not_run="croftpulley-not-executed",
     load="croftpulley-instance-load",
--- a/src/croftpulley/transport/messages.py
+++ b/src/croftpulley/transport/messages.py
@@ -5,7 +5,7 @@
 import attrs
 
 from croftpulley import codes
-from croftpulley.core import assembly, attempts, membership
+from croftpulley.core import assembly, attempts, membership, places
 
 
 @attrs.frozen
@@ -42,7 +42,8 @@
 
     The versions say what it knows, so that the answer holds only what is new; ``in_flight`` is how
     many requests it has at each endpoint, ``part_tokens`` how many prompt tokens it sent since the
-    last report, by the prompt's first part.
+    last report, by the prompt's first part. ``notes`` say which parts were sent where, and
+    ``next_note`` is the number of the first note of others that this router lacks.
     """
 
     box: membership.Box
@@ -52,6 +53,8 @@
     endpoints_version: int
     in_flight: dict[str, int]
     part_tokens: dict[str, int] = attrs.field(factory=dict)
+    notes: tuple[places.Note, ...] = ()
+    next_note: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -60,7 +63,8 @@
 
     ``lease_s`` is 0 where none is granted: then ``leader_address`` may say who grants. ``loads``
     are the requests in flight at each endpoint from all routers as last reported, ``spreads`` over
-    how many engines to spread prompts with some first part, where that is more than one.
+    how many engines to spread prompts with some first part, where that is more than one. ``notes``
+    are all routers' from the number that was asked for up to ``next_note``.
     """
 
     lease_s: float = 0.0
@@ -74,6 +78,8 @@
     endpoints: tuple[membership.Endpoint, ...] | None = None
     loads: dict[str, int] = attrs.field(factory=dict)
     spreads: dict[str, int] = attrs.field(factory=dict)
+    notes: tuple[places.Note, ...] = ()
+    next_note: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/core/test_forwarded.py
+++ b/testing/core/test_forwarded.py
@@ -10,6 +10,7 @@
     calls,
     event_cut,
     membership,
+    places,
     retry_budget,
     selection,
     sessions,
@@ -249,3 +250,40 @@
 
 def affinity(last="k", **changes):
     return selection.Affinity(first_part="first", last_part=last, **changes)
+
+
+class TestPlaces:
+    """Where the parts of prompts lie."""
+
+    def test_notes_of_others_are_learned_in_order_and_once(self):
+        bulletin = places.Bulletin(100)
+        bulletin.post([places.Note("p", "a"), places.Note("q", "b")])
+        first = bulletin.since(0)
+        bulletin.post([places.Note("r", "c")])
+        assert first == (places.Note("p", "a"), places.Note("q", "b"))
+        assert bulletin.since(102) == (places.Note("r", "c"),)
+        assert bulletin.since(103) == ()
+
+    def test_numbers_of_another_leader_get_everything(self):
+        bulletin = places.Bulletin(1 << 33)
+        bulletin.post([places.Note("p", "a")])
+        assert bulletin.since(1 << 32) == (places.Note("p", "a"),)
+
+    def test_late_readers_get_what_is_kept(self):
+        bulletin = places.Bulletin()
+        bulletin.post(places.Note(f"p{n}", "a") for n in range(places.MOST_NOTES + 5))
+        assert len(bulletin.since(0)) == places.MOST_NOTES
+
+    def test_memory_is_bounded(self, monkeypatch):
+        monkeypatch.setattr(places, "MOST_PARTS", 3)
+        known = places.Places()
+        for number in range(10):
+            known.note(places.Note(f"p{number}", "a"), float(number))
+        assert [known.holders(f"p{n}", 10.0) for n in (6, 7, 9)] == [[], ["a"], ["a"]]
+
+    def test_a_holder_that_is_too_busy_is_not_chosen(self):
+        busy = TestSelection.candidates([9, 0, 0])
+        assert selection.by_holding(["e-0"], busy, selection.Spill()) is None
+        chosen = selection.by_holding(["e-0", "e-2"], busy, selection.Spill())
+        assert chosen is not None
+        assert chosen.name == "e-2"
--- a/testing/forwarding/test_forwarding.py
+++ b/testing/forwarding/test_forwarding.py
@@ -323,3 +323,36 @@
 
 def status_of(answer):
     return answer.split(b" ")[1] if answer else b""
+
+
+class TestPrompts:
+    """Where requests with a shared beginning go."""
+
+    @staticmethod
+    def ask(site, number, prompt="first:900,rest:600,own:10", router=0):
+        address = site.routers[router].caller_address
+        headers = {NAMES.prompt_parts: prompt}
+        return site.ask(
+            "POST", "/stream/chat/x", address=address, request_id=f"r-{number}", headers=headers
+        )
+
+    def test_they_go_to_one_engine_whichever_router_they_come_to(self, make_site):
+        site = make_site(engines=4, routers=2)
+        for number in range(8):
+            assert self.ask(site, number, router=number % 2).status == 200
+        assert sorted(len(each.runs) for each in site.engines) == [0, 0, 0, 8]
+
+    def test_an_engine_that_lacks_the_beginning_is_told_who_holds_it(self, make_site):
+        site = make_site(engines=2)
+        self.ask(site, 0)
+        first = next(each for each in site.engines if each.runs)
+        other = next(each for each in site.engines if not each.runs)
+        site.list_endpoints(leaving=(first.settings.name,))
+        wait_until(lambda: self.ask(site, len(site.runs())) and other.runs, "the other is used")
+        assert other.runs[0].headers[NAMES.cache_from] == first.address
+        self.ask(site, 100)
+        assert NAMES.cache_from not in other.runs[-1].headers
+
+    def test_what_callers_claim_of_caches_is_not_passed_on(self, site):
+        site.ask("POST", "/stream/chat/x", headers={NAMES.cache_from: "10.0.0.1:1"})
+        assert NAMES.cache_from not in only_run(site)[1].headers
