--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# Targets for a newcomer: demo, demo-up, demo-down, test, lint, format, bench-path, bench-control.
+# Targets for a newcomer: demo, demo-up, demo-down, demo-platform, test, lint, format, bench-path, bench-control.
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo demo-up demo-down test lint format bench-path bench-control generate
+.PHONY: demo demo-up demo-down demo-platform test lint format bench-path bench-control generate
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -20,6 +20,9 @@
 demo-down:
 	scripts/fleet.sh down
 
+demo-platform: $(STAMP)
+	scripts/demo-platform.sh
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
