Logs: structured, on standard output, bounded a second, never waited for

Cause: daemons wrote to standard error from the thread that logs, without a bound. Change: a writer thread behind a bounded queue, a budget a second in which warnings (refusals, repeats, failures) go before ordinary lines, and a line that counts what was left out. Tests: what is left out is counted; a stuck reader holds nobody up.

--- a/src/croftpulley/forwarding/relay.py
+++ b/src/croftpulley/forwarding/relay.py
@@ -296,6 +296,7 @@
     events.emit(
         _LOG,
         events.Event.REQUEST_REPEATED,
+        level=logging.WARNING,
         request_id=exchange.facts.request_id,
         attempts=len(exchange.attempts.attempts),
         code=failure.code.name,
--- a/src/croftpulley/http/forward_app.py
+++ b/src/croftpulley/http/forward_app.py
@@ -68,6 +68,7 @@
         events.emit(
             _LOG,
             events.Event.REQUEST_REFUSED,
+            level=logging.WARNING,
             request_id=exchange.facts.request_id,
             workspace=exchange.workspace_name,
             route=exchange.route_name,
--- a/src/croftpulley/observe/events.py
+++ b/src/croftpulley/observe/events.py
@@ -53,6 +53,7 @@
     MEMBERS_CHANGED = 412
     DISK_FAILED = 413
     INTERNAL_ERROR = 900
+    LOG_LINES_LEFT_OUT = 901
 
 
 MEANINGS: dict[Event, str] = {
@@ -100,6 +101,7 @@
     Event.MEMBERS_CHANGED: "The set of replicas changed.",
     Event.DISK_FAILED: "The disk refused a write; the replica is silent until it takes one.",
     Event.INTERNAL_ERROR: "An unexpected error; the line carries the traceback.",
+    Event.LOG_LINES_LEFT_OUT: "Log lines were left out to stay within the budget of a second.",
 }
 
 
--- /dev/null
+++ b/testing/test_logs.py
@@ -0,0 +1,59 @@
+"""Logs are bounded, go to standard output, and are never waited for."""
+
+from __future__ import annotations
+
+import io
+import json
+import logging
+import threading
+
+from pythonjsonlogger import json as json_log
+
+from croftpulley.core import log_budget
+from croftpulley.observe import logs
+
+
+def made(stream, lines_a_s):
+    handler = logs.BoundedHandler(stream, lines_a_s)
+    handler.setFormatter(json_log.JsonFormatter())
+    logger = logging.Logger("test")
+    logger.addHandler(handler)
+    return handler, logger
+
+
+def test_what_is_left_out_is_counted_in_the_log(monkeypatch):
+    now = [0.0]
+    monkeypatch.setattr(logs.time, "monotonic", lambda: now[0])
+    stream = io.StringIO()
+    handler, logger = made(stream, 3)
+    for number in range(10):
+        logger.info("line", extra={"number": number})
+    now[0] = 1.0
+    logger.info("later")
+    handler.close()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert [line.get("number") for line in lines[:3]] == [0, 1, 2]
+    assert lines[3]["lines"] == 7
+    assert lines[4]["message"] == "later"
+
+
+def test_failures_go_before_successes():
+    budget = log_budget.LogBudget(5)
+    ordinary = [budget.take(logging.INFO, 0.0) for _ in range(10)]
+    warnings = [budget.take(logging.WARNING, 0.0) for _ in range(10)]
+    assert (sum(ordinary), sum(warnings)) == (5, 5)
+
+
+def test_a_reader_that_does_not_read_holds_nobody_up():
+    class Stuck(io.StringIO):
+        released = threading.Event()
+
+        def write(self, text):
+            Stuck.released.wait()
+            return super().write(text)
+
+    handler, logger = made(Stuck(), 10**9)
+    for _ in range(5000):
+        logger.info("line")
+    Stuck.released.set()
+    handler.close()
