--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -10,7 +10,7 @@
 from croftpulley import clock as clocks
 from croftpulley import errors
 from croftpulley.controllers import actors, listing, router_state, traffic
-from croftpulley.core import leases, membership, tables
+from croftpulley.core import leases, membership, sessions, tables
 from croftpulley.observe import events, metrics
 from croftpulley.settings import formats
 from croftpulley.transport import json_codec, links, messages
@@ -98,7 +98,7 @@
     def _renew_once(self) -> None:
         address = self._leader or self._chance.choice(self._addresses)
         for _ in range(_HOPS):
-            own_loads = self._counts.in_flight()
+            own_loads = self._counts.load()
             sent_at_s = self._clock.monotonic_s()
             try:
                 answer = self._ask(address, own_loads)
@@ -121,7 +121,7 @@
                 return
             address = answer.leader_address
 
-    def _ask(self, address: str, own_loads: dict[str, int]) -> messages.BoxReportAnswer:
+    def _ask(self, address: str, own_loads: sessions.Load) -> messages.BoxReportAnswer:
         known = self._view.get()
         report = messages.BoxReport(
             box=self._box,
@@ -129,8 +129,8 @@
             configuration_version=known.configuration.version,
             boxes_version=known.boxes_version,
             endpoints_version=known.endpoints_version,
-            in_flight=own_loads,
-            part_tokens=self._counts.take_part_tokens(),
+            in_flight=own_loads.in_flight,
+            reading_tokens=own_loads.reading_tokens,
             notes=self._counts.take_notes(),
             next_note=self._next_note,
         )
@@ -140,7 +140,7 @@
         return json_codec.decode(body, messages.BoxReportAnswer)
 
     def _granted(
-        self, answer: messages.BoxReportAnswer, sent_at_s: float, own_loads: dict[str, int]
+        self, answer: messages.BoxReportAnswer, sent_at_s: float, own_loads: sessions.Load
     ) -> None:
         if self._fails:
             events.emit(_LOG, events.Event.RENEWED_AGAIN, leader_address=self._leader)
@@ -166,7 +166,7 @@
             self._links.pop(address).close()
 
     def _take(
-        self, answer: messages.BoxReportAnswer, sent_at_s: float, own_loads: dict[str, int]
+        self, answer: messages.BoxReportAnswer, sent_at_s: float, own_loads: sessions.Load
     ) -> None:
         known = self._view.get()
         self._counts.learn_notes(answer.notes)
@@ -176,9 +176,10 @@
             lease_until_s=self._lease.until_s,
             tables=self._tables(known, answer),
             loads=answer.loads,
-            own_loads=own_loads,
+            own_loads=own_loads.in_flight,
+            reading_tokens=answer.reading_tokens,
+            own_reading_tokens=own_loads.reading_tokens,
             loads_at_s=sent_at_s,
-            spreads=answer.spreads,
             heard_at_s=sent_at_s,
         )
         if answer.boxes is not None:
--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -13,8 +13,8 @@
     """What a router knows; published whole.
 
     ``loads`` are the requests in flight at each endpoint from all routers, as the control box last
-    summed them up, and ``own_loads`` this router's part of that sum. ``spreads`` says over how
-    many engines to spread prompts with some first part; one that is not there: over one.
+    summed them up, and ``own_loads`` this router's part of that sum; the same holds for the prompt
+    tokens that endpoints still have to read.
     """
 
     lease_until_s: float = float("-inf")
@@ -28,7 +28,8 @@
     loads: dict[str, int] = attrs.field(factory=dict)
     own_loads: dict[str, int] = attrs.field(factory=dict)
     loads_at_s: float = float("-inf")
-    spreads: dict[str, int] = attrs.field(factory=dict)
+    reading_tokens: dict[str, int] = attrs.field(factory=dict)
+    own_reading_tokens: dict[str, int] = attrs.field(factory=dict)
     heard_at_s: float = float("-inf")
     draining: bool = False
 
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -13,7 +13,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, listing, replica
-from croftpulley.core import agreed, membership, places, sessions, spread, versions
+from croftpulley.core import agreed, membership, places, sessions, versions
 from croftpulley.observe import events
 from croftpulley.transport import messages
 
@@ -68,7 +68,6 @@
         self._waiting: list[WhenInForce] = []
         self._registering: set[str] = set()
         self._forget_at_s: dict[str, float] = {}
-        self._work = spread.PartWork()
         self._bulletin = places.Bulletin()
         self._boxes: versions.Versioned[tuple[membership.Box, ...]] = versions.Versioned(())
 
@@ -114,10 +113,9 @@
             report.box,
             report.incarnation,
             report.configuration_version,
-            report.in_flight,
+            sessions.Load(report.in_flight, report.reading_tokens),
             self._clock.monotonic_s(),
         )
-        self._work.add(report.part_tokens, self._clock.monotonic_s())
         self._bulletin.post(report.notes)
         self._settle()
         return self._answer(report, state)
@@ -145,6 +143,7 @@
         register = state.submissions
         self._boxes.set(self._sessions.boxes(self._clock.monotonic_s()))
         listed = self._endpoints.get()
+        loads = self._sessions.loads()
         newer = report.configuration_version < register.version
         return messages.BoxReportAnswer(
             lease_s=self._lease_s,
@@ -156,8 +155,8 @@
             boxes=self._boxes.unless(report.boxes_version),
             endpoints_version=listed.endpoints.version,
             endpoints=listed.endpoints.unless(report.endpoints_version),
-            loads=self._sessions.loads(),
-            spreads=self._work.spreads(_engine_count(listed)),
+            loads=loads.in_flight,
+            reading_tokens=loads.reading_tokens,
             notes=self._bulletin.since(report.next_note),
             next_note=self._bulletin.next_number,
         )
@@ -204,10 +203,5 @@
         return StatusAnswer(self._sessions.boxes(now_s), late)
 
 
-def _engine_count(listed: listing.Listing) -> int:
-    engines = membership.EndpointKind.ENGINE
-    return sum(each.kind is engines and not each.leaving for each in listed.endpoints.value)
-
-
 def _addresses(standing: replica.Standing) -> tuple[str, ...]:
     return tuple(member.address for member in standing.members.members)
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -11,18 +11,32 @@
 
 from croftpulley import clock as clocks
 from croftpulley.controllers import router_state
-from croftpulley.core import calls, membership, places, retry_budget, selection, trust
+from croftpulley.core import (
+    calls,
+    membership,
+    places,
+    retry_budget,
+    selection,
+    sessions,
+    trust,
+)
 
 
 class Traffic:
     """Counts, trust and retry budgets of one router."""
 
-    def __init__(self, allowance: retry_budget.Allowance, clock: clocks.Clock) -> None:
+    def __init__(
+        self,
+        allowance: retry_budget.Allowance,
+        rates: selection.Rates,
+        clock: clocks.Clock,
+    ) -> None:
         self._allowance = allowance
+        self._rates = rates
         self._clock = clock
         self._lock = threading.Lock()
         self._in_flight: collections.Counter[str] = collections.Counter()
-        self._part_tokens: collections.Counter[str] = collections.Counter()
+        self._reading: collections.Counter[str] = collections.Counter()
         self._places = places.Places()
         self._notes: list[places.Note] = []
         self._trust: dict[str, trust.Trust] = {}
@@ -40,25 +54,40 @@
             if self._in_flight[endpoint] <= 0:
                 del self._in_flight[endpoint]
 
-    def in_flight(self) -> dict[str, int]:
-        """Return the counts that are not 0."""
+    def load(self) -> sessions.Load:
+        """Return what is not 0 of requests and of tokens to be read."""
         with self._lock:
-            return dict(self._in_flight)
+            return sessions.Load(dict(self._in_flight), dict(self._reading))
 
-    def sent_prompt(self, facts: calls.CallFacts, engine: str) -> None:
-        """Count the prompt of a request that was sent, and note where its shared parts lie."""
+    def begin_reading(self, facts: calls.CallFacts, engine: str, tokens: int) -> None:
+        """Count the tokens that an engine has to read, and note where the shared parts lie."""
         now_s = self._clock.monotonic_s()
         with self._lock:
-            self._part_tokens[facts.shared[0].part] += facts.prompt_tokens
+            self._reading[engine] += tokens
             for part in facts.shared:
                 note = places.Note(part.part, engine)
                 if self._places.note(note, now_s):
                     self._notes.append(note)
 
-    def holders(self, part: str) -> list[str]:
-        """Return the engines that likely hold a part."""
+    def end_reading(self, engine: str, tokens: int) -> None:
+        """Count out tokens that were read, or are read no more."""
         with self._lock:
-            return self._places.holders(part, self._clock.monotonic_s())
+            self._reading[engine] -= tokens
+            if self._reading[engine] <= 0:
+                del self._reading[engine]
+
+    def held_tokens(self, facts: calls.CallFacts) -> dict[str, int]:
+        """Return how many tokens of a prompt's shared beginning each engine likely holds."""
+        now_s = self._clock.monotonic_s()
+        held: dict[str, int] = {}
+        tokens = 0
+        with self._lock:
+            for part in facts.shared:
+                tokens += part.tokens
+                for engine in self._places.holders(part.part, now_s):
+                    # Whoever was sent a part was sent all parts before it.
+                    held[engine] = tokens
+        return held
 
     def take_notes(self) -> tuple[places.Note, ...]:
         """Return the notes made since the last call."""
@@ -74,17 +103,14 @@
             for note in notes:
                 self._places.note(note, now_s)
 
-    def take_part_tokens(self) -> dict[str, int]:
-        """Return the prompt tokens counted since the last call."""
-        with self._lock:
-            taken = dict(self._part_tokens)
-            self._part_tokens.clear()
-            return taken
-
     def candidates(
-        self, endpoints: list[membership.Endpoint], state: router_state.RouterState
+        self,
+        endpoints: list[membership.Endpoint],
+        state: router_state.RouterState,
+        held_tokens: dict[str, int],
     ) -> list[selection.Candidate]:
         """Return the endpoints with their loads: the others' as last heard, ours as it is."""
+        age_s = self._clock.monotonic_s() - state.loads_at_s
         with self._lock:
             return [
                 selection.Candidate(
@@ -92,6 +118,8 @@
                     hall=each.hall,
                     load=self._load(each.name, state),
                     avoid_until_s=self._avoid_until_s(each.name),
+                    reading_tokens=self._reading_tokens(each.name, state, age_s),
+                    held_tokens=held_tokens.get(each.name, 0),
                 )
                 for each in endpoints
             ]
@@ -100,6 +128,15 @@
         others = state.loads.get(endpoint, 0) - state.own_loads.get(endpoint, 0)
         return max(0, others) + self._in_flight.get(endpoint, 0)
 
+    def _reading_tokens(
+        self, endpoint: str, state: router_state.RouterState, age_s: float
+    ) -> float:
+        """Return what is to be read: the others' part has been read on since it was reported."""
+        heard = state.reading_tokens.get(endpoint, 0)
+        others = heard - state.own_reading_tokens.get(endpoint, 0)
+        read_since = self._rates.read_tokens_a_ms * 1000 * age_s
+        return max(0.0, others - read_since) + self._reading.get(endpoint, 0)
+
     def _avoid_until_s(self, endpoint: str) -> float:
         known = self._trust.get(endpoint)
         return known.avoid_until_s if known else float("-inf")
--- a/src/croftpulley/core/selection.py
+++ b/src/croftpulley/core/selection.py
@@ -1,15 +1,15 @@
 """Which endpoint a forwarded request goes to.
 
-Requests that share the beginning of their prompt go to an engine that likely holds it, as long as
-that is not much busier than the others. If none holds it, rendezvous hashing orders the engines for
-the prompt's first part; the first few of them (``core/spread.py`` says how many) are then ordered
-for its last shared part, so that few engines read the first part and one reads the rest. A request
-spills in that order. Requests without a shared part go to the least busy endpoint.
+A request with a prompt goes to the engine that can begin its answer soonest: each has prompts to
+read before it, and lacks more or less of this one, some of which it may fetch from another engine.
+Reading and fetching count more than their time, since they also push other prompts out and hold up
+what runs beside them. Among engines alike, rendezvous hashing of the last shared part decides, so
+that all routers choose alike. Requests without a shared part go to the least busy endpoint.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 
 import attrs
 
@@ -20,28 +20,84 @@
 class Candidate:
     """An endpoint that may take the request; ``load`` is what all boxes have in flight there.
 
-    ``avoid_until_s`` is when it may be trusted again after a failure.
+    ``avoid_until_s`` is when it may be trusted again after a failure. ``reading_tokens`` are the
+    prompt tokens that it still has to read for others, ``held_tokens`` those of this prompt that it
+    likely holds.
     """
 
     name: str
     hall: str
     load: int
     avoid_until_s: float = float("-inf")
+    reading_tokens: float = 0.0
+    held_tokens: int = 0
 
 
 @attrs.frozen(kw_only=True)
 class Spill:
-    """When an engine is too busy for a request that it would suit.
+    """When an endpoint is too busy, however well it would suit.
 
-    Above ``multiple`` times the mean plus ``slack`` requests the next in order is taken.
+    Above ``multiple`` times the mean plus ``slack`` requests another is taken.
     """
 
-    multiple: float = 1.5
+    multiple: float = 1.6
     slack: float = 2.0
 
-    def most(self, loads: Sequence[int]) -> float:
-        """Return the load up to which the preferred engine is taken."""
-        return self.multiple * sum(loads) / max(1, len(loads)) + self.slack
+    def fit(self, candidates: Sequence[Candidate]) -> list[Candidate]:
+        """Return those that may take one more; if none may, the least busy ones."""
+        loads = [each.load for each in candidates]
+        most = max(self.multiple * sum(loads) / len(loads) + self.slack, min(loads) + 1)
+        return [each for each in candidates if each.load + 1 <= most]
+
+
+@attrs.frozen(kw_only=True)
+class Rates:
+    """How fast engines work: from the users' sheets, where both engines are much alike.
+
+    ``read_tokens_a_ms`` of a prompt; ``fetch_tokens_a_ms`` from another engine; ``read_weight``
+    is how much more a token read or fetched counts than the time it takes; ``load_ms`` and
+    ``rank_ms`` are what a request in flight and a place in the hashed order count.
+    """
+
+    read_tokens_a_ms: float = 40.0
+    fetch_tokens_a_ms: float = 140.0
+    read_weight: float = 2.0
+    load_ms: float = 4.0
+    rank_ms: float = 6.0
+
+
+@attrs.frozen(kw_only=True)
+class Prompt:
+    """What is to be read, and what the hashing looks at."""
+
+    key: str
+    tokens: int
+
+
+@attrs.frozen(kw_only=True)
+class Reading:
+    """What an engine must do for a prompt."""
+
+    fetched_tokens: int
+    read_tokens: int
+
+    def own_ms(self, rates: Rates) -> float:
+        """Return how long it takes once it is the prompt's turn."""
+        fetching_ms = self.fetched_tokens / rates.fetch_tokens_a_ms
+        return fetching_ms + self.read_tokens / rates.read_tokens_a_ms
+
+
+def reading(prompt: Prompt, candidate: Candidate, most_held_tokens: int) -> Reading:
+    """Return what ``candidate`` must read where another engine holds ``most_held_tokens``.
+
+    >>> prompt = Prompt(key="p", tokens=900)
+    >>> reading(prompt, Candidate(name="e", hall="a", load=0, held_tokens=300), 800)
+    Reading(fetched_tokens=500, read_tokens=100)
+    """
+    fetched = max(0, most_held_tokens - candidate.held_tokens)
+    return Reading(
+        fetched_tokens=fetched, read_tokens=prompt.tokens - candidate.held_tokens - fetched
+    )
 
 
 def trusted(candidates: Sequence[Candidate], now_s: float) -> list[Candidate]:
@@ -55,41 +111,28 @@
     return [min(candidates, key=lambda each: each.avoid_until_s)]
 
 
-@attrs.frozen(kw_only=True)
-class Affinity:
-    """What a prompt shares: its first part and the last shared one, which may be the same.
+def for_prompt(
+    prompt: Prompt,
+    candidates: Sequence[Candidate],
+    most_held_tokens: int,
+    spill: Spill,
+    rates: Rates,
+) -> Candidate:
+    """Choose the engine that can begin soonest; ``candidates`` is not empty.
 
-    ``spread`` is over how many engines prompts with this first part are spread.
+    ``most_held_tokens`` is how much of the prompt any engine holds, also one that is leaving.
     """
+    fit = {each.name: each for each in spill.fit(candidates)}
+
+    def cost_ms(rank: int, candidate: Candidate) -> float:
+        wait_ms = candidate.reading_tokens / rates.read_tokens_a_ms
+        own_ms = reading(prompt, candidate, most_held_tokens).own_ms(rates)
+        tie_ms = rates.load_ms * candidate.load + rates.rank_ms * rank
+        return wait_ms + rates.read_weight * own_ms + tie_ms
 
-    first_part: str
-    last_part: str
-    spread: int = 1
-
-    def order(self, names: Iterable[str]) -> list[str]:
-        """Return the engines in the order of preference."""
-        by_first = choice.order(self.first_part, names)
-        few = choice.order(self.last_part, by_first[: self.spread])
-        return few + by_first[self.spread :]
-
-
-def by_holding(
-    holders: Sequence[str], candidates: Sequence[Candidate], spill: Spill
-) -> Candidate | None:
-    """Choose the least busy engine that holds a shared part, if one is not too busy."""
-    most = spill.most([each.load for each in candidates])
-    fit = [each for each in candidates if each.name in holders and each.load + 1 <= most]
-    return min(fit, key=lambda each: (each.load, each.name)) if fit else None
-
-
-def by_affinity(affinity: Affinity, candidates: Sequence[Candidate], spill: Spill) -> Candidate:
-    """Choose for a shared beginning; ``candidates`` is not empty."""
-    by_name = {each.name: each for each in candidates}
-    most = spill.most([each.load for each in candidates])
-    for name in affinity.order(by_name):
-        if by_name[name].load + 1 <= most:
-            return by_name[name]
-    return least_busy(affinity.last_part, candidates, "")
+    ranked = [fit[name] for name in choice.order(prompt.key, fit)]
+    costs_ms = [cost_ms(rank, each) for rank, each in enumerate(ranked)]
+    return ranked[costs_ms.index(min(costs_ms))]
 
 
 def least_busy(key: str, candidates: Sequence[Candidate], hall: str) -> Candidate:
--- a/src/croftpulley/core/sessions.py
+++ b/src/croftpulley/core/sessions.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import attrs
 
 from croftpulley.core import leases, membership
@@ -14,13 +16,21 @@
 """Four renewals missed in a row, at the default interval."""
 
 
+@attrs.frozen
+class Load:
+    """Requests in flight and prompt tokens still to be read, by endpoint."""
+
+    in_flight: dict[str, int] = attrs.field(factory=dict)
+    reading_tokens: dict[str, int] = attrs.field(factory=dict)
+
+
 @attrs.define
 class _Session:
     box: membership.Box
     incarnation: str
     version: int
     heard_at_s: float
-    in_flight: dict[str, int] = attrs.field(factory=dict)
+    load: Load
 
 
 @attrs.define
@@ -49,13 +59,13 @@
         box: membership.Box,
         incarnation: str,
         version: int,
-        in_flight: dict[str, int],
+        load: Load,
         now_s: float,
     ) -> None:
         """Grant or renew a box's lease; ``version`` is the configuration that it uses."""
         self._assumed.discard(box.name)
         self._leases.renew(box.name, now_s)
-        self._sessions[box.name] = _Session(box, incarnation, version, now_s, in_flight)
+        self._sessions[box.name] = _Session(box, incarnation, version, now_s, load)
 
     def expire(self, now_s: float) -> list[str]:
         """Forget and return the boxes whose lease has ended."""
@@ -86,10 +96,11 @@
             if now_s - self._sessions[name].heard_at_s <= SILENT_AFTER_S
         )
 
-    def loads(self) -> dict[str, int]:
-        """Return the requests in flight at each endpoint, summed over all boxes."""
-        totals: dict[str, int] = {}
+    def loads(self) -> Load:
+        """Return what all boxes have at each endpoint."""
+        in_flight: collections.Counter[str] = collections.Counter()
+        reading_tokens: collections.Counter[str] = collections.Counter()
         for session in self._sessions.values():
-            for endpoint, count in session.in_flight.items():
-                totals[endpoint] = totals.get(endpoint, 0) + count
-        return totals
+            in_flight.update(session.load.in_flight)
+            reading_tokens.update(session.load.reading_tokens)
+        return Load(dict(in_flight), dict(reading_tokens))
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -67,7 +67,7 @@
         allowance = retry_budget.Allowance(
             ratio=settings.retry_ratio, extra=settings.retry_extra, window_s=settings.retry_window_s
         )
-        self._traffic = traffic.Traffic(allowance, self._clock)
+        self._traffic = traffic.Traffic(allowance, selection.Rates(), self._clock)
         self._caller_http = self._make_caller_http()
         self._directory_http = self._make_directory_http()
         self._ready_http = self._make_ready_http()
@@ -185,7 +185,9 @@
 
     def _make_steps(self) -> chain.Steps:
         settings = self._settings
-        placement = place.Placement(settings.hall, self._traffic, selection.Spill(), self._clock)
+        placement = place.Placement(
+            settings.hall, self._traffic, selection.Spill(), selection.Rates(), self._clock
+        )
         return chain.Steps(
             observe=observe.Observe(self._counters, self._clock),
             find_route=rules.FindRoute(self._closed, self._clock),
@@ -239,7 +241,7 @@
             "heard_age_s": now_s - known.heard_at_s,
             "draining": known.draining,
             "streams": self._streams.open_count(),
-            "in_flight": self._traffic.in_flight(),
+            "in_flight": self._traffic.load().in_flight,
         }
 
 
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -4,6 +4,8 @@
 
 import logging
 
+import attrs
+
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import traffic
@@ -16,74 +18,85 @@
 """Reading fewer takes an engine less time than asking another for them."""
 
 
+@attrs.frozen(kw_only=True)
+class Placed:
+    """An endpoint, the address of an engine from which it should fetch, and what it has to read."""
+
+    endpoint: membership.Endpoint
+    cache_from: str = ""
+    reading_tokens: int = 0
+
+
 class Placement:
     """Chooses among the endpoints of a request's pool that are in service."""
 
     def __init__(
-        self, hall: str, counts: traffic.Traffic, spill: selection.Spill, clock: clocks.Clock
+        self,
+        hall: str,
+        counts: traffic.Traffic,
+        spill: selection.Spill,
+        rates: selection.Rates,
+        clock: clocks.Clock,
     ) -> None:
         self._hall = hall
         self._counts = counts
         self._spill = spill
+        self._rates = rates
         self._clock = clock
 
-    def choose(self, exchange: base.Exchange, tried: set[str]) -> membership.Endpoint:
+    def choose(self, exchange: base.Exchange, tried: set[str]) -> Placed:
         """Return the endpoint for the next attempt; raises NO_ENGINE if none is left."""
         pool = tables.pool_for(exchange.known_route, exchange.facts.request_id)
-        endpoints = [
-            each
-            for each in exchange.state.endpoints
-            if each.pool == pool and not each.leaving and each.name not in tried
-        ]
+        members = [each for each in exchange.state.endpoints if each.pool == pool]
+        endpoints = [each for each in members if not each.leaving and each.name not in tried]
+        held_tokens = self._held_tokens(exchange, members)
         now_s = self._clock.monotonic_s()
-        candidates = selection.trusted(self._counts.candidates(endpoints, exchange.state), now_s)
+        candidates = selection.trusted(
+            self._counts.candidates(endpoints, exchange.state, held_tokens), now_s
+        )
         if not candidates:
             raise errors.CroftpulleyError(
                 codes.ResultCode.NO_ENGINE, f"pool {pool!r} has no endpoint that may be asked"
             )
-        chosen = self._choose(exchange, candidates)
+        prompt = _prompt(exchange)
+        if prompt is None:
+            chosen = selection.least_busy(exchange.facts.request_id, candidates, self._hall)
+            placed = Placed(endpoint=_named(endpoints, chosen.name))
+        else:
+            most = max(held_tokens.values(), default=0)
+            chosen = selection.for_prompt(prompt, candidates, most, self._spill, self._rates)
+            placed = self._placed(prompt, chosen, held_tokens, members)
         self._log(exchange, chosen, candidates, now_s)
-        return next(each for each in endpoints if each.name == chosen.name)
-
-    def _choose(
-        self, exchange: base.Exchange, candidates: list[selection.Candidate]
-    ) -> selection.Candidate:
-        shared = exchange.facts.shared
-        if shared and exchange.known_route.sticky:
-            holding = selection.by_holding(
-                self._counts.holders(shared[-1].part), candidates, self._spill
-            )
-            if holding is not None:
-                return holding
-            first_part = shared[0].part
-            affinity = selection.Affinity(
-                first_part=first_part,
-                last_part=shared[-1].part,
-                spread=exchange.state.spreads.get(first_part, 1),
-            )
-            return selection.by_affinity(affinity, candidates, self._spill)
-        return selection.least_busy(exchange.facts.request_id, candidates, self._hall)
+        return placed
 
-    def cache_source(self, exchange: base.Exchange, engine: membership.Endpoint) -> str:
-        """Return the address of an engine that holds more of the prompt than ``engine`` does.
-
-        One that is leaving will do. Empty if there is none, or if reading is as cheap.
-        """
+    def _held_tokens(
+        self, exchange: base.Exchange, members: list[membership.Endpoint]
+    ) -> dict[str, int]:
+        """Return what each listed engine holds of the prompt; one that is leaving counts too."""
         if not exchange.known_route.sticky:
-            return ""
-        peers = {
-            each.name: each.address
-            for each in exchange.state.endpoints
-            if each.pool == engine.pool and each.name != engine.name
-        }
-        for part in reversed(exchange.facts.shared):
-            holders = self._counts.holders(part.part)
-            if engine.name in holders:
-                return ""
-            others = sorted(peers[name] for name in holders if name in peers)
-            if others and part.tokens >= LEAST_FETCHED_TOKENS:
-                return others[0]
-        return ""
+            return {}
+        names = {each.name for each in members}
+        held = self._counts.held_tokens(exchange.facts)
+        return {name: tokens for name, tokens in held.items() if name in names}
+
+    @staticmethod
+    def _placed(
+        prompt: selection.Prompt,
+        chosen: selection.Candidate,
+        held_tokens: dict[str, int],
+        members: list[membership.Endpoint],
+    ) -> Placed:
+        """Work out what the engine must read, and from whom it fetches the rest."""
+        most = max(held_tokens.values(), default=0)
+        if most - chosen.held_tokens < LEAST_FETCHED_TOKENS:
+            most = chosen.held_tokens
+        reading = selection.reading(prompt, chosen, most)
+        holders = sorted(name for name, tokens in held_tokens.items() if tokens == most)
+        return Placed(
+            endpoint=_named(members, chosen.name),
+            cache_from=_named(members, holders[0]).address if reading.fetched_tokens else "",
+            reading_tokens=reading.read_tokens,
+        )
 
     def _log(
         self,
@@ -100,7 +113,22 @@
             endpoint=chosen.name,
             load=chosen.load,
             mean_load=round(sum(each.load for each in candidates) / len(candidates), 2),
+            reading_tokens=round(chosen.reading_tokens),
+            held_tokens=chosen.held_tokens,
+            prompt_tokens=exchange.facts.prompt_tokens,
             candidates=len(candidates),
             loads_age_s=round(now_s - exchange.state.loads_at_s, 3),
             configuration_version=exchange.state.configuration.version,
         )
+
+
+def _prompt(exchange: base.Exchange) -> selection.Prompt | None:
+    """Return the prompt of a request whose beginning others share."""
+    shared = exchange.facts.shared
+    if not shared or not exchange.known_route.sticky:
+        return None
+    return selection.Prompt(key=shared[-1].part, tokens=exchange.facts.prompt_tokens)
+
+
+def _named(endpoints: list[membership.Endpoint], name: str) -> membership.Endpoint:
+    return next(each for each in endpoints if each.name == name)
--- a/src/croftpulley/forwarding/relay.py
+++ b/src/croftpulley/forwarding/relay.py
@@ -37,12 +37,20 @@
     attempt: attempts.Attempt
     answer: sender.Answer
     counts: traffic.Traffic
+    reading_tokens: int = 0
     closed: bool = False
 
+    def prompt_is_read(self) -> None:
+        """Note that the first event came: the prompt holds nobody up any more."""
+        tokens, self.reading_tokens = self.reading_tokens, 0
+        if tokens:
+            self.counts.end_reading(self.endpoint.name, tokens)
+
     def close(self) -> None:
         if not self.closed:
             self.closed = True
             self.answer.close()
+            self.prompt_is_read()
             self.counts.leave(self.endpoint.name)
 
 
@@ -90,12 +98,13 @@
         """Send to endpoints until one has begun an answer that is not a refusal to run."""
         while True:
             try:
-                endpoint = self._placement.choose(exchange, tried)
+                placed = self._placement.choose(exchange, tried)
             except errors.CroftpulleyError as failure:
                 raise _final(exchange, failure) from failure
+            endpoint = placed.endpoint
             tried.add(endpoint.name)
             try:
-                current = self._send(exchange, endpoint, last_event_id)
+                current = self._send(exchange, placed, last_event_id)
             except errors.CroftpulleyError as failure:
                 self._counts.failed(endpoint.name)
                 _log_failure(exchange, endpoint, failure)
@@ -114,9 +123,8 @@
                 raise _final(exchange, refusal)
             _log_repeat(exchange, refusal)
 
-    def _send(
-        self, exchange: base.Exchange, endpoint: membership.Endpoint, last_event_id: str
-    ) -> _Try:
+    def _send(self, exchange: base.Exchange, placed: place.Placed, last_event_id: str) -> _Try:
+        endpoint = placed.endpoint
         budget_s = exchange.deadline_s - self._clock.monotonic_s()
         if budget_s < LEAST_BUDGET_S:
             raise _final(exchange, errors.CroftpulleyError(codes.ResultCode.DEADLINE_PASSED))
@@ -125,10 +133,8 @@
             endpoint=endpoint,
             budget_s=budget_s,
             last_event_id=last_event_id,
-            cache_from=self._placement.cache_source(exchange, endpoint),
+            cache_from=placed.cache_from,
         )
-        if exchange.facts.shared:
-            self._counts.sent_prompt(exchange.facts, endpoint.name)
         order = sender.Order(
             endpoint=endpoint,
             method=exchange.request.method,
@@ -137,12 +143,14 @@
             body=exchange.request.body,
         )
         self._counts.enter(endpoint.name)
+        self._counts.begin_reading(exchange.facts, endpoint.name, placed.reading_tokens)
         try:
             answer = self._sender.send(order, attempt, exchange.token)
         except BaseException:
+            self._counts.end_reading(endpoint.name, placed.reading_tokens)
             self._counts.leave(endpoint.name)
             raise
-        return _Try(endpoint, attempt, answer, self._counts)
+        return _Try(endpoint, attempt, answer, self._counts, placed.reading_tokens)
 
     def _judge(self, exchange: base.Exchange, answer: sender.Answer) -> verdicts.Verdict:
         names = self._names
@@ -232,6 +240,7 @@
                         whole = cutter.feed(chunk)
                         if whole:
                             begun = True
+                            current.prompt_is_read()
                             yield whole
                     _check_end(cutter, current)
                     self._counts.answered(current.endpoint.name)
--- a/src/croftpulley/transport/messages.py
+++ b/src/croftpulley/transport/messages.py
@@ -41,9 +41,9 @@
     """What a router tells the leading control box at each renewal.
 
     The versions say what it knows, so that the answer holds only what is new; ``in_flight`` is how
-    many requests it has at each endpoint, ``part_tokens`` how many prompt tokens it sent since the
-    last report, by the prompt's first part. ``notes`` say which parts were sent where, and
-    ``next_note`` is the number of the first note of others that this router lacks.
+    many requests it has at each endpoint, ``reading_tokens`` how many prompt tokens those endpoints
+    still have to read for them. ``notes`` say which parts were sent where, and ``next_note`` is the
+    number of the first note of others that this router lacks.
     """
 
     box: membership.Box
@@ -52,7 +52,7 @@
     boxes_version: int
     endpoints_version: int
     in_flight: dict[str, int]
-    part_tokens: dict[str, int] = attrs.field(factory=dict)
+    reading_tokens: dict[str, int] = attrs.field(factory=dict)
     notes: tuple[places.Note, ...] = ()
     next_note: int = 0
 
@@ -62,9 +62,9 @@
     """What a control box answers; ``None`` means unchanged.
 
     ``lease_s`` is 0 where none is granted: then ``leader_address`` may say who grants. ``loads``
-    are the requests in flight at each endpoint from all routers as last reported, ``spreads`` over
-    how many engines to spread prompts with some first part, where that is more than one. ``notes``
-    are all routers' from the number that was asked for up to ``next_note``.
+    are the requests in flight at each endpoint from all routers as last reported, and
+    ``reading_tokens`` what the endpoints have to read for them. ``notes`` are all routers' from the
+    number that was asked for up to ``next_note``.
     """
 
     lease_s: float = 0.0
@@ -77,7 +77,7 @@
     endpoints_version: int = 0
     endpoints: tuple[membership.Endpoint, ...] | None = None
     loads: dict[str, int] = attrs.field(factory=dict)
-    spreads: dict[str, int] = attrs.field(factory=dict)
+    reading_tokens: dict[str, int] = attrs.field(factory=dict)
     notes: tuple[places.Note, ...] = ()
     next_note: int = 0
 
