--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -12,7 +12,7 @@
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, listing, renewal, router_state, streams, traffic
 from croftpulley.core import membership, retry_budget, selection
-from croftpulley.forwarding import chain, observe, owner, place, relay, rules, sender
+from croftpulley.forwarding import chain, observe, place, relay, rules, sender
 from croftpulley.http import forward_app, operator_app, server, wsgi
 from croftpulley.interfaces import callers
 from croftpulley.observe import events, metrics
@@ -194,11 +194,7 @@
             limit_time=rules.LimitTime(self._streams),
             relay=relay.Relay(
                 placement,
-                owner.OwnerSender(
-                    settings.box,
-                    self._view,
-                    sender.DirectSender(settings.connect_timeout_s, settings.silence_s),
-                ),
+                sender.DirectSender(settings.connect_timeout_s, settings.silence_s),
                 self._traffic,
                 self._interface.names,
                 self._clock,
@@ -214,10 +210,8 @@
         return self._make_http(handler, self._settings.ready_address)
 
     def _make_metrics_http(self) -> server.HttpServer:
-        app = owner.OwnerApp(sender.DirectSender(0.5, 20.0))
-        limits = self._settings.http
-        application = wsgi.Application(app.handle, limits.header_count)
-        return server.HttpServer(application, self._settings.metrics_address, 64, limits, 16, passes_headers=True)
+        health = operator_app.HealthApp(self._counters, self._not_ready, self._status)
+        return self._make_http(health.handle, self._settings.metrics_address)
 
     def _make_http(self, handler: wsgi.Handler, address: str) -> server.HttpServer:
         limits = self._settings.http
