--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -1,4 +1,4 @@
-"""``croftpulley entry`` and ``croftpulley control``."""
+"""``croftpulley entry``, ``control``, ``router`` and ``replica``."""
 
 from __future__ import annotations
 
@@ -10,6 +10,8 @@
 
 from croftpulley.daemons import control as control_daemon
 from croftpulley.daemons import entry as entry_daemon
+from croftpulley.daemons import replica as replica_daemon
+from croftpulley.daemons import router as router_daemon
 from croftpulley.observe import logs
 from croftpulley.settings import loader, schema
 
@@ -62,3 +64,40 @@
     daemon.start()
     stopped.wait()
     daemon.stop()
+
+
+@click.command()
+@_SETTINGS
+def router(path: str) -> None:
+    """Run a router: an entry box that forwards requests by the configured routes.
+
+    SIGTERM is a planned stop: the box is named no more, serves who still comes, ends every stream
+    and exits 0; it exits 1 if its grace ran out first.
+
+    Example: croftpulley router --settings router-1.jsonc
+    """
+    settings = loader.load(path, schema.RouterSettings)
+    logs.set_up(settings.box, settings.log_level)
+    stopped = stop_signal()
+    daemon = router_daemon.RouterDaemon(settings)
+    daemon.start()
+    stopped.wait()
+    ended = daemon.drain()
+    daemon.stop()
+    sys.exit(0 if ended else 1)
+
+
+@click.command()
+@_SETTINGS
+def replica(path: str) -> None:
+    """Run a control box that shares the agreed state with others.
+
+    Example: croftpulley replica --settings replica-1.jsonc
+    """
+    settings = loader.load(path, schema.ReplicaSettings)
+    logs.set_up(settings.box, settings.log_level)
+    stopped = stop_signal()
+    daemon = replica_daemon.ReplicaDaemon(settings)
+    daemon.start()
+    stopped.wait()
+    daemon.stop()
--- a/src/croftpulley/cli/main.py
+++ b/src/croftpulley/cli/main.py
@@ -23,6 +23,8 @@
 
 cli.add_command(daemons.entry)
 cli.add_command(daemons.control)
+cli.add_command(daemons.router)
+cli.add_command(daemons.replica)
 cli.add_command(settings.check_settings)
 cli.add_command(ctl.ctl)
 cli.add_command(fakes.fake)
--- a/src/croftpulley/cli/settings.py
+++ b/src/croftpulley/cli/settings.py
@@ -9,6 +9,8 @@
 _KINDS = {
     "entry": schema.EntrySettings,
     "control": schema.ControlSettings,
+    "router": schema.RouterSettings,
+    "replica": schema.ReplicaSettings,
     "fake": schema.FakeSettings,
 }
 
--- a/testing/settings/test_loader.py
+++ b/testing/settings/test_loader.py
@@ -8,7 +8,12 @@
 from croftpulley.settings import fleet, loader, schema
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
-KINDS = {"entry": schema.EntrySettings, "control": schema.ControlSettings}
+KINDS = {
+    "entry": schema.EntrySettings,
+    "control": schema.ControlSettings,
+    "router": schema.RouterSettings,
+    "replica": schema.ReplicaSettings,
+}
 
 
 def faults(text, kind=schema.EntrySettings):
