Placement: holders first, then what an engine still has to read

Change: an engine that holds the whole shared beginning is taken unless it is far busier; only without one does the backlog decide. Also: tests of the lifecycle read the log from standard output; fleet.sh keeps logs in .log again.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -12,7 +12,7 @@
 start() { # name, arguments of croftpulley
     local name=$1
     shift
-    "$BIN/croftpulley" "$@" >"$RUN/$name.out" 2>"$RUN/$name.log" &
+    "$BIN/croftpulley" "$@" >"$RUN/$name.log" 2>"$RUN/$name.err" &
     echo $! >"$RUN/$name.pid"
 }
 
--- a/src/croftpulley/core/selection.py
+++ b/src/croftpulley/core/selection.py
@@ -1,10 +1,12 @@
 """Which endpoint a forwarded request goes to.
 
-A request with a prompt goes to the engine that can begin its answer soonest: each has prompts to
-read before it, and lacks more or less of this one, some of which it may fetch from another engine.
-Reading and fetching count more than their time, since they also push other prompts out and hold up
-what runs beside them. Among engines alike, rendezvous hashing of the last shared part decides, so
-that all routers choose alike. Requests without a shared part go to the least busy endpoint.
+A request with a prompt goes to the least busy of the engines that likely hold its whole shared
+beginning, unless they are far busier than the others. If none may take it, it goes to the engine
+that can begin its answer soonest: each has prompts to read before it, and lacks more or less of
+this one, some of which it may fetch from another engine. Reading and fetching count more than their
+time, since they also push other prompts out and hold up what runs beside them. Among engines alike,
+rendezvous hashing of the last shared part decides, so that all routers choose alike. Requests
+without a shared part go to the least busy endpoint.
 """
 
 from __future__ import annotations
@@ -40,7 +42,7 @@
     Above ``multiple`` times the mean plus ``slack`` requests another is taken.
     """
 
-    multiple: float = 1.6
+    multiple: float = 1.5
     slack: float = 2.0
 
     def fit(self, candidates: Sequence[Candidate]) -> list[Candidate]:
@@ -68,10 +70,11 @@
 
 @attrs.frozen(kw_only=True)
 class Prompt:
-    """What is to be read, and what the hashing looks at."""
+    """What is to be read, how much of it others share, and what the hashing looks at."""
 
     key: str
     tokens: int
+    shared_tokens: int
 
 
 @attrs.frozen(kw_only=True)
@@ -90,7 +93,7 @@
 def reading(prompt: Prompt, candidate: Candidate, most_held_tokens: int) -> Reading:
     """Return what ``candidate`` must read where another engine holds ``most_held_tokens``.
 
-    >>> prompt = Prompt(key="p", tokens=900)
+    >>> prompt = Prompt(key="p", tokens=900, shared_tokens=800)
     >>> reading(prompt, Candidate(name="e", hall="a", load=0, held_tokens=300), 800)
     Reading(fetched_tokens=500, read_tokens=100)
     """
@@ -118,11 +121,14 @@
     spill: Spill,
     rates: Rates,
 ) -> Candidate:
-    """Choose the engine that can begin soonest; ``candidates`` is not empty.
+    """Choose a holder, else the engine that can begin soonest; ``candidates`` is not empty.
 
     ``most_held_tokens`` is how much of the prompt any engine holds, also one that is leaving.
     """
     fit = {each.name: each for each in spill.fit(candidates)}
+    holders = [each for each in fit.values() if each.held_tokens >= prompt.shared_tokens]
+    if holders:
+        return min(holders, key=lambda each: (each.load, each.name))
 
     def cost_ms(rank: int, candidate: Candidate) -> float:
         wait_ms = candidate.reading_tokens / rates.read_tokens_a_ms
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -127,7 +127,11 @@
     shared = exchange.facts.shared
     if not shared or not exchange.known_route.sticky:
         return None
-    return selection.Prompt(key=shared[-1].part, tokens=exchange.facts.prompt_tokens)
+    return selection.Prompt(
+        key=shared[-1].part,
+        tokens=exchange.facts.prompt_tokens,
+        shared_tokens=sum(part.tokens for part in shared),
+    )
 
 
 def _named(endpoints: list[membership.Endpoint], name: str) -> membership.Endpoint:
