--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 import threading
+from typing import NoReturn
 
 import click
 
@@ -41,13 +42,7 @@
     settings = loader.load(path, schema.EntrySettings)
     logs.set_up(settings.box, settings.log_level)
     sys.setswitchinterval(settings.thread_switch_ms / 1000)
-    stopped = stop_signal()
-    daemon = entry_daemon.EntryDaemon(settings)
-    daemon.start()
-    stopped.wait()
-    ended = daemon.drain()
-    daemon.stop()
-    sys.exit(0 if ended else 1)
+    _run_entry_box(entry_daemon.EntryDaemon(settings))
 
 
 @click.command()
@@ -59,11 +54,7 @@
     """
     settings = loader.load(path, schema.ControlSettings)
     logs.set_up(settings.box, settings.log_level)
-    stopped = stop_signal()
-    daemon = control_daemon.ControlDaemon(settings)
-    daemon.start()
-    stopped.wait()
-    daemon.stop()
+    _run_control_box(control_daemon.ControlDaemon(settings))
 
 
 @click.command()
@@ -78,13 +69,7 @@
     """
     settings = loader.load(path, schema.RouterSettings)
     logs.set_up(settings.box, settings.log_level)
-    stopped = stop_signal()
-    daemon = router_daemon.RouterDaemon(settings)
-    daemon.start()
-    stopped.wait()
-    ended = daemon.drain()
-    daemon.stop()
-    sys.exit(0 if ended else 1)
+    _run_entry_box(router_daemon.RouterDaemon(settings))
 
 
 @click.command()
@@ -96,8 +81,22 @@
     """
     settings = loader.load(path, schema.ReplicaSettings)
     logs.set_up(settings.box, settings.log_level)
+    _run_control_box(replica_daemon.ReplicaDaemon(settings))
+
+
+def _run_entry_box(daemon: entry_daemon.EntryDaemon | router_daemon.RouterDaemon) -> NoReturn:
+    """Serve until SIGTERM, then drain; the exit code tells whether every stream ended."""
+    stopped = stop_signal()
+    daemon.start()
+    stopped.wait()
+    ended = daemon.drain()
+    daemon.stop()
+    sys.exit(0 if ended else 1)
+
+
+def _run_control_box(daemon: control_daemon.ControlDaemon | replica_daemon.ReplicaDaemon) -> None:
+    """Serve until SIGTERM."""
     stopped = stop_signal()
-    daemon = replica_daemon.ReplicaDaemon(settings)
     daemon.start()
     stopped.wait()
     daemon.stop()
