Read once more: entries of 0 go, and what nothing reads

A router's incarnation was sent and kept and read by nothing, as were three header names and a field of CallFacts; a comment named a class that is not there. Behaviour is otherwise as it was; placement, counts and what reaches endpoints are untouched. Seen and left: the two interface classes of a side repeat two small methods; a request's pool is worked out once more at each attempt; notes taken for a renewal that fails are not sent again for up to 20 s.

--- a/src/croftpulley/controllers/listing.py
+++ b/src/croftpulley/controllers/listing.py
@@ -1,7 +1,7 @@
 """The listing controller: one box at a time reads the platform's list, for all routers.
 
 On a control box it reads while that box leads. On a router it reads only while it has not heard
-a list from the control boxes for a while (`ListFallback`).
+a list from the control boxes for a while. Each daemon says by a `Turn` when it reads.
 """
 
 from __future__ import annotations
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -32,7 +32,6 @@
     def __init__(
         self,
         box: membership.Box,
-        incarnation: str,
         control_addresses: tuple[str, ...],
         lease_margin_s: float,
         timeout_s: float,
@@ -46,7 +45,6 @@
     ) -> None:
         super().__init__()
         self._box = box
-        self._incarnation = incarnation
         self._first_addresses = control_addresses
         self._addresses = control_addresses
         self._lease = leases.HeldLease(lease_margin_s)
@@ -125,7 +123,6 @@
         known = self._view.get()
         report = box_messages.BoxReport(
             box=self._box,
-            incarnation=self._incarnation,
             configuration_version=known.configuration.version,
             boxes_version=known.boxes_version,
             endpoints_version=known.endpoints_version,
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -111,7 +111,6 @@
         self._forget_at_s.pop(report.box.name, None)
         self._sessions.renew(
             report.box,
-            report.incarnation,
             report.configuration_version,
             sessions.Load(report.in_flight, report.reading_tokens),
             self._clock.monotonic_s(),
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -63,7 +63,8 @@
         """Count the tokens that an engine has to read, and note where the shared parts lie."""
         now_s = self._clock.monotonic_s()
         with self._lock:
-            self._reading[engine] += tokens
+            if tokens:
+                self._reading[engine] += tokens
             for part in facts.shared:
                 note = places.Note(part.part, engine)
                 if self._places.note(note, now_s):
--- a/src/croftpulley/core/calls.py
+++ b/src/croftpulley/core/calls.py
@@ -20,7 +20,6 @@
     request_id: str
     key: str = ""
     budget_s: float | None = None
-    model: str = ""
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
 
--- a/src/croftpulley/core/sessions.py
+++ b/src/croftpulley/core/sessions.py
@@ -27,7 +27,6 @@
 @attrs.define
 class _Session:
     box: membership.Box
-    incarnation: str
     version: int
     heard_at_s: float
     load: Load
@@ -57,7 +56,6 @@
     def renew(
         self,
         box: membership.Box,
-        incarnation: str,
         version: int,
         load: Load,
         now_s: float,
@@ -65,7 +63,7 @@
         """Grant or renew a box's lease; ``version`` is the configuration that it uses."""
         self._assumed.discard(box.name)
         self._leases.renew(box.name, now_s)
-        self._sessions[box.name] = _Session(box, incarnation, version, now_s, load)
+        self._sessions[box.name] = _Session(box, version, now_s, load)
 
     def expire(self, now_s: float) -> list[str]:
         """Forget and return the boxes whose lease has ended."""
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -155,7 +155,6 @@
         )
         return renewal.RenewalController.start(
             box,
-            uuid.uuid4().hex,
             settings.control_addresses,
             settings.lease_margin_s,
             settings.renew_timeout_s,
--- a/src/croftpulley/forwarding/headers.py
+++ b/src/croftpulley/forwarding/headers.py
@@ -33,7 +33,6 @@
         request_id=headers.get(names.request_id, ""),
         key=headers.get(names.key, ""),
         budget_s=calls.parse_budget_s(headers.get(names.budget_ms, "")),
-        model=headers.get(names.model, ""),
         prompt=calls.parse_prompt(headers.get(names.prompt_parts, "")),
         last_event_id=headers.get(names.last_event_id, ""),
     )
--- a/src/croftpulley/forwarding/vocabulary.py
+++ b/src/croftpulley/forwarding/vocabulary.py
@@ -9,11 +9,8 @@
 class Vocabulary:
     """Header names in lower case, grouped by who sets them."""
 
-    # Set by the caller and passed on as they are.
+    # Set by the caller and passed on as they are, as is every header not named here.
     request_id: str = "x-request-id"
-    model: str = "x-model"
-    token_counts: str = "x-token-counts"
-    """Prompt tokens and the most tokens to give out: ``1460,80``."""
     prompt_parts: str = "x-prompt-parts"
     """The parts of the prompt in order: ``ID:TOKENS,ID:TOKENS``."""
     last_event_id: str = "last-event-id"
@@ -35,8 +32,6 @@
     """Shows that the endpoint made the answer; a success without it is none."""
     not_run: str = "x-not-run"
     """The endpoint did not run the request."""
-    load: str = "x-load"
-    """Requests running and waiting, and slots: ``3,0,8``."""
 
 
 OWN = Vocabulary()
--- a/src/croftpulley/platform/names.py
+++ b/src/croftpulley/platform/names.py
@@ -7,8 +7,6 @@
 VOCABULARY = vocabulary.Vocabulary(
     # "Attempt" is one request of the caller, not one of our attempts at an endpoint.
     request_id="croftpulley-attempt-id",
-    model="croftpulley-model",
-    token_counts="croftpulley-token-counts",
     prompt_parts="croftpulley-prompt-prefix",
     last_event_id="last-event-id",
     key="croftpulley-credential",
@@ -21,5 +19,4 @@
     cache_from="kv-fetch",
     proof="croftpulley-server-signature",
     not_run="croftpulley-not-executed",
-    load="croftpulley-instance-load",
 )
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -18,7 +18,6 @@
     """
 
     box: membership.Box
-    incarnation: str
     configuration_version: int
     boxes_version: int
     endpoints_version: int
--- a/testing/core/test_forwarded.py
+++ b/testing/core/test_forwarded.py
@@ -223,26 +223,26 @@
         return sessions.Sessions(lease_s=2.0, margin_s=0.1)
 
     def test_a_box_is_waited_for_until_it_uses_the_version_or_its_lease_has_ended(self, made):
-        made.renew(self.BOX, "1", 3, sessions.Load(), 0.0)
+        made.renew(self.BOX, 3, sessions.Load(), 0.0)
         assert made.waiting_for(4, 1.0) == ("box",)
         assert made.waiting_for(3, 1.0) == ()
         assert made.waiting_for(4, 2.2) == ()
 
     def test_a_new_leader_waits_for_boxes_that_it_has_not_heard(self, made):
         made.begin(("box", "other"), 0.0)
-        made.renew(self.BOX, "1", 4, sessions.Load(), 0.5)
+        made.renew(self.BOX, 4, sessions.Load(), 0.5)
         assert made.waiting_for(4, 1.0) == ("other",)
         assert made.waiting_for(4, 2.2) == ()
 
     def test_a_silent_box_is_named_no_more_before_its_lease_ends(self, made):
-        made.renew(self.BOX, "1", 3, sessions.Load(), 0.0)
+        made.renew(self.BOX, 3, sessions.Load(), 0.0)
         assert made.boxes(0.5) == (self.BOX,)
         assert made.boxes(1.5) == ()
         assert made.waiting_for(4, 1.5) == ("box",)
 
     def test_loads_are_summed_over_boxes(self, made):
-        made.renew(self.BOX, "1", 3, sessions.Load({"e": 2, "f": 1}, {"e": 70}), 0.0)
-        made.renew(membership.Box("b2", "h", "", ""), "1", 3, sessions.Load({"e": 3}), 0.0)
+        made.renew(self.BOX, 3, sessions.Load({"e": 2, "f": 1}, {"e": 70}), 0.0)
+        made.renew(membership.Box("b2", "h", "", ""), 3, sessions.Load({"e": 3}), 0.0)
         assert made.loads() == sessions.Load({"e": 5, "f": 1}, {"e": 70})
 
 
