After a loss of all processes a new leader need not wait out old promises

Ruled out: disk (3 ms), registration (boxes are known). Change: a vote of a voter that has only just started counts if every voter agrees (core/replication/voting.py), so the last leader is among them; a leader reads the list at once; a box that may not serve yet renews at twice the rate.

--- a/src/croftpulley/controllers/listing.py
+++ b/src/croftpulley/controllers/listing.py
@@ -41,26 +41,34 @@
 
 
 class ListingController(actors.Controller):
-    """Reads the list at each tick while it is this box's turn, and publishes it."""
+    """Reads the list while it is this box's turn, and publishes it.
+
+    Ticks come more often than ``interval_s``, so that a box whose turn begins reads at once.
+    """
 
     def __init__(
         self,
         platform: lists.PlatformList,
         turn: Turn,
         view: actors.View[Listing],
+        interval_s: float,
         clock: clocks.Clock,
     ) -> None:
         super().__init__()
         self._platform = platform
         self._turn = turn
         self._view = view
+        self._interval_s = interval_s
         self._clock = clock
+        self._due_at_s = float("-inf")
         self._read_fails = False
 
     def handle(self, message: object) -> None:
-        """Read the list once, if it is this box's turn."""
-        if not self._turn.has_come(self._clock.monotonic_s()):
+        """Read the list once, if it is due and this box's turn."""
+        now_s = self._clock.monotonic_s()
+        if now_s < self._due_at_s or not self._turn.has_come(now_s):
             return
+        self._due_at_s = now_s + self._interval_s
         try:
             listed = self._platform.read()
         except errors.CroftpulleyError as failure:
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -17,6 +17,9 @@
 
 _LOG = logging.getLogger(__name__)
 RENEW_PATH = "/v1/boxes/renewals"
+TICKS_AN_INTERVAL = 2
+"""A box that may not serve yet (it lacks a lease, a configuration or endpoints) renews at each
+tick, any other at every second one."""
 _HOPS = 2
 """How often one renewal follows a box's word on who leads."""
 
@@ -35,6 +38,7 @@
         control_addresses: tuple[str, ...],
         lease_margin_s: float,
         timeout_s: float,
+        interval_s: float,
         document_format: formats.DocumentFormat,
         counts: traffic.Traffic,
         view: actors.View[router_state.RouterState],
@@ -49,6 +53,8 @@
         self._addresses = control_addresses
         self._lease = leases.HeldLease(lease_margin_s)
         self._timeout_s = timeout_s
+        self._interval_s = interval_s
+        self._due_at_s = float("-inf")
         self._format = document_format
         self._counts = counts
         self._view = view
@@ -65,7 +71,8 @@
         """Renew, or begin to drain."""
         match message:
             case actors.Tick():
-                self._renew()
+                if self._clock.monotonic_s() >= self._due_at_s:
+                    self._renew()
             case StartDraining():
                 self._box = attrs.evolve(self._box, draining=True)
                 self._view.publish(attrs.evolve(self._view.get(), draining=True))
@@ -73,11 +80,16 @@
 
     def _renew(self) -> None:
         """Renew; once more at once if that brought a configuration, so that it is known here."""
+        began_s = self._clock.monotonic_s()
         before = self._view.get().configuration.version
         self._renew_once()
         if self._view.get().configuration.version != before:
             self._renew_once()
         self._take_own_listing()
+        if self._view.get().may_serve(self._clock.monotonic_s()):
+            # Half a tick early: ticks are never quite on time.
+            tick_s = self._interval_s / TICKS_AN_INTERVAL
+            self._due_at_s = began_s + self._interval_s - tick_s / 2
 
     def _take_own_listing(self) -> None:
         """Use the list that this box read itself if that is newer than what control told."""
--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -41,3 +41,7 @@
     def lease_holds(self, now_s: float) -> bool:
         """Tell whether this box may take work that needs a lease."""
         return now_s < self.lease_until_s
+
+    def may_serve(self, now_s: float) -> bool:
+        """Tell whether this box has all that it needs to serve requests."""
+        return bool(self.lease_holds(now_s) and self.configuration.version and self.endpoints)
--- a/src/croftpulley/core/replication/messages.py
+++ b/src/croftpulley/core/replication/messages.py
@@ -109,12 +109,16 @@
 
 @attrs.frozen(kw_only=True)
 class VoteReply:
-    """The answer to a `VoteRequest`. ``member`` tells whether the candidate is one."""
+    """The answer to a `VoteRequest`. ``member`` tells whether the candidate is one.
+
+    A vote with ``if_all`` instead of ``granted`` counts only if every voter gives one.
+    """
 
     voter: str
     term: int
     granted: bool
     trial: bool
+    if_all: bool = False
     member: bool = True
 
 
--- a/src/croftpulley/core/replication/replica.py
+++ b/src/croftpulley/core/replication/replica.py
@@ -8,7 +8,7 @@
 import attrs
 
 from croftpulley.core.replication import log as logs
-from croftpulley.core.replication import membership, messages, progress
+from croftpulley.core.replication import membership, messages, progress, voting
 
 APPEND_SIZE_BYTES = 256 * 1024
 """The payload of one append request; a large configuration still goes in one."""
@@ -75,11 +75,10 @@
         self._voted_for = stored.voted_for
         self._timing = timing
         self._chance = chance
-        # A vote given before a restart may be forgotten no sooner than a leader's authority ends.
-        self._heard_s = now_s
+        self._hearing = voting.Hearing(timing.election_s, started_s=now_s)
+        self._ballot = voting.Ballot()
         self._election_at_s = 0.0
         self._rest(now_s)
-        self._votes: set[str] = set()
         self._progress: dict[str, progress.Progress] = {}
         self._start_index = 0
         self._leader_since_s = 0.0
@@ -181,14 +180,13 @@
 
     def _rest(self, now_s: float) -> None:
         """Put the next election off by a random time."""
-        wait_s = self._timing.election_s * (1 + self._chance.random())
-        self._election_at_s = now_s + wait_s
+        self._election_at_s = now_s + self._hearing.pause_s(now_s, self._chance)
 
     def _start_trial(self, now_s: float, effects: Effects) -> None:
         self._rest(now_s)
         self.role = Role.TRIAL
         self.leader = ""
-        self._votes = {self.id}
+        self._open_ballot(now_s)
         self._ask_for_votes(self.term + 1, trial=True, effects=effects)
         self._count_votes(now_s, effects)
 
@@ -197,11 +195,16 @@
         self.role = Role.CANDIDATE
         self.term += 1
         self._voted_for = self.id
-        self._votes = {self.id}
+        self._open_ballot(now_s)
         self._save(effects)
         self._ask_for_votes(self.term, trial=False, effects=effects)
         self._count_votes(now_s, effects)
 
+    def _open_ballot(self, now_s: float) -> None:
+        """Begin to count, with this replica's own vote."""
+        self._ballot = voting.Ballot()
+        self._ballot.add(self.id, firm=self._hearing.may_vote(now_s))
+
     def _ask_for_votes(self, term: int, *, trial: bool, effects: Effects) -> None:
         for voter in self.members.voters:
             if voter != self.id:
@@ -217,8 +220,7 @@
                 )
 
     def _count_votes(self, now_s: float, effects: Effects) -> None:
-        voters = self.members.voters
-        if len(self._votes.intersection(voters)) < self.members.quorum:
+        if not self._ballot.is_won(self.members):
             return
         if self.role is Role.TRIAL:
             self._start_election(now_s, effects)
@@ -237,8 +239,10 @@
 
     def _on_vote_request(self, request: messages.VoteRequest, now_s: float) -> Effects:
         effects = Effects()
-        granted = self._would_vote(request, now_s)
-        if granted and not request.trial:
+        agrees = self._would_vote(request)
+        granted = agrees and self._hearing.may_vote(now_s)
+        if_all = agrees and not granted and self._hearing.may_vote_if_all(now_s)
+        if (granted or if_all) and not request.trial:
             if request.term > self.term:
                 self._follow(request.term, "", now_s)
             self._voted_for = request.candidate
@@ -248,16 +252,19 @@
             voter=self.id,
             term=self.term,
             granted=granted,
+            if_all=if_all,
             trial=request.trial,
             member=self.members.find(request.candidate) is not None,
         )
         return effects
 
-    def _would_vote(self, request: messages.VoteRequest, now_s: float) -> bool:
-        # Nothing of a request is taken up while a leader is heard, not even its term: a replica
-        # that was cut off must not end the leader's term when it comes back.
-        hears_leader = now_s - self._heard_s < self._timing.election_s
-        if self.role is Role.LEADER or hears_leader or request.term < self.term:
+    def _would_vote(self, request: messages.VoteRequest) -> bool:
+        """Tell whether this replica would vote so, were it not for what it may have promised.
+
+        Nothing of a request is taken up while a leader is heard, not even its term: a replica that
+        was cut off must not end the leader's term when it comes back.
+        """
+        if self.role is Role.LEADER or request.term < self.term:
             return False
         ours = (self.log.last_term, self.log.last_index)
         if (request.last_term, request.last_index) < ours:
@@ -275,8 +282,10 @@
             self._save(effects)
             return effects
         expected = Role.TRIAL if reply.trial else Role.CANDIDATE
-        if reply.granted and self.role is expected:
-            self._votes.add(reply.voter)
+        # A reply to an earlier candidacy says nothing of this one.
+        current = reply.trial or reply.term == self.term
+        if (reply.granted or reply.if_all) and self.role is expected and current:
+            self._ballot.add(reply.voter, firm=reply.granted)
             self._count_votes(now_s, effects)
         return effects
 
@@ -308,7 +317,7 @@
         """Follow the leader of ``term`` unless it is an old one; return whether the term is new."""
         is_new = term > self.term
         self._follow(term, leader, now_s)
-        self._heard_s = now_s
+        self._hearing.heard(now_s)
         self._rest(now_s)
         self._unknown_to_others = False
         return is_new
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -70,6 +70,7 @@
             self._interface.endpoint_list(settings.platform_address),
             _WhileLeading(self._standing),
             self._endpoints,
+            settings.platform_interval_s,
             self._clock,
         )
         self._peer_http = self._make_peer_http()
@@ -87,7 +88,7 @@
         self._tickers = [
             actors.Ticker(self._replica, settings.tick_s),
             actors.Ticker(self._sessions, settings.tick_s),
-            actors.Ticker(self._listing, settings.platform_interval_s),
+            actors.Ticker(self._listing, settings.tick_s),
         ]
         events.emit(
             _LOG,
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -93,6 +93,7 @@
             self._interface.endpoint_list(settings.platform_address),
             _WhileUnheard(self._view, settings.list_fallback_s, self._chance),
             self._listed,
+            0.0,
             self._clock,
         )
         sweeper = streams.StreamController.start(self._streams)
@@ -100,7 +101,7 @@
         self._controllers += [reader, sweeper, limiter]
         self._renewal.tell(actors.Tick())
         self._tickers = [
-            actors.Ticker(self._renewal, settings.renew_interval_s),
+            actors.Ticker(self._renewal, settings.renew_interval_s / renewal.TICKS_AN_INTERVAL),
             actors.Ticker(reader, settings.platform_interval_s),
             actors.Ticker(sweeper, _SWEEP_INTERVAL_S),
             actors.Ticker(limiter, settings.renew_interval_s),
@@ -158,6 +159,7 @@
             settings.control_addresses,
             settings.lease_margin_s,
             settings.renew_timeout_s,
+            settings.renew_interval_s,
             self._interface.documents,
             self._traffic,
             self._view,
--- a/testing/core/replication/cluster.py
+++ b/testing/core/replication/cluster.py
@@ -41,11 +41,14 @@
 class Cluster:
     """Three voters, and whatever joins; every step checks that committed logs agree."""
 
-    def __init__(self, seed: int, loss: float = 0.0, delay_s: float = 0.02) -> None:
+    def __init__(
+        self, seed: int, loss: float = 0.0, delay_s: float = 0.02, tick_s: float = TICK_S
+    ) -> None:
         self.chance = random.Random(seed)
         self.now_s = 0.0
         self.loss = loss
         self.delay_s = delay_s
+        self.tick_s = tick_s
         self.cut: set[frozenset[str]] = set()
         self.network: list[InFlight] = []
         self.timing = replica.Timing()
@@ -109,7 +112,7 @@
 
     def step(self) -> None:
         """Deliver what is due, tick everyone and check."""
-        self.now_s += TICK_S
+        self.now_s += self.tick_s
         due = [each for each in self.network if each.at_s <= self.now_s]
         self.network = [each for each in self.network if each.at_s > self.now_s]
         self.chance.shuffle(due)
