Threads of a server are started as they are needed

Ruled out: imports (json5 0.4 MB); the TLS module (3 MB) is imported by the metrics library. Change: http/dispatcher.py adds a thread whenever a request would wait for another.

--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -13,7 +13,7 @@
 import waitress.wasyncore
 
 from croftpulley import codes, errors
-from croftpulley.http import wsgi
+from croftpulley.http import dispatcher, wsgi
 from croftpulley.settings import fleet, schema
 
 _CODES_BY_STATUS = {
@@ -134,7 +134,7 @@
             application,
             host=host,
             port=int(port),
-            threads=threads,
+            _dispatcher=dispatcher.GrowingDispatcher(threads),
             map=self._map,
             ident="croftpulley",
             connection_limit=limits.connections,
