A resumption that is answered by an error ends the answer visibly

Ruled out: the cutter (it drops half events). Change: while resuming only a success will do; any other head breaks the answer off. A stream whose events carry no ids is not resumed.

--- a/src/croftpulley/core/verdicts.py
+++ b/src/croftpulley/core/verdicts.py
@@ -12,7 +12,8 @@
 """Another endpoint has the address; this one did not run the request."""
 FIRST_SERVER_ERROR = 500
 """Statuses from here on are errors of the endpoint's own."""
-_SUCCESSES = range(200, 300)
+SUCCESSES = range(200, 300)
+"""Statuses of answers to requests that were carried out."""
 
 
 class Verdict(enum.Enum):
@@ -52,6 +53,6 @@
         return Verdict.NOT_RUN
     if not answer.id_matches or answer.status in _PROMISES_NOT_RUN:
         return Verdict.MISLEADING
-    if answer.status in _SUCCESSES:
+    if answer.status in SUCCESSES:
         return Verdict.PASS_ON if answer.has_proof else Verdict.MISLEADING
     return Verdict.FAILED if answer.status >= FIRST_SERVER_ERROR else Verdict.PASS_ON
--- a/src/croftpulley/fakes/faults.py
+++ b/src/croftpulley/fakes/faults.py
@@ -27,6 +27,8 @@
     ERROR = "error"
     DECLINE = "decline"
     MISDIRECTED = "misdirected"
+    EMPTY_ERROR = "empty_error"
+    """Answer 500 without a body."""
     UNMARKED_503 = "unmarked_503"
     NO_PROOF = "no_proof"
     WRONG_ID = "wrong_id"
@@ -47,6 +49,11 @@
         with self._lock:
             self._queue.extend(faults)
 
+    def clear(self) -> None:
+        """Have no more faults happen."""
+        with self._lock:
+            self._queue.clear()
+
     def take(self) -> Fault | None:
         """Return the fault for this request."""
         with self._lock:
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -73,6 +73,8 @@
             await self._wait_for_caller(request, connection)
         elif fault is faults.Fault.ERROR:
             await self._whole(request, connection, 500, b"broken")
+        elif fault is faults.Fault.EMPTY_ERROR:
+            await self._whole(request, connection, 500, b"")
         elif fault is faults.Fault.UNMARKED_503:
             await self._whole(request, connection, 503, b"broken")
         elif STREAM_MARK in request.path:
--- a/src/croftpulley/forwarding/relay.py
+++ b/src/croftpulley/forwarding/relay.py
@@ -76,7 +76,7 @@
         self._counts.request(self._pool(exchange))
         tried: set[str] = set()
         while True:
-            current = self._begin(exchange, tried, exchange.facts.last_event_id)
+            current = self._begin(exchange, tried)
             try:
                 reply = self._reply(exchange, current, tried)
             except errors.CroftpulleyError as failure:
@@ -94,8 +94,13 @@
 
     # --- one attempt --------------------------------------------------------------------------
 
-    def _begin(self, exchange: base.Exchange, tried: set[str], last_event_id: str) -> _Try:
-        """Send to endpoints until one has begun an answer that is not a refusal to run."""
+    def _begin(self, exchange: base.Exchange, tried: set[str], resume_after: str = "") -> _Try:
+        """Send to endpoints until one has begun an answer that is not a refusal to run.
+
+        With ``resume_after``, the id of the last event that was passed on, only a success will do:
+        the head of the answer went out with the first endpoint's.
+        """
+        last_event_id = resume_after or exchange.facts.last_event_id
         while True:
             try:
                 placed = self._placement.choose(exchange, tried)
@@ -113,11 +118,13 @@
             verdict = self._judge(exchange, current.answer)
             if verdict is verdicts.Verdict.FAILED:
                 self._counts.erred(endpoint.name)
-            if verdict is verdicts.Verdict.PASS_ON:
+            if verdict is verdicts.Verdict.PASS_ON and (
+                not resume_after or current.answer.is_success
+            ):
                 return current
             refusal = self._refusal(current, verdict)
             goes_on = self._may_go_on(exchange, refusal)
-            if verdict is verdicts.Verdict.FAILED and not goes_on:
+            if verdict is verdicts.Verdict.FAILED and not goes_on and not resume_after:
                 return current
             current.close()
             _log_failure(exchange, endpoint, refusal)
@@ -218,7 +225,7 @@
         answer = current.answer
         passed_on = headers.to_caller(answer.headers)
         is_stream = exchange.known_route.kind is fleet.RouteKind.STREAM
-        if not is_stream or answer.status not in range(200, 300):
+        if not is_stream or not answer.is_success:
             body = sender.read_whole(answer, WHOLE_ANSWER_BYTES)
             current.close()
             if answer.status < verdicts.FIRST_SERVER_ERROR:
@@ -253,6 +260,9 @@
                         raise
                     current.close()
                     self._broke(exchange, current, failure)
+                    if not cutter.last_id:
+                        # Events without ids: nothing says where to go on.
+                        raise
                     self._go_on_or_raise(exchange, failure)
                 cutter.drop_partial()
                 current = self._begin(exchange, tried, cutter.last_id)
--- a/src/croftpulley/forwarding/sender.py
+++ b/src/croftpulley/forwarding/sender.py
@@ -8,7 +8,7 @@
 import attrs
 
 from croftpulley import cancel, codes, errors
-from croftpulley.core import attempts, membership
+from croftpulley.core import attempts, membership, verdicts
 from croftpulley.endpoints import connection
 from croftpulley.forwarding import base
 
@@ -32,6 +32,11 @@
     status: int
     headers: base.Headers
 
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the status says that the request was carried out."""
+        return self.status in verdicts.SUCCESSES
+
     def header(self, name: str) -> str:
         """Return a header's value, empty if it is not there; ``name`` is in lower case."""
         return next((value for each, value in self.headers if each.lower() == name), "")
--- a/testing/forwarding/test_forwarding.py
+++ b/testing/forwarding/test_forwarding.py
@@ -251,6 +251,26 @@
         assert answer.whole
         assert answer.body == events
 
+    @pytest.mark.parametrize("fault", [Fault.ERROR, Fault.EMPTY_ERROR, Fault.UNMARKED_503])
+    def test_a_resumed_stream_that_is_not_taken_breaks_visibly(self, site, fault):
+        # Found on the grown site: the error that answered the resumption was read as the stream's
+        # rest, so the answer ended as if it were whole.
+        first, second = site.engines
+        answers = []
+
+        def begins_at_the_first():
+            first.faults.clear()
+            second.faults.clear()
+            first.faults.add(Fault.RESET_MID_STREAM)
+            second.faults.add(fault)
+            request_id = f"r-{len(answers)}"
+            answers.append(site.ask("POST", "/stream/note/x", request_id=request_id))
+            return any(NAMES.last_event_id in run.headers for run in second.runs)
+
+        wait_until(begins_at_the_first, "the stream begins at the engine that breaks it")
+        assert not answers[-1].whole
+        assert answers[-1].body == forwarded.event_of(first.runs[-1], 1)
+
     @pytest.mark.parametrize("fault", [Fault.HALF_EVENT, Fault.RESET_MID_STREAM])
     def test_another_stream_breaks_visibly_and_runs_once(self, site, fault):
         for each in site.engines:
