--- /dev/null
+++ b/src/croftpulley/daemons/redirector.py
@@ -0,0 +1,60 @@
+"""The daemon of a control box without a disk: it sends operators on to those that have one.
+
+Such a box can keep nothing, so it has no part in the agreed state and gives no leases.
+"""
+
+from __future__ import annotations
+
+import itertools
+import logging
+
+from croftpulley import codes, errors
+from croftpulley.http import health_app, server, wsgi
+from croftpulley.observe import events, metrics
+from croftpulley.settings import schema
+
+_LOG = logging.getLogger(__name__)
+_THREADS = 4
+
+
+class RedirectorDaemon:
+    """Answers every call with a redirection to the next of the other control boxes."""
+
+    def __init__(self, settings: schema.RedirectorSettings) -> None:
+        others = [each for each in settings.targets if each != settings.operator_address]
+        self._targets = itertools.cycle(others)
+        self._has_targets = bool(others)
+        health = health_app.HealthApp(metrics.Metrics(), lambda: "", dict)
+        self._servers = [
+            _make_http(self._redirect, settings.operator_address),
+            _make_http(health.handle, settings.metrics_address),
+        ]
+        self.operator_address = self._servers[0].address
+
+    def start(self) -> None:
+        """Begin to serve."""
+        for each in self._servers:
+            each.start()
+        events.emit(
+            _LOG, events.Event.DAEMON_STARTED, operator_address=self.operator_address, disk=False
+        )
+
+    def stop(self) -> None:
+        """Stop serving."""
+        events.emit(_LOG, events.Event.DAEMON_STOPPING)
+        for each in self._servers:
+            each.stop()
+        events.emit(_LOG, events.Event.DAEMON_STOPPED)
+
+    def _redirect(self, request: wsgi.Request) -> wsgi.Response:
+        if not self._has_targets:
+            raise errors.CroftpulleyError(codes.ResultCode.NOT_LEADER)
+        query = f"?{request.query}" if request.query else ""
+        location = f"http://{next(self._targets)}{request.path}{query}"
+        return wsgi.Response(307, wsgi.JSON, b"{}", (("Location", location),))
+
+
+def _make_http(handler: wsgi.Handler, address: str) -> server.HttpServer:
+    limits = schema.HttpLimits(body_size_bytes=16 * 1024 * 1024)
+    application = wsgi.Application(handler, limits.header_count)
+    return server.HttpServer(application, address, _THREADS, limits)
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import threading
+import time
 
 from croftpulley import codes, errors
 from croftpulley.observe import events, logs
@@ -33,10 +34,13 @@
 
 def _run_entry(path: str) -> int:
     # Each program imports only its own half: it starts sooner and takes less memory.
-    from croftpulley.daemons import router
-    from croftpulley.platform import boot, callers
+    from croftpulley.platform import boot
 
     settings = boot.router_settings(path)
+    time.sleep(settings.start_delay_s)
+    from croftpulley.daemons import router
+    from croftpulley.platform import callers
+
     logs.set_up(settings.box, settings.log_level)
     stopped = _signals()
     daemon = router.RouterDaemon(settings, callers.PlatformCallers())
@@ -48,8 +52,12 @@
 
 
 def _run_control(path: str) -> int:
+    from croftpulley.platform import boot
+
+    if not boot.read(path).has("dataDirectory"):
+        return _run_redirector(path)
     from croftpulley.daemons import replica
-    from croftpulley.platform import boot, operators
+    from croftpulley.platform import operators
 
     settings = boot.replica_settings(path)
     logs.set_up(settings.box, settings.log_level)
@@ -61,6 +69,20 @@
     return 0
 
 
+def _run_redirector(path: str) -> int:
+    from croftpulley.daemons import redirector
+    from croftpulley.platform import boot
+
+    settings = boot.redirector_settings(path)
+    logs.set_up(settings.box, settings.log_level)
+    stopped = _signals()
+    daemon = redirector.RedirectorDaemon(settings)
+    daemon.start()
+    stopped.wait()
+    daemon.stop()
+    return 0
+
+
 def _signals() -> threading.Event:
     """Return an event that SIGTERM or SIGINT sets; SIGHUP is noted and changes nothing.
 
--- a/testing/platform/test_boot.py
+++ b/testing/platform/test_boot.py
@@ -46,6 +46,18 @@
     assert (settings.retry_ratio, settings.retry_extra, settings.grace_s) == (0.3, 64, 8)
 
 
+def test_a_router_lets_a_control_box_on_its_machine_start_first(path):
+    beside = boot.router_settings(write(path))
+    alone = boot.router_settings(write(path, dataDirectory=None))
+    assert (beside.start_delay_s, alone.start_delay_s) == (boot.CONTROL_FIRST_S, 0.0)
+
+
+def test_a_control_box_without_a_disk_sends_operators_to_the_seeds(path):
+    settings = boot.redirector_settings(write(path, dataDirectory=None))
+    assert settings.operator_address == "10.1.0.19:8229"
+    assert settings.targets == ("10.1.0.19:8229", "10.2.0.36:8229")
+
+
 def test_a_control_boxs_settings(path):
     settings = boot.replica_settings(write(path))
     assert settings.peer_address == "10.1.0.19:7340"
