--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# Targets for a newcomer: demo, demo-up, demo-down, demo-platform, test, lint, format, bench-path, bench-control.
+# Targets for a newcomer: demo, demo-up, demo-down, demo-platform, test, lint, format, check-model, bench-path, bench-control.
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo demo-up demo-down demo-platform test lint format bench-path bench-control generate
+.PHONY: check-model demo demo-up demo-down demo-platform test lint format bench-path bench-control generate
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -45,3 +45,7 @@
 generate: $(STAMP)
 	cd src && ../$(BIN)/python -m grpc_tools.protoc -I . --python_out=. --pyi_out=. \
 		--grpc_python_out=. croftpulley/transport/_generated/fleet.proto
+
+# Visits more states than the test suite does; takes minutes.
+check-model: $(STAMP)
+	CROFTPULLEY_MODEL_TERMS=2 CROFTPULLEY_MODEL_RESTARTS=2 $(BIN)/python -m pytest -s testing/model
