A settings change while a program loads does not end it

Cause: read again: SIGHUP has its default action until the handlers are set, and the router's start delay made that time longer. Change: ignored from the first line of the launcher; a router's own reading of the list is paced by its settings like the control box's. Test: the launcher leaves SIGHUP ignored.

--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -93,7 +93,7 @@
             self._interface.endpoint_list(settings.platform_address),
             _WhileUnheard(self._view, settings.list_fallback_s, self._chance),
             self._listed,
-            0.0,
+            settings.platform_interval_s / 2,
             self._clock,
         )
         sweeper = streams.StreamController.start(self._streams)
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -18,6 +18,8 @@
 
 def main(arguments: list[str]) -> int:
     """Run ``entry`` or ``control`` until SIGTERM; return the exit code."""
+    # Until a program has set its handlers a changed settings file must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     role = arguments[0] if arguments else ""
     try:
         if role == "entry":
--- a/testing/platform/test_boot.py
+++ b/testing/platform/test_boot.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import signal
+
 import orjson
 import pytest
 
@@ -89,6 +91,15 @@
     assert "document.zone: got 7, expected a string" in lines[0]
 
 
+def test_a_settings_change_while_a_program_loads_does_not_end_it(capsys):
+    before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    try:
+        launch.main(["novel"])
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
 def test_an_unknown_program_is_refused(capsys):
     assert launch.main(["novel"]) == 73
     assert "allowed are entry and control" in capsys.readouterr().err
