Dispatcher test: wait for the first threads before counting

Ruled out: a thread too many later on (one request at a time, each waited for). Change: the test waits for its precondition; what it asserts is unchanged.

--- a/testing/http/test_dispatcher.py
+++ b/testing/http/test_dispatcher.py
@@ -61,6 +61,8 @@
 
 
 def test_requests_one_after_the_other_need_no_more_threads(growing):
+    # A thread counts as busy until it has come to wait for the first time.
+    wait_until(lambda: not growing.active_count, "the first threads wait")
     for _ in range(20):
         (task,) = serve(growing, 1)
         task.may_end.set()
