A renewal costs the leading control box its own size, whatever the number of routers

Cause: on the grown Shifa site leases came 1.3 to 2.6 s after a leader stood. A renewal's answer summed the loads of all routers, built and compared the list of all boxes, and settled waiting submissions: work that grows with the square of the number of routers, in one thread. Ruled out: the codec (50 to 80 us a renewal at all sizes but the first), the wait of 0.4 s by itself (it only turns slow answers into repeated ones). Change: sums are kept and changed by what one box reports anew; the list of boxes is made at each tick and when a box comes; waiting submissions are settled when a box changed its version. The configuration goes out packed, once a version. Its document and version are one value, so that neither can be read without the other (two assignments before, read by another thread). Notes of a renewal that failed are sent again.

--- /dev/null
+++ b/src/croftpulley/bench/agreement.py
@@ -0,0 +1,176 @@
+"""What a leading control box spends on each router, by the number of routers.
+
+Runs the session controller and the codec in this process, without sockets, so that the figures
+are those of the decisions and messages alone.
+"""
+
+from __future__ import annotations
+
+import time
+
+import attrs
+import pykka
+
+from croftpulley import clock as clocks
+from croftpulley.bench import table
+from croftpulley.controllers import actors, agreement, listing, replica, sessions
+from croftpulley.core import agreed, membership, submissions, versions
+from croftpulley.core.replication import replica as replicas
+from croftpulley.transport import box_messages, json_codec
+
+SIZES = ((12, 40), (50, 60), (79, 70), (200, 200), (790, 2000))
+"""Routers and endpoints: of today, between, of the grown sites, between, of the two-year size."""
+ROUNDS = 4
+"""Rounds of renewals that are measured, after those in which the routers learn everything."""
+STARTING_ROUNDS = 3
+"""One to be registered, one to be leased, one to learn of all others."""
+ROUTES = 120
+_RENEW_INTERVAL_S = 0.25
+_LOADED_ENDPOINTS = 20
+"""How many endpoints a router has requests at, at one moment."""
+_LEASE_S = 3.0
+_MARGIN_S = 0.2
+_FAR_S = 1e9
+_ADDRESS = "10.11.12.13:8080"
+
+
+class _Applied(agreement.Agreement):
+    """Applies what is proposed at once, as if it were durable everywhere."""
+
+    def __init__(self) -> None:
+        self._state = agreed.AgreedState(submissions=submissions.HighestNumber())
+        self._state.submissions.submit(submissions.Submission("bench", 1, _document()))
+
+    def propose(self, command: agreed.Command) -> pykka.Future[agreed.Result]:
+        result: pykka.Future[agreed.Result] = pykka.ThreadingFuture()
+        result.set(self._state.apply(command))
+        return result
+
+    def read(self) -> agreed.AgreedState:
+        return self._state
+
+
+@attrs.define
+class _Spent:
+    """Processor time and bytes of some renewals."""
+
+    renewals: int = 0
+    decide_s: float = 0.0
+    codec_s: float = 0.0
+    asked_bytes: int = 0
+    answered_bytes: int = 0
+
+
+class _Fleet:
+    """A leading session controller and the routers that renew with it."""
+
+    def __init__(self, routers: int, endpoints: int) -> None:
+        self._clock = clocks.ManualClock()
+        listed = tuple(_endpoint(number) for number in range(endpoints))
+        step = max(1, endpoints // _LOADED_ENDPOINTS)
+        self._load = {each.name: 2 for each in listed[::step]}
+        standing = replica.Standing(
+            replicas.Role.LEADER, term=1, leader_address=_ADDRESS, authority_until_s=_FAR_S
+        )
+        self._controller = sessions.SessionController(
+            _Applied(),
+            actors.View(standing),
+            actors.View(listing.Listing(versions.Versioned(listed), 0.0)),
+            _LEASE_S,
+            _MARGIN_S,
+            self._clock,
+        )
+        self._known = {
+            box: box_messages.BoxReportAnswer()
+            for box in (
+                membership.Box(f"router-{number}", "hall-a", _ADDRESS, _ADDRESS)
+                for number in range(routers)
+            )
+        }
+
+    def round(self) -> _Spent:
+        """Have each router renew once, spread over one interval."""
+        spent = _Spent()
+        for box in self._known:
+            self._renew(box, spent)
+            self._clock.advance(_RENEW_INTERVAL_S / len(self._known))
+        began_s = time.process_time()
+        self._controller.handle(actors.Tick())
+        spent.decide_s += time.process_time() - began_s
+        return spent
+
+    def _renew(self, box: membership.Box, spent: _Spent) -> None:
+        known = self._known[box]
+        report = json_codec.encode(self._report(box, known))
+        began_s = time.process_time()
+        decoded = json_codec.decode(report, box_messages.BoxReport)
+        decoded_s = time.process_time()
+        answer = self._controller.handle(decoded)
+        decided_s = time.process_time()
+        body = json_codec.encode(answer)
+        spent.codec_s += decoded_s - began_s + time.process_time() - decided_s
+        spent.decide_s += decided_s - decoded_s
+        spent.renewals += 1
+        spent.asked_bytes += len(report)
+        spent.answered_bytes += len(body)
+        self._known[box] = json_codec.decode(body, box_messages.BoxReportAnswer)
+
+    def _report(
+        self, box: membership.Box, known: box_messages.BoxReportAnswer
+    ) -> box_messages.BoxReport:
+        return box_messages.BoxReport(
+            box=box,
+            configuration_version=known.configuration_version,
+            boxes_version=known.boxes_version,
+            endpoints_version=known.endpoints_version,
+            in_flight=self._load,
+            reading_tokens=self._load,
+            next_note=known.next_note,
+            outcomes={name: (2, 0) for name in self._load},
+        )
+
+
+def run() -> list[table.Row]:
+    """Measure every size."""
+    return [row for routers, endpoints in SIZES for row in measure(routers, endpoints)]
+
+
+def measure(routers: int, endpoints: int) -> list[table.Row]:
+    """Measure one size; the first rounds are those of a fleet that has just started."""
+    fleet = _Fleet(routers, endpoints)
+    started = [fleet.round() for _ in range(STARTING_ROUNDS)]
+    steady = [fleet.round() for _ in range(ROUNDS)]
+    return [
+        *_rows(f"start_{routers}_routers", started),
+        *_rows(f"renew_{routers}_routers", steady),
+    ]
+
+
+def _rows(key: str, rounds: list[_Spent]) -> list[table.Row]:
+    renewals = sum(each.renewals for each in rounds)
+    per_s = 1 / _RENEW_INTERVAL_S
+    decide_us = sum(each.decide_s for each in rounds) / renewals * 1e6
+    codec_us = sum(each.codec_s for each in rounds) / renewals * 1e6
+    asked = sum(each.asked_bytes for each in rounds) / renewals
+    answered = sum(each.answered_bytes for each in rounds) / renewals
+    routers = renewals / len(rounds)
+    return [
+        table.Row(f"{key}_decide_us_each", round(decide_us, 1)),
+        table.Row(f"{key}_codec_us_each", round(codec_us, 1)),
+        table.Row(f"{key}_leader_cores", round((decide_us + codec_us) * per_s * routers / 1e6, 4)),
+        table.Row(f"{key}_bytes_per_s_per_router", round((asked + answered) * per_s)),
+    ]
+
+
+def _endpoint(number: int) -> membership.Endpoint:
+    name = f"engine-{number:06}"
+    return membership.Endpoint(
+        name, membership.EndpointKind.ENGINE, "llm", _ADDRESS, "hall-a", name
+    )
+
+
+def _document() -> str:
+    """Return a text of the length of a configuration with `ROUTES` routes."""
+    route = '{"name":"route-%06d","host":"desk.example","path_prefix":"/path-%06d/","pool":"llm",'
+    route += '"kind":"stream","time_limit_s":6.0,"objective_s":0.5,"attempts":2,"priority":1}'
+    return "[" + ",".join(route % (number, number) for number in range(ROUTES)) + "]"
--- a/src/croftpulley/cli/bench.py
+++ b/src/croftpulley/cli/bench.py
@@ -8,6 +8,7 @@
 import urllib3
 
 from croftpulley import codes, errors
+from croftpulley.bench import agreement as agreement_bench
 from croftpulley.bench import control as control_bench
 from croftpulley.bench import demo as demo_bench
 from croftpulley.bench import fleet_files, scrape, table
@@ -103,3 +104,14 @@
     """
     rows = control_bench.run(examples)
     click.echo(table.as_json(rows) if as_json else table.plain(rows))
+
+
+@bench.command()
+@_JSON
+def agreement(as_json: bool) -> None:
+    """Measure what a leading control box spends on each router, without a fleet.
+
+    Example: croftpulley bench agreement --json
+    """
+    rows = agreement_bench.run()
+    click.echo(table.as_json(rows) if as_json else table.plain(rows))
--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -27,14 +27,6 @@
         self.leader_address = leader_address
 
 
-@attrs.frozen
-class Current:
-    """The newest configuration as it was submitted; version 0 if there is none."""
-
-    version: int
-    document_json: str
-
-
 class ControlPlane:
     """Submissions and reads of the configuration, answered by the leading box alone."""
 
@@ -68,7 +60,7 @@
             raise
         ends_at_s = self._clock.monotonic_s() + self._acknowledge_s
         self._require_authority()
-        version = self._agreement.read().submissions.version
+        version = self._agreement.read().submissions.held.version
         if number > version:
             version = self._commit(number, document_json, ends_at_s)
         self._wait_in_force(version, ends_at_s)
@@ -98,13 +90,12 @@
                 codes.ResultCode.NOT_IN_FORCE, run_state=codes.RunState.UNKNOWN
             ) from failure
 
-    def read(self) -> Current:
+    def read(self) -> submissions.Held:
         """Return the newest committed configuration; raises `NotLeaderError`."""
-        register = self._agreement.read().submissions
-        current = Current(register.version, register.document_json)
+        held = self._agreement.read().submissions.held
         # Looked at after the reading: what was read is no older than what this moment allows.
         self._require_authority()
-        return current
+        return held
 
     def status(self) -> dict[str, Any]:
         """Return who leads, the replicas, the boxes and who is waited for."""
@@ -115,7 +106,7 @@
             "term": standing.term,
             "leader_address": standing.leader_address,
             "members": [attrs.asdict(member) for member in standing.members.members],
-            "configuration_version": self._agreement.read().submissions.version,
+            "configuration_version": self._agreement.read().submissions.held.version,
             "boxes": [attrs.asdict(box) for box in answer.boxes],
             "waiting_for": list(answer.waiting_for),
         }
--- a/src/croftpulley/controllers/directory.py
+++ b/src/croftpulley/controllers/directory.py
@@ -123,13 +123,13 @@
         )
 
     def _answer(self, renewal: messages.Renewal) -> messages.RenewalAnswer:
-        submitted = self._agreement.read().submissions
-        stale = renewal.configuration_version < submitted.version
+        held = self._agreement.read().submissions.held
+        stale = renewal.configuration_version < held.version
         same_directory = renewal.directory_version == self._directory.version
         return messages.RenewalAnswer(
             lease_s=self._lease_s,
-            configuration_version=submitted.version,
-            configuration_json=submitted.document_json if stale else None,
+            configuration_version=held.version,
+            configuration_json=held.document_json if stale else None,
             directory=None if same_directory else self._directory,
             engines_version=self._reports[renewal.box.name].engines_version,
             loads=self._totals.loads(),
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -13,7 +13,7 @@
 from croftpulley.core import leases, membership, sessions, tables
 from croftpulley.observe import events, metrics
 from croftpulley.settings import formats
-from croftpulley.transport import box_messages, json_codec, links
+from croftpulley.transport import box_messages, json_codec, links, packing
 
 _LOG = logging.getLogger(__name__)
 RENEW_PATH = "/v1/boxes/renewals"
@@ -146,7 +146,12 @@
         )
         if address not in self._links:
             self._links[address] = links.Link(address, self._timeout_s, self._counters)
-        body = self._links[address].post(RENEW_PATH, json_codec.encode(report))
+        try:
+            body = self._links[address].post(RENEW_PATH, json_codec.encode(report))
+        except errors.CroftpulleyError:
+            # Should it have arrived all the same, a note that comes twice changes nothing.
+            self._counts.give_back_notes(report.notes)
+            raise
         return json_codec.decode(body, box_messages.BoxReportAnswer)
 
     def _granted(
@@ -211,10 +216,11 @@
     ) -> tables.Tables:
         """Return the newest configuration made ready; an older one is never taken."""
         older = answer.configuration_version <= known.configuration.version
-        if answer.configuration_json is None or older:
+        if answer.configuration_packed is None or older:
             return known.tables
+        document = packing.unpack(answer.configuration_packed)
         configuration = attrs.evolve(
-            self._format.parse(answer.configuration_json), version=answer.configuration_version
+            self._format.parse(document), version=answer.configuration_version
         )
         events.emit(
             _LOG,
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -13,9 +13,17 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, listing, replica
-from croftpulley.core import agreed, membership, outcomes, places, sessions, versions
+from croftpulley.core import (
+    agreed,
+    membership,
+    outcomes,
+    places,
+    sessions,
+    submissions,
+    versions,
+)
 from croftpulley.observe import events
-from croftpulley.transport import box_messages
+from croftpulley.transport import box_messages, packing
 
 _LOG = logging.getLogger(__name__)
 _NOTES_A_TERM = 1 << 32
@@ -52,6 +60,20 @@
     waiting_for: tuple[str, ...]
 
 
+@attrs.define
+class _Packed:
+    """The configuration as it is sent, packed once a version."""
+
+    _version: int = -1
+    _bytes: bytes = b""
+
+    def of(self, held: submissions.Held) -> bytes:
+        if held.version != self._version:
+            self._bytes = packing.pack(held.document_json)
+            self._version = held.version
+        return self._bytes
+
+
 class SessionController(actors.Controller):
     """Grants leases while this box leads."""
 
@@ -77,6 +99,7 @@
         self._forget_at_s: dict[str, float] = {}
         self._bulletin = places.Bulletin()
         self._outcomes = outcomes.Outcomes()
+        self._packed = _Packed()
         self._boxes: versions.Versioned[tuple[membership.Box, ...]] = versions.Versioned(())
 
     def handle(self, message: object) -> object:
@@ -119,15 +142,19 @@
             # before it may act.
             return attrs.evolve(self._answer(report, state), lease_s=0.0)
         self._forget_at_s.pop(report.box.name, None)
-        self._sessions.renew(
+        now_s = self._clock.monotonic_s()
+        changed = self._sessions.renew(
             report.box,
             report.configuration_version,
             sessions.Load(report.in_flight, report.reading_tokens),
-            self._clock.monotonic_s(),
+            now_s,
         )
         self._bulletin.post(places.each_note(report.notes))
-        self._outcomes.add(report.outcomes, self._clock.monotonic_s())
-        self._settle()
+        self._outcomes.add(report.outcomes, now_s)
+        if changed:
+            # A box that has just come must find itself among the boxes that it names.
+            self._boxes.set(self._sessions.boxes(now_s))
+            self._settle()
         return self._answer(report, state)
 
     def _is_registered(self, box: membership.Box, state: agreed.AgreedState) -> bool:
@@ -150,18 +177,17 @@
         self, report: box_messages.BoxReport, state: agreed.AgreedState
     ) -> box_messages.BoxReportAnswer:
         standing = self._standing.get()
-        register = state.submissions
-        self._boxes.set(self._sessions.boxes(self._clock.monotonic_s()))
+        held = state.submissions.held
         listed = self._endpoints.get()
         loads = self._sessions.loads()
         page = self._bulletin.since(report.next_note)
-        newer = report.configuration_version < register.version
+        newer = report.configuration_version < held.version
         return box_messages.BoxReportAnswer(
             lease_s=self._lease_s,
             leader_address=standing.leader_address,
             control_addresses=_addresses(standing),
-            configuration_version=register.version,
-            configuration_json=register.document_json if newer else None,
+            configuration_version=held.version,
+            configuration_packed=self._packed.of(held) if newer else None,
             boxes_version=self._boxes.version,
             boxes=self._boxes.unless(report.boxes_version),
             endpoints_version=listed.endpoints.version,
@@ -181,6 +207,8 @@
         for box in self._sessions.expire(now_s):
             events.emit(_LOG, events.Event.BOX_EXPIRED, expired_box=box)
             self._forget_at_s[box] = now_s + FORGET_AFTER_S
+        # Not at each renewal: that would cost all boxes' work for each of them.
+        self._boxes.set(self._sessions.boxes(now_s))
         self._forget(now_s)
         self._judge(now_s)
         self._settle()
@@ -230,7 +258,7 @@
         if not self._leads():
             return StatusAnswer((), ())
         now_s = self._clock.monotonic_s()
-        version = self._agreement.read().submissions.version
+        version = self._agreement.read().submissions.held.version
         late = self._sessions.waiting_for(version, now_s)
         return StatusAnswer(self._sessions.boxes(now_s), late)
 
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -99,6 +99,11 @@
             taken, self._notes = self._notes, []
         return places.by_engine(taken)
 
+    def give_back_notes(self, notes: places.Notes) -> None:
+        """Take back notes that reached nobody; they go out with the next report."""
+        with self._lock:
+            self._notes = [*places.each_note(notes), *self._notes]
+
     def learn_notes(self, notes: places.Notes) -> None:
         """Take the notes of other boxes, and one's own once more."""
         now_s = self._clock.monotonic_s()
--- a/src/croftpulley/core/sessions.py
+++ b/src/croftpulley/core/sessions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 
 import attrs
 
@@ -32,6 +33,31 @@
     load: Load
 
 
+class _Totals:
+    """Sums over boxes, changed by what one box reports anew, so that a renewal costs its own size.
+
+    >>> totals = _Totals()
+    >>> totals.replace({}, {"e": 2, "f": 1}); totals.replace({"e": 2, "f": 1}, {"e": 3})
+    >>> totals.counts()
+    {'e': 3}
+    """
+
+    def __init__(self) -> None:
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    def replace(self, before: Mapping[str, int], after: Mapping[str, int]) -> None:
+        """Count what a box reports now in place of what it reported before."""
+        self._counts.update(after)
+        self._counts.subtract(before)
+        for name in before:
+            if not self._counts[name]:
+                del self._counts[name]
+
+    def counts(self) -> dict[str, int]:
+        """Return the sums that are not 0."""
+        return dict(self._counts)
+
+
 @attrs.define
 class Sessions:
     """The sessions of all boxes with one leader."""
@@ -41,13 +67,16 @@
     _leases: leases.GrantedLeases = attrs.field(init=False)
     _sessions: dict[str, _Session] = attrs.field(factory=dict)
     _assumed: set[str] = attrs.field(factory=set)
+    _in_flight: _Totals = attrs.field(factory=_Totals)
+    _reading_tokens: _Totals = attrs.field(factory=_Totals)
 
     def __attrs_post_init__(self) -> None:
         self._leases = leases.GrantedLeases(self.lease_s, self.margin_s)
 
     def begin(self, registered: tuple[str, ...], now_s: float) -> None:
         """Begin to lead: any registered box may hold a lease from the leader before."""
-        self._sessions.clear()
+        for name in list(self._sessions):
+            self._drop(name)
         self._leases.until_s.clear()
         self._assumed = set(registered)
         for box in registered:
@@ -59,17 +88,32 @@
         version: int,
         load: Load,
         now_s: float,
-    ) -> None:
-        """Grant or renew a box's lease; ``version`` is the configuration that it uses."""
+    ) -> bool:
+        """Grant or renew a box's lease; ``version`` is the configuration that it uses.
+
+        Returns whether the box is heard of anew or uses another version than before.
+        """
         self._assumed.discard(box.name)
         self._leases.renew(box.name, now_s)
+        known = self._sessions.get(box.name)
+        self._count(known.load if known else Load(), load)
         self._sessions[box.name] = _Session(box, version, now_s, load)
+        return known is None or known.version != version
+
+    def _count(self, before: Load, after: Load) -> None:
+        self._in_flight.replace(before.in_flight, after.in_flight)
+        self._reading_tokens.replace(before.reading_tokens, after.reading_tokens)
+
+    def _drop(self, name: str) -> None:
+        dropped = self._sessions.pop(name, None)
+        if dropped is not None:
+            self._count(dropped.load, Load())
 
     def expire(self, now_s: float) -> list[str]:
         """Forget and return the boxes whose lease has ended."""
         ended = self._leases.expire(now_s)
         for box in ended:
-            self._sessions.pop(box, None)
+            self._drop(box)
             self._assumed.discard(box)
         return ended
 
@@ -96,9 +140,4 @@
 
     def loads(self) -> Load:
         """Return what all boxes have at each endpoint."""
-        in_flight: collections.Counter[str] = collections.Counter()
-        reading_tokens: collections.Counter[str] = collections.Counter()
-        for session in self._sessions.values():
-            in_flight.update(session.load.in_flight)
-            reading_tokens.update(session.load.reading_tokens)
-        return Load(dict(in_flight), dict(reading_tokens))
+        return Load(self._in_flight.counts(), self._reading_tokens.counts())
--- a/src/croftpulley/core/submissions.py
+++ b/src/croftpulley/core/submissions.py
@@ -42,12 +42,21 @@
     winner: Accepted
 
 
+@attrs.frozen
+class Held:
+    """A document and its version, in one value: whoever reads while another is applied gets both
+    of the same submission.
+    """
+
+    version: int = 0
+    document_json: str = "{}"
+
+
 @attrs.define
 class Register(abc.ABC):
     """The current document, and the rule by which a submission becomes it."""
 
-    version: int = 0
-    document_json: str = "{}"
+    held: Held = Held()
 
     @abc.abstractmethod
     def submit(self, submission: Submission) -> SubmissionAnswer:
@@ -90,9 +99,9 @@
         return self.by_number.get(number)
 
     def _accept(self, submission: Submission) -> Accepted:
-        self.version += 1
-        self.document_json = submission.document_json
-        accepted = Accepted(submission.operator, submission.number, submission.digest, self.version)
+        version = self.held.version + 1
+        self.held = Held(version, submission.document_json)
+        accepted = Accepted(submission.operator, submission.number, submission.digest, version)
         self.by_number[submission.number] = accepted
         return accepted
 
@@ -109,9 +118,8 @@
 
     def submit(self, submission: Submission) -> SubmissionAnswer:
         """Apply a submission if its number is the highest so far."""
-        if submission.number > self.version:
-            self.version = submission.number
-            self.document_json = submission.document_json
+        if submission.number > self.held.version:
+            self.held = Held(submission.number, submission.document_json)
             self.current = Accepted(
                 submission.operator, submission.number, submission.digest, submission.number
             )
@@ -119,4 +127,4 @@
 
     def history(self) -> tuple[Accepted, ...]:
         """Return the one that holds; the others are not remembered."""
-        return (self.current,) if self.version else ()
+        return (self.current,) if self.held.version else ()
--- a/src/croftpulley/http/operator_app.py
+++ b/src/croftpulley/http/operator_app.py
@@ -108,14 +108,14 @@
         return wsgi.json_response({"submissions": [attrs.asdict(each) for each in accepted]})
 
     def _current(self) -> wsgi.Response:
-        known = self._read()
+        known = self._read().held
         document = {"version": known.version, "document": orjson.loads(known.document_json)}
         return wsgi.json_response(document)
 
     def _fleet_status(self) -> wsgi.Response:
         answer = self._status()
         document = {
-            "configuration_version": self._read().version,
+            "configuration_version": self._read().held.version,
             "boxes": [
                 {
                     **attrs.asdict(box),
--- a/testing/controllers/test_traffic.py
+++ b/testing/controllers/test_traffic.py
@@ -1,14 +1,35 @@
 from __future__ import annotations
 
+import pytest
+
 from croftpulley import clock as clocks
 from croftpulley.controllers import traffic
 from croftpulley.core import calls, retry_budget, selection, sessions
 
 
-def test_an_endpoint_without_anything_to_read_leaves_no_entry():
+@pytest.fixture
+def made():
+    return traffic.Traffic(retry_budget.Allowance(), selection.Rates(), clocks.ManualClock())
+
+
+def asks(*shared):
+    """Return a request whose prompt begins with ``shared`` parts."""
+    parts = (*shared, "own")
+    return calls.CallFacts(request_id="r", prompt=tuple(calls.PromptPart(p, 10) for p in parts))
+
+
+def test_an_endpoint_without_anything_to_read_leaves_no_entry(made):
     # Endpoints have a new name with every start, and every renewal carries the entries.
-    made = traffic.Traffic(retry_budget.Allowance(), selection.Rates(), clocks.ManualClock())
     made.enter("worker-1")
     made.begin_reading(calls.CallFacts(request_id="r"), "worker-1", 0)
     made.leave("worker-1")
     assert made.load() == sessions.Load()
+
+
+def test_notes_that_reached_nobody_go_out_with_the_next_report(made):
+    made.begin_reading(asks("p"), "e", 0)
+    taken = made.take_notes()
+    made.begin_reading(asks("q"), "e", 0)
+    made.give_back_notes(taken)
+    assert made.take_notes() == {"e": ("p", "q")}
+    assert made.take_notes() == {}
--- a/testing/core/test_agreed.py
+++ b/testing/core/test_agreed.py
@@ -33,8 +33,8 @@
         submit(state, number=number, document=f'{{"a": {number}}}')
     again = submit(state, number=1, document='{"a": 1}')
     assert again.winner == first.winner
-    assert state.submissions.version == 301
-    assert state.submissions.document_json == '{"a": 301}'
+    assert state.submissions.held.version == 301
+    assert state.submissions.held.document_json == '{"a": 301}'
 
 
 @pytest.mark.parametrize(("operator", "document"), [("aigerim", '{"a": 2}'), ("bolat", '{"a": 1}')])
@@ -43,7 +43,7 @@
     answer = submit(state, operator, 7, document)
     assert answer.code is codes.ResultCode.SUBMISSION_CONFLICT
     assert answer.winner.operator == "aigerim"
-    assert state.submissions.version == 1
+    assert state.submissions.held.version == 1
 
 
 def test_a_key_is_claimed_once(state):
@@ -105,11 +105,11 @@
     def test_a_higher_number_holds_and_is_the_version(self, register):
         register.submit(submissions.Submission("", 3, '{"a": 3}'))
         register.submit(submissions.Submission("", 9, '{"a": 9}'))
-        assert (register.version, register.document_json) == (9, '{"a": 9}')
+        assert (register.held.version, register.held.document_json) == (9, '{"a": 9}')
 
     @pytest.mark.parametrize("number", [2, 9])
     def test_a_number_not_above_it_is_acknowledged_and_changes_nothing(self, register, number):
         register.submit(submissions.Submission("", 9, '{"a": 9}'))
         answer = register.submit(submissions.Submission("", number, '{"a": "other"}'))
         assert answer.code is codes.ResultCode.OK
-        assert (register.version, register.document_json) == (9, '{"a": 9}')
+        assert (register.held.version, register.held.document_json) == (9, '{"a": 9}')
--- a/testing/core/test_forwarded.py
+++ b/testing/core/test_forwarded.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+
 import attrs
 import pytest
 from hypothesis import given
@@ -245,6 +247,36 @@
         made.renew(membership.Box("b2", "h", "", ""), 3, sessions.Load({"e": 3}), 0.0)
         assert made.loads() == sessions.Load({"e": 5, "f": 1}, {"e": 70})
 
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from("abc"), st.dictionaries(st.sampled_from("efg"), st.integers(1, 9))
+            ),
+            max_size=20,
+        )
+    )
+    def test_sums_stay_those_of_the_last_reports_whatever_comes_and_ends(self, reports):
+        made = sessions.Sessions(lease_s=2.0, margin_s=0.1)
+        last = {}
+        for number, (name, load) in enumerate(reports):
+            now_s = number * 0.5
+            for ended in made.expire(now_s):
+                del last[ended]
+            box = membership.Box(name, "h", "", "")
+            made.renew(box, 1, sessions.Load(load, load), now_s)
+            last[name] = load
+        sums = dict(
+            sum((collections.Counter(each) for each in last.values()), collections.Counter())
+        )
+        assert made.loads() == sessions.Load(sums, sums)
+        made.begin((), 100.0)
+        assert made.loads() == sessions.Load()
+
+    def test_it_is_told_when_a_box_comes_to_use_another_version(self, made):
+        assert made.renew(self.BOX, 3, sessions.Load(), 0.0)
+        assert not made.renew(self.BOX, 3, sessions.Load(), 0.1)
+        assert made.renew(self.BOX, 4, sessions.Load(), 0.2)
+
 
 def test_all_parts_but_the_last_are_shared():
     facts = calls.CallFacts(request_id="r", prompt=calls.parse_prompt("a:1,b:2,c:3"))
--- a/testing/forwarding/test_forwarding.py
+++ b/testing/forwarding/test_forwarding.py
@@ -255,7 +255,7 @@
     def test_a_resumed_stream_that_is_not_taken_breaks_visibly(self, site, fault):
         # Found on the grown site: the error that answered the resumption was read as the stream's
         # rest, so the answer ended as if it were whole.
-        # One queue for both engines: whichever is asked first breaks off, the other meets the fault.
+        # One queue for both engines: whichever is asked first breaks off, the other has the fault.
         first, second = site.engines
         second.faults = first.faults
         first.faults.add(Fault.RESET_MID_STREAM, fault)
--- /dev/null
+++ b/testing/transport/test_packing.py
@@ -0,0 +1,31 @@
+"""Packed texts."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from croftpulley import codes, errors
+from croftpulley.transport import packing
+
+
+@given(st.text())
+def test_any_text_comes_back(text):
+    assert packing.unpack(packing.pack(text)) == text
+
+
+@pytest.mark.parametrize(
+    "damaged",
+    [b"", b"no packed text", packing.pack("a text" * 100)[:-5], packing.pack("a\u00e4")[:4]],
+)
+def test_what_is_damaged_is_refused(damaged):
+    with pytest.raises(errors.CroftpulleyError) as raised:
+        packing.unpack(damaged)
+    assert raised.value.code is codes.ResultCode.BAD_REQUEST
+
+
+def test_a_text_that_is_too_long_is_not_unpacked(monkeypatch):
+    monkeypatch.setattr(packing, "LONGEST_BYTES", 100)
+    with pytest.raises(errors.CroftpulleyError, match="longer than 100 bytes"):
+        packing.unpack(packing.pack("a" * 101))
