A fault soak: real programs as processes, harmed from outside; SIGHUP no longer ends a program

Promises are checked on what callers, operators and endpoints saw; each check has a test that sees it report. A third of the seeds has planned work only and there no answer may be lost. Time of day is not harmed: no decision uses it. Found at once: the command line's programs ended at a SIGHUP (only the platform's launcher handled it). Both share daemons/signals.py now; the command line's programs take over the log level. New setting peer_listen_address: where a control box listens if others reach it through something in between.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
-# Targets for a newcomer: demo, demo-up, demo-down, demo-platform, test, lint, format, check-model, bench-path, bench-control.
+# Targets for a newcomer: demo, demo-up, demo-down, demo-platform, test, lint, format, check-model, soak, bench-path, bench-control.
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: check-model demo demo-up demo-down demo-platform test lint format bench-path bench-control generate
+.PHONY: check-model soak demo demo-up demo-down demo-platform test lint format bench-path bench-control generate
 
 $(STAMP): requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
@@ -49,3 +49,8 @@
 # Visits more states than the test suite does; takes minutes.
 check-model: $(STAMP)
 	CROFTPULLEY_MODEL_TERMS=2 CROFTPULLEY_MODEL_RESTARTS=2 $(BIN)/python -m pytest -s testing/model
+
+# Real programs under troubles from outside; fifty seeds take about half an hour. SEEDS=7 or 1-50.
+SEEDS ?= 1-50
+soak: $(STAMP)
+	cd testing && ../$(BIN)/python -m soak.run --seeds $(SEEDS)
--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import signal
 import sys
-import threading
+from collections.abc import Callable
 from typing import NoReturn
 
 import click
@@ -13,22 +12,18 @@
 from croftpulley.daemons import entry as entry_daemon
 from croftpulley.daemons import replica as replica_daemon
 from croftpulley.daemons import router as router_daemon
+from croftpulley.daemons import signals
 from croftpulley.observe import logs
 from croftpulley.settings import loader, schema
 
+_Settings = (
+    schema.EntrySettings | schema.ControlSettings | schema.RouterSettings | schema.ReplicaSettings
+)
 _SETTINGS = click.option(
     "--settings", "path", required=True, type=click.Path(), help="JSON with comments."
 )
 
 
-def stop_signal() -> threading.Event:
-    """Return an event that SIGTERM or SIGINT sets."""
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: stopped.set())
-    return stopped
-
-
 @click.command()
 @_SETTINGS
 def entry(path: str) -> None:
@@ -42,7 +37,7 @@
     settings = loader.load(path, schema.EntrySettings)
     logs.set_up(settings.box, settings.log_level)
     sys.setswitchinterval(settings.thread_switch_ms / 1000)
-    _run_entry_box(entry_daemon.EntryDaemon(settings))
+    _run_entry_box(entry_daemon.EntryDaemon(settings), _level_reader(path, settings))
 
 
 @click.command()
@@ -54,7 +49,7 @@
     """
     settings = loader.load(path, schema.ControlSettings)
     logs.set_up(settings.box, settings.log_level)
-    _run_control_box(control_daemon.ControlDaemon(settings))
+    _run_control_box(control_daemon.ControlDaemon(settings), _level_reader(path, settings))
 
 
 @click.command()
@@ -69,7 +64,7 @@
     """
     settings = loader.load(path, schema.RouterSettings)
     logs.set_up(settings.box, settings.log_level)
-    _run_entry_box(router_daemon.RouterDaemon(settings))
+    _run_entry_box(router_daemon.RouterDaemon(settings), _level_reader(path, settings))
 
 
 @click.command()
@@ -81,12 +76,19 @@
     """
     settings = loader.load(path, schema.ReplicaSettings)
     logs.set_up(settings.box, settings.log_level)
-    _run_control_box(replica_daemon.ReplicaDaemon(settings))
+    _run_control_box(replica_daemon.ReplicaDaemon(settings), _level_reader(path, settings))
+
+
+def _level_reader(path: str, settings: _Settings) -> Callable[[], str]:
+    """Return what reads the log level anew from the file that ``settings`` came from."""
+    return lambda: loader.load(path, type(settings)).log_level
 
 
-def _run_entry_box(daemon: entry_daemon.EntryDaemon | router_daemon.RouterDaemon) -> NoReturn:
+def _run_entry_box(
+    daemon: entry_daemon.EntryDaemon | router_daemon.RouterDaemon, read_level: Callable[[], str]
+) -> NoReturn:
     """Serve until SIGTERM, then drain; the exit code tells whether every stream ended."""
-    stopped = stop_signal()
+    stopped = signals.stop_signal(read_level)
     daemon.start()
     stopped.wait()
     ended = daemon.drain()
@@ -94,9 +96,12 @@
     sys.exit(0 if ended else 1)
 
 
-def _run_control_box(daemon: control_daemon.ControlDaemon | replica_daemon.ReplicaDaemon) -> None:
+def _run_control_box(
+    daemon: control_daemon.ControlDaemon | replica_daemon.ReplicaDaemon,
+    read_level: Callable[[], str],
+) -> None:
     """Serve until SIGTERM."""
-    stopped = stop_signal()
+    stopped = signals.stop_signal(read_level)
     daemon.start()
     stopped.wait()
     daemon.stop()
--- a/src/croftpulley/cli/fakes.py
+++ b/src/croftpulley/cli/fakes.py
@@ -4,7 +4,7 @@
 
 import click
 
-from croftpulley.cli import daemons
+from croftpulley.daemons import signals
 from croftpulley.fakes import engine, platform_list, stub, worker
 from croftpulley.settings import loader, schema
 
@@ -24,7 +24,7 @@
     Example: croftpulley fake engine --settings engine-1.jsonc
     """
     stand_in = _KINDS[kind](loader.load(path, schema.FakeSettings))  # type: ignore[arg-type]
-    stopped = daemons.stop_signal()
+    stopped = signals.stop_signal()
     stand_in.start()
     stopped.wait()
     stand_in.stop()
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -141,7 +141,8 @@
 
     def _make_peer_http(self) -> server.HttpServer:
         application = replica_app.ReplicaApp(self._replica, self._sessions, self._counters)
-        return self._make_http(application.handle, self._settings.peer_address, _PEER_THREADS)
+        address = self._settings.peer_listen_address or self._settings.peer_address
+        return self._make_http(application.handle, address, _PEER_THREADS)
 
     def _make_operator_http(self) -> server.HttpServer:
         settings = self._settings
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -32,6 +32,8 @@
         self.cancelled: list[str] = []
         self.may_go_on = asyncio.Event()
         self.may_go_on.set()
+        self.pause_s = 0.0
+        """How long it works on a request, and before each event of a stream."""
 
     async def read_request(self, reader: asyncio.StreamReader) -> stub.StubRequest:
         """Read one request, or only its head if the answer is to come early."""
@@ -67,6 +69,7 @@
         fault: faults.Fault | None,
     ) -> None:
         self.runs.append(request)
+        await asyncio.sleep(self.pause_s)
         if fault is faults.Fault.RESET_AFTER_RUN:
             connection.reset()
         elif fault is faults.Fault.SILENT:
@@ -137,6 +140,7 @@
         )
         first = int(request.headers.get(self.names.last_event_id, "0")) + 1
         for number in range(first, EVENTS + 1):
+            await asyncio.sleep(self.pause_s)
             await self.may_go_on.wait()
             event = event_of(request, number)
             if number == first + 1 and fault is faults.Fault.HALF_EVENT:
--- a/src/croftpulley/observe/logs.py
+++ b/src/croftpulley/observe/logs.py
@@ -81,6 +81,11 @@
     return record
 
 
+def set_level(level: str) -> None:
+    """Have lines below ``level`` left out from now on."""
+    logging.getLogger().setLevel(level)
+
+
 def set_up(box: str, level: str) -> None:
     """Send all logging to standard output as JSON lines that carry the ``box``."""
     formatter = json_log.JsonFormatter(_FIELDS, rename_fields=_RENAMED, static_fields={"box": box})
@@ -88,7 +93,7 @@
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers[:] = [handler]
-    root.setLevel(level)
+    set_level(level)
     atexit.register(handler.close)
     # These libraries log every refused connection; ours say the same with a numbered event.
     logging.getLogger("urllib3").setLevel(logging.ERROR)
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-import logging
 import os
 import signal
 import sys
-import threading
 import time
 
 from croftpulley import codes, errors
-from croftpulley.observe import events, logs
+from croftpulley.observe import logs
 
-_LOG = logging.getLogger(__name__)
 _BOOT_VARIABLE = "CROFTPULLEY_BOOT"
 
 
@@ -40,11 +37,11 @@
 
     settings = boot.router_settings(path)
     time.sleep(settings.start_delay_s)
-    from croftpulley.daemons import router
+    from croftpulley.daemons import router, signals
     from croftpulley.platform import callers
 
     logs.set_up(settings.box, settings.log_level)
-    stopped = _signals()
+    stopped = signals.stop_signal()
     daemon = router.RouterDaemon(settings, callers.PlatformCallers())
     daemon.start()
     stopped.wait()
@@ -58,12 +55,12 @@
 
     if not boot.read(path).has("dataDirectory"):
         return _run_redirector(path)
-    from croftpulley.daemons import replica
+    from croftpulley.daemons import replica, signals
     from croftpulley.platform import operators
 
     settings = boot.replica_settings(path)
     logs.set_up(settings.box, settings.log_level)
-    stopped = _signals()
+    stopped = signals.stop_signal()
     daemon = replica.ReplicaDaemon(settings, operators.PlatformOperators())
     daemon.start()
     stopped.wait()
@@ -72,29 +69,14 @@
 
 
 def _run_redirector(path: str) -> int:
-    from croftpulley.daemons import redirector
+    from croftpulley.daemons import redirector, signals
     from croftpulley.platform import boot
 
     settings = boot.redirector_settings(path)
     logs.set_up(settings.box, settings.log_level)
-    stopped = _signals()
+    stopped = signals.stop_signal()
     daemon = redirector.RedirectorDaemon(settings)
     daemon.start()
     stopped.wait()
     daemon.stop()
     return 0
-
-
-def _signals() -> threading.Event:
-    """Return an event that SIGTERM or SIGINT sets; SIGHUP is noted and changes nothing.
-
-    All that a settings file can change while a process runs are the seeds, which it needs only at
-    its start.
-    """
-    stopped = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: stopped.set())
-    signal.signal(
-        signal.SIGHUP, lambda _number, _frame: events.emit(_LOG, events.Event.SETTINGS_CHANGED)
-    )
-    return stopped
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -29,6 +29,12 @@
         raise ValueError(f'got {value!r}, allowed is an IP number and a port: "127.0.0.1:8100"')
 
 
+def _address_or_none(instance: object, attribute: attrs.Attribute[Any], value: str) -> None:
+    """Check an address that may be empty."""
+    if value:
+        _address(instance, attribute, value)
+
+
 def _addresses(instance: object, attribute: attrs.Attribute[Any], value: tuple[str, ...]) -> None:
     """Check a list of addresses that may not be empty."""
     if not value:
@@ -151,12 +157,14 @@
     """Settings of a control box that shares the agreed state with others.
 
     ``seeds`` are addresses of control boxes for each other; at the ``first_start`` of a whole fleet
-    they are the first replicas.
+    they are the first replicas. ``peer_listen_address`` is where this box listens if others reach
+    it at ``peer_address`` by way of something in between; empty, it listens there itself.
     """
 
     box: str = attrs.field(validator=_name)
     hall: str = attrs.field(validator=_name)
     peer_address: str = attrs.field(validator=_address)
+    peer_listen_address: str = attrs.field(default="", validator=_address_or_none)
     operator_address: str = attrs.field(validator=_address)
     metrics_address: str = attrs.field(validator=_address)
     data_folder: str
--- /dev/null
+++ b/testing/soak/callers.py
@@ -0,0 +1,196 @@
+"""Callers and an operator: threads that ask without end and write down what they meet."""
+
+from __future__ import annotations
+
+import http.client
+import random
+import threading
+import time
+
+import orjson
+
+from site_of_routers import read as read_answer
+from soak import fleet, records
+
+CALLERS = 6
+_PAUSE_S = 0.03
+_PAUSE_AFTER_FAILURE_S = 0.2
+"""A router that is down answers nobody at once."""
+_TIMEOUT_S = 6.0
+"""Beyond the time limit of every route."""
+_OPERATOR_TIMEOUT_S = 5.0
+"""Beyond the time in which a control box acknowledges or gives up."""
+_OPERATOR_PAUSE_S = 0.2
+_CHANGE_SHARE = 0.25
+"""How many of the operator's rounds submit a new version; the others read it back."""
+_OLD_SHARE = 0.15
+"""How many requests use a route or a key that is gone or about to go."""
+
+
+class Crowd:
+    """Starts all threads and stops them."""
+
+    def __init__(self, site: fleet.Fleet, book: records.Book, seed: int) -> None:
+        self._site = site
+        self._book = book
+        self._stopped = threading.Event()
+        chances = [random.Random(f"{seed} {number}") for number in range(CALLERS + 1)]
+        self._threads = [threading.Thread(target=self._operate, args=(chances[0],), daemon=True)]
+        self._threads += [
+            threading.Thread(target=self._call, args=(number, chance), daemon=True)
+            for number, chance in enumerate(chances[1:])
+        ]
+
+    def start(self) -> None:
+        """Begin."""
+        for each in self._threads:
+            each.start()
+
+    def stop(self) -> None:
+        """End once every request that is under way has ended."""
+        self._stopped.set()
+        for each in self._threads:
+            each.join()
+
+    def _call(self, number: int, chance: random.Random) -> None:
+        kept: dict[int, http.client.HTTPConnection] = {}
+        count = 0
+        while not self._stopped.wait(_PAUSE_S * chance.random()):
+            count += 1
+            router = chance.randrange(fleet.ROUTERS)
+            if chance.random() < 0.2:
+                close(kept.pop(router, None))
+            asked = ask(
+                self._site.router_ways[router].address,
+                kept,
+                self._book,
+                request_id=f"c{number}-{count}",
+                kind=chance.choice(fleet.KINDS),
+                router=router,
+                route_version=self._version(chance),
+                key_version=self._version(chance),
+            )
+            self._book.asked.append(asked)
+            if asked.end is not records.End.WHOLE:
+                close(kept.pop(router, None))
+                self._stopped.wait(_PAUSE_AFTER_FAILURE_S)
+        for connection in kept.values():
+            connection.close()
+
+    def _version(self, chance: random.Random) -> int:
+        """Return what was accepted last, or now and then one of the versions around it."""
+        accepted = self._book.accepted_version
+        if chance.random() >= _OLD_SHARE:
+            return max(1, accepted)
+        return max(1, accepted + chance.choice((-2, -1, 1)))
+
+    def _operate(self, chance: random.Random) -> None:
+        while not self._stopped.wait(_OPERATOR_PAUSE_S):
+            if chance.random() < _CHANGE_SHARE:
+                submit(self._site, self._book, chance, self._stopped)
+            else:
+                self._book.reads.append(read_back(self._site, self._book, chance))
+
+
+def ask(
+    address: str,
+    kept: dict[int, http.client.HTTPConnection],
+    book: records.Book,
+    *,
+    request_id: str,
+    kind: str,
+    router: int,
+    route_version: int,
+    key_version: int,
+) -> records.Asked:
+    """Send one request, on the kept connection to this router if there is one."""
+    accepted_version = book.accepted_version
+    sent_s = time.monotonic()
+    fields = {}
+    sent = False
+    try:
+        connection = kept.get(router)
+        if connection is None:
+            host, _, port = address.rpartition(":")
+            connection = http.client.HTTPConnection(host, int(port), timeout=_TIMEOUT_S)
+            connection.connect()
+            kept[router] = connection
+        sent = True
+        path = fleet.path_of(route_version, kind, request_id)
+        connection.request("POST", path, b"body", _headers(request_id, key_version))
+        response = connection.getresponse()
+        answer = read_answer(response)
+        # Else the connection takes no further request.
+        response.close()
+        fields = {
+            "status": answer.status,
+            "body": answer.body,
+            "echoed_id": answer.headers.get("x-request-id", ""),
+            "has_proof": "x-proof" in answer.headers,
+        }
+        end = records.End.WHOLE if answer.whole else records.End.CUT
+    except (OSError, http.client.HTTPException):
+        end = records.End.NOTHING if sent else records.End.UNSENT
+    return records.Asked(
+        request_id=request_id,
+        kind=kind,
+        router=router,
+        route_version=route_version,
+        key_version=key_version,
+        accepted_version=accepted_version,
+        submitted_version=book.submitted_version,
+        sent_s=sent_s,
+        ended_s=time.monotonic(),
+        end=end,
+        **fields,
+    )
+
+
+def _headers(request_id: str, key_version: int) -> dict[str, str]:
+    return {
+        "Host": fleet.HOST,
+        "X-Request-Id": request_id,
+        "X-Key": fleet.key_of(key_version),
+        "X-Deadline-Ms": "4000",
+    }
+
+
+def submit(
+    site: fleet.Fleet, book: records.Book, chance: random.Random, stopped: threading.Event
+) -> None:
+    """Submit a new version, to any box until it is acknowledged; others may race it meanwhile."""
+    version = book.submit()
+    body = orjson.dumps({"number": version, "document": fleet.document(version)})
+    while not stopped.wait(_OPERATOR_PAUSE_S):
+        answer = _operator(site, chance, "POST", "/v1/config/submissions", body)
+        if answer is not None and answer.status == 200:
+            book.accept(version)
+            return
+
+
+def read_back(site: fleet.Fleet, book: records.Book, chance: random.Random) -> records.Read:
+    """Read the configuration at any box."""
+    accepted_version = book.accepted_version
+    answer = _operator(site, chance, "GET", "/v1/config", None)
+    known = answer is not None and answer.status == 200
+    version = orjson.loads(answer.body)["version"] if known else None
+    return records.Read(accepted_version=accepted_version, version=version)
+
+
+def _operator(site: fleet.Fleet, chance: random.Random, method: str, path: str, body):
+    address = chance.choice(site.control).settings["operator_address"]
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=_OPERATOR_TIMEOUT_S)
+    try:
+        connection.request(method, path, body)
+        return read_answer(connection.getresponse())
+    except (OSError, http.client.HTTPException):
+        return None
+    finally:
+        connection.close()
+
+
+def close(connection: http.client.HTTPConnection | None) -> None:
+    """Close a connection if there is one."""
+    if connection is not None:
+        connection.close()
--- /dev/null
+++ b/testing/soak/fleet.py
@@ -0,0 +1,215 @@
+"""A small fleet of real programs behind proxies, with stand-ins for what it serves."""
+
+from __future__ import annotations
+
+import collections
+import pathlib
+import shutil
+
+import attrs
+
+from croftpulley.fakes import forwarded, platform_list
+from croftpulley.settings import schema
+from site_of_routers import ANY_PORT, ReservedPort
+from soak import processes, proxy
+
+HOST = "clinic.example"
+KINDS = ("once", "repeat", "chat", "note")
+"""A call that runs once, one that may repeat, a stream that runs once, one that may resume."""
+STREAMS = ("chat", "note")
+ENGINE_POOL = "llm"
+WORKER_POOL = "desk"
+ROUTERS = 3
+CONTROL = 3
+ENDPOINTS = 3
+"""Of each kind."""
+WORK_S = 0.03
+"""How long an endpoint works on a call, and between the events of a stream."""
+
+
+def key_of(version: int) -> str:
+    """Return the key that comes with a version; it goes with the second version after it."""
+    return f"key-{version}"
+
+
+def path_of(version: int, kind: str, request_id: str) -> str:
+    """Return a path of a route that comes with a version; it goes as the key does."""
+    stream = forwarded.STREAM_MARK.strip("/") + "/" if kind in STREAMS else ""
+    return f"/v{version}/{kind}/{stream}{request_id}"
+
+
+def document(version: int) -> dict:
+    """Return the configuration of one version: its own routes and key, and the last one's."""
+    live = [each for each in (version - 1, version) if each > 0]
+    return {
+        "workspaces": [{"name": "clinic", "keys": [key_of(each) for each in live]}],
+        "pools": [{"name": ENGINE_POOL}, {"name": WORKER_POOL}],
+        "routes": [_route(each, kind) for each in live for kind in KINDS],
+    }
+
+
+def _route(version: int, kind: str) -> dict:
+    is_stream = kind in STREAMS
+    return {
+        "name": f"{kind}-{version}",
+        "host": HOST,
+        "path_prefix": f"/v{version}/{kind}/",
+        "kind": "stream" if is_stream else "repeatable" if kind == "repeat" else "once",
+        "resumable": kind == "note",
+        "shares": [{"pool": ENGINE_POOL if is_stream else WORKER_POOL}],
+        "time_limit_ms": 4000,
+        "attempts": 2,
+    }
+
+
+@attrs.define
+class Served:
+    """A stand-in that is or was listed, behind its proxy."""
+
+    stand_in: forwarded.ForwardedEndpoint
+    pool: str
+    way: proxy.Proxy
+    leaving: bool = False
+
+
+class Fleet:
+    """Three control boxes, three routers, and what they serve."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.loop = proxy.Loop()
+        self.listed = platform_list.FakePlatformList(
+            schema.FakeSettings(name="list", address=ANY_PORT)
+        )
+        self.listed.start()
+        self.served: list[Served] = []
+        self.past: list[Served] = []
+        self._made: collections.Counter[str] = collections.Counter()
+        for pool in (ENGINE_POOL, WORKER_POOL):
+            for _ in range(ENDPOINTS):
+                self.add_endpoint(pool)
+        self._ports: list[ReservedPort] = []
+        self.control_ways = [proxy.Proxy(self.loop) for _ in range(CONTROL)]
+        self.control = [self._make_control(number) for number in range(CONTROL)]
+        self.router_ways = [proxy.Proxy(self.loop) for _ in range(ROUTERS)]
+        self.routers = [self._make_router(number) for number in range(ROUTERS)]
+
+    @property
+    def programs(self) -> list[processes.Program]:
+        """Every program."""
+        return [*self.control, *self.routers]
+
+    @property
+    def ways(self) -> list[proxy.Proxy]:
+        """Every proxy that leads to something in service."""
+        return [*self.control_ways, *self.router_ways, *(each.way for each in self.served)]
+
+    def start(self) -> None:
+        """Start all programs for the first time."""
+        for each in self.control:
+            each.start(first_start=True)
+        for each in self.routers:
+            each.start()
+
+    def start_again(self, program: processes.Program) -> None:
+        """Start a program that has ended."""
+        program.start(**({"first_start": False} if program in self.control else {}))
+
+    def stop(self) -> None:
+        """End all that was started."""
+        for each in self.programs:
+            each.kill()
+        for each in (*self.served, *self.past):
+            each.stand_in.stop()
+        self.listed.stop()
+        self.loop.stop()
+        for each in self._ports:
+            each.close()
+
+    def add_endpoint(self, pool: str) -> None:
+        """Start one more endpoint and list it."""
+        self._made[pool] += 1
+        name = f"{pool}-{self._made[pool]}"
+        made = forwarded.ForwardedEndpoint(schema.FakeSettings(name=name, address=ANY_PORT))
+        made.pause_s = WORK_S
+        made.start()
+        self.served.append(Served(made, pool, proxy.Proxy(self.loop, made.address)))
+        self.list_endpoints()
+
+    def remove_endpoint(self, served: Served) -> None:
+        """End an endpoint; what it ran is still known."""
+        self.served.remove(served)
+        self.past.append(served)
+        served.stand_in.stop()
+        served.way.reset()
+        self.list_endpoints()
+
+    def list_endpoints(self) -> None:
+        """Have the platform list what is in service."""
+        self.listed.endpoints = [
+            {
+                "name": each.stand_in.incarnation,
+                "kind": "engine" if each.pool == ENGINE_POOL else "worker",
+                "pool": each.pool,
+                "address": each.way.address,
+                "hall": "hall-a",
+                "incarnation": each.stand_in.incarnation,
+                "leaving": each.leaving,
+            }
+            for each in self.served
+        ]
+
+    def wipe(self, control: processes.Program) -> None:
+        """Lose the disk of a control box that is down."""
+        shutil.rmtree(control.settings["data_folder"])
+
+    def tear(self, control: processes.Program, garbage: bytes) -> None:
+        """Leave the beginning of a record at the end of a log, as a loss of power does."""
+        logs = sorted(pathlib.Path(control.settings["data_folder"]).glob("log-*"))
+        if logs:
+            with logs[-1].open("ab") as file:
+                file.write(garbage)
+
+    def runs(self) -> dict[str, list[str]]:
+        """Return where each request ran, by its id."""
+        found = collections.defaultdict(list)
+        for each in (*self.served, *self.past):
+            for run in list(each.stand_in.runs):
+                found[run.headers["x-request-id"]].append(each.stand_in.incarnation)
+        return found
+
+    def _port(self) -> str:
+        self._ports.append(ReservedPort())
+        return self._ports[-1].address
+
+    def _make_control(self, number: int) -> processes.Program:
+        way = self.control_ways[number]
+        way.target = self._port()
+        settings = {
+            "box": f"control-{number}",
+            "hall": "hall-a",
+            "peer_address": way.address,
+            "peer_listen_address": way.target,
+            "operator_address": self._port(),
+            "metrics_address": self._port(),
+            "data_folder": str(self.folder / f"data-{number}"),
+            "seeds": [each.address for each in self.control_ways],
+            "platform_address": self.listed.address,
+        }
+        return processes.Program("replica", settings, self.folder)
+
+    def _make_router(self, number: int) -> processes.Program:
+        way = self.router_ways[number]
+        way.target = self._port()
+        settings = {
+            "box": f"router-{number}",
+            "hall": "hall-a",
+            "caller_address": way.target,
+            "directory_address": self._port(),
+            "ready_address": self._port(),
+            "metrics_address": self._port(),
+            "control_addresses": [each.address for each in self.control_ways],
+            "platform_address": self.listed.address,
+            "grace_s": 8.0,
+        }
+        return processes.Program("router", settings, self.folder)
--- /dev/null
+++ b/testing/soak/processes.py
@@ -0,0 +1,88 @@
+"""The real programs as processes of their own, and what may be done to them from outside."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+import orjson
+
+_STOP_WAIT_S = 15.0
+"""Beyond the grace of every program."""
+_MAIN = "from croftpulley.cli import main; main.main()"
+
+
+class Program:
+    """One program of the fleet: it may be stopped, killed, paused and started again."""
+
+    def __init__(self, command: str, settings: dict, folder: pathlib.Path) -> None:
+        self.name = settings["box"]
+        self.settings = settings
+        self._command = command
+        self._path = folder / f"{self.name}.jsonc"
+        self._log_path = folder / f"{self.name}.log"
+        self._process: subprocess.Popen | None = None
+        self.paused = False
+        self.starts = 0
+
+    @property
+    def is_up(self) -> bool:
+        """Tell whether it has loaded and serves since its last start."""
+        written = self._log_path.read_text(errors="replace")
+        return self.runs and written.count('"daemon_started"') >= self.starts
+
+    @property
+    def runs(self) -> bool:
+        """Tell whether the process is there; a paused one is."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self, **changes) -> None:
+        """Start, with the settings as they are now."""
+        self.settings |= changes
+        self._path.write_bytes(orjson.dumps(self.settings))
+        with self._log_path.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-c", _MAIN, self._command, "--settings", str(self._path)],
+                stdout=log,
+                stderr=log,
+            )
+        self.starts += 1
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to this process alone."""
+        if self.runs:
+            os.kill(self._process.pid, number)
+
+    def pause(self) -> None:
+        """Freeze."""
+        self.signal(signal.SIGSTOP)
+        self.paused = True
+
+    def wake(self) -> None:
+        """End a pause."""
+        self.signal(signal.SIGCONT)
+        self.paused = False
+
+    def kill(self) -> None:
+        """End without warning."""
+        self.wake()
+        self.signal(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait()
+
+    def terminate(self) -> int | None:
+        """Stop as planned and return the exit code; ``None`` if it had to be killed."""
+        self.wake()
+        self.signal(signal.SIGTERM)
+        try:
+            return self._process.wait(_STOP_WAIT_S)
+        except subprocess.TimeoutExpired:
+            self.kill()
+            return None
+
+    def log_tail(self, lines: int = 20) -> str:
+        """Return the end of what it wrote."""
+        return "\n".join(self._log_path.read_text(errors="replace").splitlines()[-lines:])
--- /dev/null
+++ b/testing/soak/proxy.py
@@ -0,0 +1,119 @@
+"""A loopback proxy that harms the connections through it."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import socket
+import struct
+import threading
+
+_SO_LINGER_RESET = struct.pack("ii", 1, 0)
+_CHUNK_BYTES = 65_536
+_POLL_S = 0.02
+
+
+class Harm(enum.Enum):
+    """What happens to bytes on their way."""
+
+    NONE = "none"
+    DELAY = "delay"
+    """Each chunk waits for `DELAY_S`, both ways."""
+    CUT_TO = "cut_to"
+    """Nothing reaches the server; it is held, and goes on once the harm ends."""
+    CUT_FROM = "cut_from"
+    """Nothing comes back from the server."""
+    SILENT = "silent"
+    """Nothing goes either way, and new connections get no answer."""
+
+
+DELAY_S = 0.08
+"""Under the timeouts between boxes, so that a slow link alone is no cut."""
+_HELD_TO = (Harm.CUT_TO, Harm.SILENT)
+_HELD_FROM = (Harm.CUT_FROM, Harm.SILENT)
+
+
+class Proxy:
+    """Passes connections on to ``target``, which may change while it runs."""
+
+    def __init__(self, loop: Loop, target: str = "") -> None:
+        self.target = target
+        self.harm = Harm.NONE
+        self._loop = loop
+        self._writers: set[asyncio.StreamWriter] = set()
+        self.address = loop.call(self._listen())
+
+    def reset(self) -> None:
+        """End every connection with a reset."""
+        self._loop.call(self._reset())
+
+    async def _listen(self) -> str:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0, backlog=1024)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    async def _reset(self) -> None:
+        for writer in list(self._writers):
+            abort(writer)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while self.harm is Harm.SILENT:
+            await asyncio.sleep(_POLL_S)
+        host, _, port = self.target.rpartition(":")
+        try:
+            there, back = await asyncio.open_connection(host, int(port))
+        except OSError:
+            # The server is down: the caller sees that nobody listens, as without a proxy.
+            abort(writer)
+            return
+        self._writers |= {writer, back}
+        pumps = (
+            asyncio.ensure_future(self._pump(reader, back, _HELD_TO)),
+            asyncio.ensure_future(self._pump(there, writer, _HELD_FROM)),
+        )
+        await asyncio.wait(pumps)
+        self._writers -= {writer, back}
+        for each in (writer, back):
+            each.close()
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, held_by: tuple[Harm, ...]
+    ) -> None:
+        """Pass bytes one way; a reset on one side is a reset on the other."""
+        try:
+            while data := await reader.read(_CHUNK_BYTES):
+                if self.harm is Harm.DELAY:
+                    await asyncio.sleep(DELAY_S)
+                while self.harm in held_by:
+                    await asyncio.sleep(_POLL_S)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except OSError:
+            abort(writer)
+
+
+def abort(writer: asyncio.StreamWriter) -> None:
+    """End a connection with a reset."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _SO_LINGER_RESET)
+    writer.transport.abort()
+
+
+class Loop:
+    """An event loop in a thread of its own, which all proxies share."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, name="proxies", daemon=True)
+        self._thread.start()
+
+    def call(self, task):
+        """Run a coroutine in the loop and return what it returns."""
+        return asyncio.run_coroutine_threadsafe(task, self._loop).result()
+
+    def stop(self) -> None:
+        """Stop; connections that are open end with the process."""
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join()
--- /dev/null
+++ b/testing/soak/run.py
@@ -0,0 +1,164 @@
+"""Runs the soak: ``python -m soak.run --seeds 1-50`` in ``testing/`` (``make soak``).
+
+Real programs as processes of their own, on 127.0.0.1, are harmed from outside while callers and an
+operator go on; then the promises are checked on what all of them saw.
+"""
+
+from __future__ import annotations
+
+import collections
+import pathlib
+import random
+import sys
+import tempfile
+import threading
+import time
+
+import attrs
+import click
+
+from soak import callers, fleet, promises, proxy, records, troubles
+
+RECOVERY_LIMIT_S = 60.0
+"""After the last trouble. Far more than is promised: the time it took is printed, not judged."""
+_ROUND_S = 0.1
+
+
+@attrs.frozen
+class Outcome:
+    """What came of one seed."""
+
+    seed: int
+    broken: list[str]
+    requests: int
+    ends: dict[str, int]
+    """How many requests ended how, by the status or by what the caller met instead."""
+    accepted_version: int
+    recovery_s: float
+
+
+def run_seed(seed: int, seconds_s: float, folder: pathlib.Path) -> Outcome:
+    """Run one seed; a third of them has planned work only."""
+    site = fleet.Fleet(folder)
+    book = records.Book()
+    planned_only = seed % 3 == 0
+    try:
+        site.start()
+        _until_served(site, book, seed)
+        crowd = callers.Crowd(site, book, seed)
+        crowd.start()
+        drawn = troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
+        troubles.play(drawn, seconds_s)
+        recovery_s = _recover(site, book, seed)
+        crowd.stop()
+        _until_served(site, book, seed)
+        runs = site.runs()
+    finally:
+        site.stop()
+    broken = promises.broken(book, runs)
+    if planned_only:
+        broken += promises.lost(book, runs)
+    if recovery_s > RECOVERY_LIMIT_S:
+        broken.append(f"not all was served {RECOVERY_LIMIT_S} s after the last trouble")
+    return Outcome(
+        seed=seed,
+        broken=broken,
+        requests=len(book.asked),
+        ends=dict(collections.Counter(_end(each) for each in book.asked).most_common()),
+        accepted_version=book.accepted_version,
+        recovery_s=recovery_s,
+    )
+
+
+def _end(asked: records.Asked) -> str:
+    return str(asked.status) if asked.end is records.End.WHOLE else asked.end.value
+
+
+def _recover(site: fleet.Fleet, book: records.Book, seed: int) -> float:
+    """Put all right and return how long it takes until all is served."""
+    for way in site.ways:
+        way.harm = proxy.Harm.NONE
+    for each in site.programs:
+        each.wake()
+        if not each.runs:
+            site.start_again(each)
+    for each in site.served:
+        each.stand_in.faults.clear()
+    began_s = time.monotonic()
+    _until_served(site, book, seed)
+    return time.monotonic() - began_s
+
+
+def _until_served(site: fleet.Fleet, book: records.Book, seed: int) -> None:
+    """Wait until each router answers each kind of request, and what was accepted is read back."""
+    chance = random.Random(seed)
+    ends_s = time.monotonic() + RECOVERY_LIMIT_S
+    round_number = 0
+    while time.monotonic() < ends_s:
+        round_number += 1
+        if not book.accepted_version:
+            callers.submit(site, book, chance, threading.Event())
+        read = callers.read_back(site, book, chance)
+        book.reads.append(read)
+        asked = [
+            _probe(site, book, f"p{ends_s:.3f}-{round_number}-{router}-{kind}", router, kind)
+            for router in range(fleet.ROUTERS)
+            for kind in fleet.KINDS
+        ]
+        book.asked.extend(asked)
+        if read.version is not None and all(
+            each.end is records.End.WHOLE and each.status == 200 for each in asked
+        ):
+            return
+        time.sleep(_ROUND_S)
+
+
+def _probe(
+    site: fleet.Fleet, book: records.Book, request_id: str, router: int, kind: str
+) -> records.Asked:
+    kept: dict = {}
+    asked = callers.ask(
+        site.router_ways[router].address,
+        kept,
+        book,
+        request_id=request_id,
+        kind=kind,
+        router=router,
+        route_version=max(1, book.accepted_version),
+        key_version=max(1, book.accepted_version),
+    )
+    callers.close(kept.pop(router, None))
+    return asked
+
+
+def parse_seeds(text: str) -> list[int]:
+    """Read seeds such as ``7`` or ``1-50``."""
+    first, _, last = text.partition("-")
+    return list(range(int(first), int(last or first) + 1))
+
+
+@click.command()
+@click.option("--seeds", default="1-50", show_default=True, help="A seed, or the first and last.")
+@click.option("--seconds", default=20.0, show_default=True, help="How long each has troubles.")
+@click.option("--keep", type=click.Path(), help="Folder for settings and logs; else a new one.")
+def main(seeds: str, seconds: float, keep: str | None) -> None:
+    """Run seeds one after the other; the logs of one that broke a promise stay."""
+    root = pathlib.Path(keep or tempfile.mkdtemp(prefix="soak-"))
+    failed = 0
+    for seed in parse_seeds(seeds):
+        folder = root / f"seed-{seed}"
+        folder.mkdir(parents=True)
+        outcome = run_seed(seed, seconds, folder)
+        failed += bool(outcome.broken)
+        click.echo(
+            f"seed {seed}: {len(outcome.broken)} broken, {outcome.requests} requests "
+            f"{outcome.ends}, version {outcome.accepted_version}, "
+            f"recovered in {outcome.recovery_s:.1f} s"
+        )
+        for line in outcome.broken[:10]:
+            click.echo(f"  broken: {line} (logs in {folder})")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/testing/soak/test_promises.py
@@ -0,0 +1,89 @@
+"""Each check of the soak finds what it is made for."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from soak import promises, records
+
+End = records.End
+WELL = records.Asked(
+    request_id="r",
+    kind="once",
+    router=0,
+    route_version=3,
+    key_version=3,
+    accepted_version=3,
+    submitted_version=3,
+    sent_s=0.0,
+    ended_s=0.1,
+    end=End.WHOLE,
+    status=200,
+    body=b"ran POST /v3/once/r body",
+    echoed_id="r",
+    has_proof=True,
+)
+NOTE_PATH = "/v3/note/stream/r"
+EVENTS = b"".join(b"id: %d\ndata: %b %d\n\n" % (n, NOTE_PATH.encode(), n) for n in range(1, 6))
+ONE_RUN = {"r": ["desk-1"]}
+
+
+def found(asked, runs, **changes):
+    return promises.broken(records.Book(asked=[asked], submitted_version=3, **changes), runs)
+
+
+@pytest.mark.parametrize(
+    ("change", "runs"),
+    [
+        ({}, ONE_RUN),
+        ({"kind": "repeat", "body": b"ran POST /v3/repeat/r body"}, {"r": ["desk-1", "desk-2"]}),
+        ({"kind": "note", "body": EVENTS}, ONE_RUN),
+        ({"kind": "note", "body": EVENTS[:40], "end": End.CUT}, ONE_RUN),
+        ({"status": 503, "body": b""}, {}),
+        ({"status": 504, "body": b""}, ONE_RUN),
+        ({"end": End.NOTHING, "status": 0}, ONE_RUN),
+        ({"route_version": 1, "status": 404}, {}),
+        ({"key_version": 4, "submitted_version": 4, "status": 401}, {}),
+    ],
+)
+def test_what_is_promised_is_not_reported(change, runs):
+    assert found(attrs.evolve(WELL, **change), runs) == []
+
+
+@pytest.mark.parametrize(
+    ("change", "runs", "line"),
+    [
+        ({}, {"r": ["desk-1", "desk-2"]}, "ran at ['desk-1', 'desk-2']"),
+        ({"status": 503}, ONE_RUN, "was told 503 and ran"),
+        ({"echoed_id": "q"}, ONE_RUN, "got the answer of 'q'"),
+        ({"has_proof": False}, ONE_RUN, "without proof"),
+        ({"body": b"ran POST"}, ONE_RUN, "as whole"),
+        ({"kind": "note", "body": EVENTS[:-30]}, ONE_RUN, "as whole"),
+        ({"kind": "note", "body": EVENTS[30:], "end": End.CUT}, ONE_RUN, "no beginning"),
+        ({"key_version": 1, "status": 504}, ONE_RUN, "ran"),
+        ({"route_version": 1, "end": End.NOTHING, "status": 0}, ONE_RUN, "ran"),
+        ({"status": 404}, {}, "was told 404"),
+        ({"status": 401}, {}, "was told 401"),
+    ],
+)
+def test_what_is_broken_is_reported(change, runs, line):
+    (reported,) = found(attrs.evolve(WELL, **change), runs)
+    assert line in reported
+
+
+def test_an_older_configuration_that_is_read_back_is_reported():
+    book = records.Book(reads=[records.Read(accepted_version=3, version=2)])
+    assert promises.broken(book, {}) == ["version 2 was read back after 3"]
+
+
+def test_a_planned_stop_that_was_cut_short_is_reported():
+    assert promises.broken(records.Book(exits=[("router-1", 1), ("router-2", 0)]), {}) == [
+        "router-1 ended a planned stop with 1"
+    ]
+
+
+def test_an_answer_that_was_lost_in_planned_work_is_reported():
+    book = records.Book(asked=[attrs.evolve(WELL, end=End.NOTHING)])
+    assert promises.lost(book, {}) == []
+    assert promises.lost(book, ONE_RUN) == ["r (once) at router-0 ran and ended as nothing"]
