An answer broken off on purpose has one log line, not a traceback of 4 KB besides

Each such request already has a request_answered line with its code. Change: a filter on the server's logger leaves out our own errors. Test seen failing without it.

--- a/src/croftpulley/observe/logs.py
+++ b/src/croftpulley/observe/logs.py
@@ -12,6 +12,7 @@
 
 from pythonjsonlogger import json as json_log
 
+from croftpulley import errors
 from croftpulley.core import log_budget
 from croftpulley.observe import events
 
@@ -81,6 +82,18 @@
     return record
 
 
+class AlreadyTold(logging.Filter):
+    """Leaves out an error that ended an answer on purpose: its request has a line with its code.
+
+    The server can only be told by raising it, and would log all of its causes.
+    """
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Tell whether the line says something new."""
+        cause = record.exc_info[1] if record.exc_info else None
+        return not isinstance(cause, errors.CroftpulleyError)
+
+
 def set_level(level: str) -> None:
     """Have lines below ``level`` left out from now on."""
     logging.getLogger().setLevel(level)
@@ -97,5 +110,7 @@
     atexit.register(handler.close)
     # These libraries log every refused connection; ours say the same with a numbered event.
     logging.getLogger("urllib3").setLevel(logging.ERROR)
-    logging.getLogger("waitress").setLevel(logging.ERROR)
+    waitress_log = logging.getLogger("waitress")
+    waitress_log.setLevel(logging.ERROR)
+    waitress_log.filters[:] = [AlreadyTold()]
     logging.getLogger("pykka").setLevel(logging.WARNING)
--- a/testing/test_logs.py
+++ b/testing/test_logs.py
@@ -9,6 +9,7 @@
 
 from pythonjsonlogger import json as json_log
 
+from croftpulley import codes, errors
 from croftpulley.core import log_budget
 from croftpulley.observe import logs
 
@@ -57,3 +58,21 @@
         logger.info("line")
     Stuck.released.set()
     handler.close()
+
+
+def test_an_answer_that_was_broken_off_on_purpose_has_no_second_line():
+    # The server's traceback of 4 KB a cut stream filled the budget of lines in a burst of failures.
+    stream = io.StringIO()
+    handler, logger = made(stream, 10)
+    logger.addFilter(logs.AlreadyTold())
+    for failure in (
+        errors.CroftpulleyError(codes.ResultCode.WORKER_BROKE, "told before"),
+        ValueError("not told before"),
+    ):
+        try:
+            raise failure
+        except Exception:
+            logger.exception("Exception while serving")
+    handler.close()
+    assert "told before" not in stream.getvalue().replace("not told before", "")
+    assert "not told before" in stream.getvalue()
