--- a/deploy/run.py
+++ b/deploy/run.py
@@ -1,13 +1,27 @@
-"""What the platform starts: ``python3 deploy/run.py entry`` or ``control``."""
+"""What the platform starts: ``python3 deploy/run.py entry|control [SECONDS]``.
+
+SECONDS is how long to wait before anything is loaded: a router on a machine with a control box
+leaves the processor to it first, since no router can serve without one.
+"""
 
 from __future__ import annotations
 
 import pathlib
+import signal
 import sys
+import time
+
+
+def main(arguments: list[str]) -> int:
+    """Run the program named first; return its exit code."""
+    # Until the program has set its handlers a changed settings file must not end it.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    time.sleep(float(arguments[1]) if len(arguments) > 1 else 0.0)
+    sys.path[0] = str(pathlib.Path(__file__).resolve().parents[1] / "src")
+    from croftpulley.platform import launch
 
-sys.path[0] = str(pathlib.Path(__file__).resolve().parents[1] / "src")
+    return launch.main(arguments[:1])
 
-from croftpulley.platform import launch  # noqa: E402
 
 if __name__ == "__main__":
-    sys.exit(launch.main(sys.argv[1:]))
+    sys.exit(main(sys.argv[1:]))
--- a/src/croftpulley/platform/boot.py
+++ b/src/croftpulley/platform/boot.py
@@ -13,11 +13,6 @@
 """Ports that ``deploy/system.toml`` names too; the platform fetches metrics from fixed ones."""
 
 
-CONTROL_FIRST_S = 0.35
-"""On a machine with a disk a control box starts at the same moment; by the users' bench it needs
-0.4 s of the machine for itself, and 0.7 s if a router starts beside it."""
-
-
 def read(path: str) -> fields.Fields:
     """Read the file; raises `errors.SettingsErrorGroup`."""
     try:
@@ -59,8 +54,6 @@
         retry_ratio=bounds.number("retryBudgetRatio", 0.2),
         retry_extra=bounds.number("retryBudgetExtra", 50.0),
         retry_window_s=bounds.number("budgetWindowS", 10.0),
-        # Machines with a disk are those that have a folder for it; control boxes run there.
-        start_delay_s=CONTROL_FIRST_S if boot.has("dataDirectory") else 0.0,
     )
 
 
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import os
-import signal
 import sys
-import time
 
 from croftpulley import codes, errors
 from croftpulley.observe import logs
@@ -15,8 +13,6 @@
 
 def main(arguments: list[str]) -> int:
     """Run ``entry`` or ``control`` until SIGTERM; return the exit code."""
-    # Until a program has set its handlers a changed settings file must not end it.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     role = arguments[0] if arguments else ""
     try:
         if role == "entry":
@@ -33,13 +29,10 @@
 
 def _run_entry(path: str) -> int:
     # Each program imports only its own half: it starts sooner and takes less memory.
-    from croftpulley.platform import boot
-
-    settings = boot.router_settings(path)
-    time.sleep(settings.start_delay_s)
     from croftpulley.daemons import router, signals
-    from croftpulley.platform import callers
+    from croftpulley.platform import boot, callers
 
+    settings = boot.router_settings(path)
     logs.set_up(settings.box, settings.log_level)
     stopped = signals.stop_signal()
     daemon = router.RouterDaemon(settings, callers.PlatformCallers())
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -119,11 +119,7 @@
 
 @attrs.frozen(kw_only=True)
 class RouterSettings:
-    """Settings of a router: an entry box that forwards requests by the configured routes.
-
-    ``start_delay_s`` is how long the program waits before it loads, so that a control box on the
-    same machine is up first: without it no router can serve.
-    """
+    """Settings of a router: an entry box that forwards requests by the configured routes."""
 
     box: str = attrs.field(validator=_name)
     hall: str = attrs.field(validator=_name)
@@ -134,7 +130,6 @@
     control_addresses: tuple[str, ...] = attrs.field(validator=_addresses)
     platform_address: str = attrs.field(validator=_address)
     http: HttpLimits = attrs.field(factory=HttpLimits)
-    start_delay_s: float = attrs.field(default=0.0, validator=_between(0, 60))
     streams: int = attrs.field(default=64, validator=_between(1, 5000))
     renew_interval_s: float = attrs.field(default=0.25, validator=_between(0.02, 60))
     renew_timeout_s: float = attrs.field(default=0.4, validator=_between(0.05, 60))
