--- a/src/croftpulley/core/outcomes.py
+++ b/src/croftpulley/core/outcomes.py
@@ -93,11 +93,12 @@
             for name, record in records.items():
                 if held + 1 > len(pool) / 2 or record.held_until_s > now_s:
                     continue
-                judgement = _judge(name, record, records)
-                if judgement is not None:
+                peers_share = _share_of_others(name, records)
+                if _fails_more(record, peers_share):
+                    failed, total = record.failed, record.total
                     _hold(record, now_s)
                     held += 1
-                    made.append(attrs.evolve(judgement, hold_s=record.hold_s))
+                    made.append(Judgement(name, failed, total, peers_share, record.hold_s))
         return made
 
     def held(self, now_s: float) -> tuple[str, ...]:
@@ -112,16 +113,18 @@
             del self._records[name]
 
 
-def _judge(name: str, record: _Record, pool: Mapping[str, _Record]) -> Judgement | None:
-    """Compare one record with the others of its pool."""
+def _share_of_others(name: str, pool: Mapping[str, _Record]) -> float:
+    """Return the share of failures at all of a pool but one."""
+    others = [each for other, each in pool.items() if other != name]
+    total = sum(each.total for each in others)
+    return sum(each.failed for each in others) / total if total > 0 else 0.0
+
+
+def _fails_more(record: _Record, peers_share: float) -> bool:
+    """Tell whether an endpoint fails clearly more often than its peers."""
     if record.failed < LEAST_FAILURES:
-        return None
-    peers = [each for other, each in pool.items() if other != name]
-    total = sum(each.total for each in peers)
-    peers_share = sum(each.failed for each in peers) / total if total > 0 else 0.0
-    if record.failed / record.total < LEAST_EXCESS + 2 * peers_share:
-        return None
-    return Judgement(name, record.failed, record.total, peers_share, 0.0)
+        return False
+    return record.failed / record.total >= LEAST_EXCESS + 2 * peers_share
 
 
 def _hold(record: _Record, now_s: float) -> None:
--- a/src/croftpulley/core/replication/progress.py
+++ b/src/croftpulley/core/replication/progress.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
+
 import attrs
 
+from croftpulley.core.replication import messages
+
 
 @attrs.define
 class Progress:
@@ -35,3 +39,80 @@
     if len(values) < quorum:
         return float("-inf")
     return sorted(values, reverse=True)[quorum - 1]
+
+
+class Others:
+    """The progress of all other replicas of the set, kept by the leader ``replica``."""
+
+    def __init__(self, replica: str) -> None:
+        self._replica = replica
+        self._by_name: dict[str, Progress] = {}
+
+    def find(self, replica: str) -> Progress | None:
+        """Return what is known of ``replica``, ``None`` if it is not followed."""
+        return self._by_name.get(replica)
+
+    def forget(self) -> None:
+        """Begin anew, as a leader of a new term does."""
+        self._by_name = {}
+
+    def follow(self, members: messages.Members, next_index: int, now_s: float) -> None:
+        """Keep progress for exactly the other replicas of ``members``."""
+        others = {each.replica for each in members.members} - {self._replica}
+        for name in others - set(self._by_name):
+            self._by_name[name] = Progress(next_index, since_s=now_s)
+        for name in set(self._by_name) - others:
+            del self._by_name[name]
+
+    def quorum_sent_s(self, members: messages.Members, now_s: float) -> float:
+        """Return when a quorum is known to have followed the leader."""
+        times = [
+            now_s if voter == self._replica else self._by_name[voter].acknowledged_sent_s
+            for voter in members.voters
+            if voter == self._replica or voter in self._by_name
+        ]
+        return quorum_value(times, members.quorum)
+
+    def quorum_index(self, members: messages.Members, last_index: int) -> int:
+        """Return up to which index a quorum holds the log; the leader holds ``last_index``."""
+        matches = [
+            float(last_index if voter == self._replica else self._match_index(voter))
+            for voter in members.voters
+        ]
+        return int(max(0.0, quorum_value(matches, members.quorum)))
+
+    def _match_index(self, replica: str) -> int:
+        known = self._by_name.get(replica)
+        return known.match_index if known else 0
+
+    def silent(self, now_s: float, after_s: float) -> frozenset[str]:
+        """Return the replicas that have not answered for ``after_s``."""
+        return frozenset(
+            name
+            for name, known in self._by_name.items()
+            if now_s - max(known.acknowledged_sent_s, known.since_s) > after_s
+        )
+
+    def has_caught_up(self, replica: str, commit_index: int, now_s: float, within_s: float) -> bool:
+        """Tell whether ``replica`` holds all that is committed and answered ``within_s``."""
+        known = self._by_name.get(replica)
+        if known is None or known.match_index < commit_index:
+            return False
+        return now_s - known.acknowledged_sent_s < within_s
+
+    def take_due(
+        self, last_index: int, now_s: float, answer_s: float, pause_s: float
+    ) -> Iterator[tuple[str, int]]:
+        """Yield each replica to send to and the index to begin with, and count it as sent.
+
+        Those are due that lack entries, or were sent nothing for ``pause_s``; a request under way
+        is waited for at most ``answer_s``.
+        """
+        for name, known in self._by_name.items():
+            since_s = now_s - known.sent_s
+            if known.in_flight and since_s < answer_s:
+                continue
+            if known.next_index <= last_index or since_s >= pause_s:
+                known.in_flight = True
+                known.sent_s = now_s
+                yield name, known.next_index
--- a/src/croftpulley/core/replication/replica.py
+++ b/src/croftpulley/core/replication/replica.py
@@ -79,7 +79,7 @@
         self._ballot = voting.Ballot()
         self._election_at_s = 0.0
         self._rest(now_s)
-        self._progress: dict[str, progress.Progress] = {}
+        self._others = progress.Others(replica)
         self._start_index = 0
         self._leader_since_s = 0.0
         self._installed: messages.Snapshot | None = None
@@ -114,7 +114,10 @@
         """
         if self.role is not Role.LEADER or self.commit_index < self._start_index:
             return float("-inf")
-        return self._quorum_sent_s(now_s) + self._timing.election_s * self._timing.drift
+        return (
+            self._others.quorum_sent_s(self.members, now_s)
+            + self._timing.election_s * self._timing.drift
+        )
 
     # --- time ---------------------------------------------------------------------------------
 
@@ -128,53 +131,34 @@
         return effects
 
     def _lead(self, now_s: float, effects: Effects) -> None:
-        heard_s = max(self._quorum_sent_s(now_s), self._leader_since_s)
+        heard_s = max(self._others.quorum_sent_s(self.members, now_s), self._leader_since_s)
         if now_s - heard_s > 2 * self._timing.election_s:
             self._follow(self.term, "", now_s)
             return
         change = self._next_members(now_s)
         if change is not None:
             self._append((self._entry(messages.EntryKind.MEMBERS, members=change),), effects)
-            self._advance(now_s)
+            self._advance()
         self._send_appends(now_s, effects, heartbeat=True)
 
-    def _quorum_sent_s(self, now_s: float) -> float:
-        """Return when a quorum is known to have followed this leader."""
-        members = self.members
-        times = [
-            now_s if voter == self.id else self._progress[voter].acknowledged_sent_s
-            for voter in members.voters
-            if voter == self.id or voter in self._progress
-        ]
-        return progress.quorum_value(times, members.quorum)
-
     def _next_members(self, now_s: float) -> messages.Members | None:
         """Return the next set, if one is due and the last change is committed."""
         if self.log.members_index() > self.commit_index or self.commit_index < self._start_index:
             return None
         members = self.members
+        timing = self._timing
         ready = tuple(
             each
             for each in members.members
-            if not each.voter and self._caught_up(each.replica, now_s)
-        )
-        change = membership.promoted(members, ready, self._silent(now_s, self._timing.silent_s))
-        return change or membership.without_silent(
-            members, self._silent(now_s, self._timing.gone_s)
-        )
-
-    def _caught_up(self, replica: str, now_s: float) -> bool:
-        known = self._progress.get(replica)
-        if known is None or known.match_index < self.commit_index:
-            return False
-        return now_s - known.acknowledged_sent_s < self._timing.election_s
-
-    def _silent(self, now_s: float, after_s: float) -> frozenset[str]:
-        return frozenset(
-            replica
-            for replica, known in self._progress.items()
-            if now_s - max(known.acknowledged_sent_s, known.since_s) > after_s
+            if not each.voter
+            and self._others.has_caught_up(
+                each.replica, self.commit_index, now_s, within_s=timing.election_s
+            )
         )
+        silent = self._others.silent(now_s, timing.silent_s)
+        gone = self._others.silent(now_s, timing.gone_s)
+        change = membership.promoted(members, ready, silent)
+        return change or membership.without_silent(members, gone)
 
     # --- elections ----------------------------------------------------------------------------
 
@@ -231,17 +215,17 @@
         self.role = Role.LEADER
         self.leader = self.id
         self._leader_since_s = now_s
-        self._progress = {}
+        self._others.forget()
         self._append((self._entry(messages.EntryKind.START),), effects)
         self._start_index = self.log.last_index
-        self._advance(now_s)
+        self._advance()
         self._send_appends(now_s, effects, heartbeat=True)
 
     def _on_vote_request(self, request: messages.VoteRequest, now_s: float) -> Effects:
         effects = Effects()
         agrees = self._would_vote(request)
         granted = agrees and self._hearing.may_vote(now_s)
-        if_all = agrees and not granted and self._hearing.may_vote_if_all(now_s)
+        if_all = agrees and not granted and self._hearing.may_vote_if_all
         if (granted or if_all) and not request.trial:
             if request.term > self.term:
                 self._follow(request.term, "", now_s)
@@ -394,7 +378,7 @@
         first_index = self.log.last_index + 1
         entries = [self._entry(messages.EntryKind.COMMAND, payload) for payload in payloads]
         self._append(tuple(entries), effects)
-        self._advance(now_s)
+        self._advance()
         self._send_appends(now_s, effects, heartbeat=False)
         return effects, first_index
 
@@ -409,7 +393,7 @@
             return effects, False
         change = membership.with_learner(self.members, request.replica, request.address)
         self._append((self._entry(messages.EntryKind.MEMBERS, members=change),), effects)
-        self._advance(now_s)
+        self._advance()
         self._send_appends(now_s, effects, heartbeat=False)
         return effects, True
 
@@ -421,7 +405,7 @@
 
     def failed(self, replica: str, now_s: float) -> None:
         """Note that a request to ``replica`` got no answer."""
-        known = self._progress.get(replica)
+        known = self._others.find(replica)
         if known is not None:
             known.in_flight = False
 
@@ -431,7 +415,7 @@
             self._follow(reply.term, "", now_s)
             self._save(effects)
             return effects
-        known = self._progress.get(reply.replica)
+        known = self._others.find(reply.replica)
         if self.role is not Role.LEADER or known is None or reply.term < self.term:
             return effects
         known.in_flight = False
@@ -439,7 +423,7 @@
         if reply.success:
             known.match_index = max(known.match_index, reply.match_index)
             known.next_index = known.match_index + 1
-            self._advance(now_s)
+            self._advance()
         else:
             known.next_index = max(1, min(known.next_index - 1, reply.match_index + 1))
         self._send_appends(now_s, effects, heartbeat=False)
@@ -470,39 +454,20 @@
             self.term, self._voted_for, first_index or self.log.last_index + 1, entries
         )
 
-    def _advance(self, now_s: float) -> None:
+    def _advance(self) -> None:
         """Commit what a quorum holds, if the newest of it is of this term."""
-        members = self.members
-        matches = [
-            float(self.log.last_index)
-            if voter == self.id
-            else float(self._progress[voter].match_index if voter in self._progress else 0)
-            for voter in members.voters
-        ]
-        index = int(max(0.0, progress.quorum_value(matches, members.quorum)))
+        index = self._others.quorum_index(self.members, self.log.last_index)
         if index > self.commit_index and self.log.term_at(index) == self.term:
             self.commit_index = index
 
     def _send_appends(self, now_s: float, effects: Effects, *, heartbeat: bool) -> None:
         """Send to each replica that is due and has no request under way."""
-        self._follow_members(now_s)
-        for replica, known in self._progress.items():
-            if known.in_flight and now_s - known.sent_s < self._timing.answer_s:
-                continue
-            behind = known.next_index <= self.log.last_index
-            due = heartbeat and now_s - known.sent_s >= self._timing.heartbeat_s
-            if behind or due:
-                known.in_flight = True
-                known.sent_s = now_s
-                effects.sends.append(self._append_request(replica, known.next_index))
-
-    def _follow_members(self, now_s: float) -> None:
-        """Keep progress for exactly the other replicas of the set."""
-        others = {each.replica for each in self.members.members if each.replica != self.id}
-        for replica in others - set(self._progress):
-            self._progress[replica] = progress.Progress(self.log.last_index + 1, since_s=now_s)
-        for replica in set(self._progress) - others:
-            del self._progress[replica]
+        timing = self._timing
+        self._others.follow(self.members, self.log.last_index + 1, now_s)
+        pause_s = timing.heartbeat_s if heartbeat else float("inf")
+        due = self._others.take_due(self.log.last_index, now_s, timing.answer_s, pause_s)
+        for replica, next_index in due:
+            effects.sends.append(self._append_request(replica, next_index))
 
     def _append_request(self, replica: str, next_index: int) -> messages.Request:
         previous_index = next_index - 1
--- a/src/croftpulley/core/replication/voting.py
+++ b/src/croftpulley/core/replication/voting.py
@@ -27,10 +27,10 @@
     """When a replica started, and when it last heard a leader since.
 
     >>> hearing = Hearing(election_s=1.0, started_s=5.0)
-    >>> hearing.may_vote(5.5), hearing.may_vote_if_all(5.5), hearing.may_vote(6.0)
+    >>> hearing.may_vote(5.5), hearing.may_vote_if_all, hearing.may_vote(6.0)
     (False, True, True)
     >>> hearing.heard(6.0)
-    >>> hearing.may_vote(6.5), hearing.may_vote_if_all(6.5)
+    >>> hearing.may_vote(6.5), hearing.may_vote_if_all
     (False, False)
     """
 
@@ -47,7 +47,8 @@
         since_s = self.started_s if self.heard_s is None else self.heard_s
         return now_s - since_s >= self.election_s
 
-    def may_vote_if_all(self, now_s: float) -> bool:
+    @property
+    def may_vote_if_all(self) -> bool:
         """Tell whether a vote may be given that counts only together with all others."""
         return self.heard_s is None
 
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -9,13 +9,11 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import traffic
-from croftpulley.core import membership, selection, tables
+from croftpulley.core import membership, places, selection, tables
 from croftpulley.forwarding import base
 from croftpulley.observe import events
 
 _LOG = logging.getLogger(__name__)
-LEAST_FETCHED_TOKENS = 300
-"""Reading fewer takes an engine less time than asking another for them."""
 
 
 @attrs.frozen(kw_only=True)
@@ -88,7 +86,7 @@
     ) -> Placed:
         """Work out what the engine must read, and from whom it fetches the rest."""
         most = max(held_tokens.values(), default=0)
-        if most - chosen.held_tokens < LEAST_FETCHED_TOKENS:
+        if most - chosen.held_tokens < places.LEAST_TOKENS:
             most = chosen.held_tokens
         reading = selection.reading(prompt, chosen, most)
         holders = sorted(name for name, tokens in held_tokens.items() if tokens == most)
