A second SIGTERM does not end a planned stop as killed

Python gives signals their default meaning back while it ends; a second SIGTERM in that moment killed the process, whose work was done.

--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -9,8 +9,16 @@
 SECONDS_S = 6.0
 SEEDS = (3, 7)
 """One with planned work only, one with all troubles."""
+REGRESSIONS = {24: 15.0}
+"""Seeds that broke a promise, with the seconds of the run that did. 24: a second SIGTERM, while Python
+ended after a planned stop, ended the process as killed."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_in_a_short_soak(seed, tmp_path):
     assert run.run_seed(seed, SECONDS_S, tmp_path).broken == []
+
+
+@pytest.mark.parametrize("seed", REGRESSIONS)
+def test_a_promise_that_was_broken_holds_now(seed, tmp_path):
+    assert run.run_seed(seed, REGRESSIONS[seed], tmp_path).broken == []
