--- a/src/croftpulley/cli/bench.py
+++ b/src/croftpulley/cli/bench.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import pathlib
 import time
 
 import click
@@ -13,6 +14,9 @@
 from croftpulley.bench import demo as demo_bench
 from croftpulley.bench import fleet_files, scrape, table
 from croftpulley.bench import path as path_bench
+from croftpulley.emulator import choosers, traffic
+from croftpulley.emulator import run as emulation
+from croftpulley.policy import arms, language
 
 _READY_TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.1
@@ -115,3 +119,30 @@
     """
     rows = agreement_bench.run()
     click.echo(table.as_json(rows) if as_json else table.plain(rows))
+
+
+@bench.command("policy")
+@click.option("--deployment", type=click.Choice(sorted(traffic.DEPLOYMENTS)), required=True)
+@click.option("--program", type=click.Path(), help="A program for scores to compare as well.")
+@click.option("--seconds", default=120.0, show_default=True, help="Of virtual time.")
+@click.option("--seed", default=1, show_default=True, help="Seed of the traffic.")
+@_JSON
+def policies(
+    deployment: str, program: str | None, seconds: float, seed: int, as_json: bool
+) -> None:
+    """Compare ways of choosing an engine in virtual time, with the users' sizes of today.
+
+    Example: croftpulley bench policy --deployment shifa --program examples/policies/shifa.policy
+    """
+    ways: dict[str, choosers.Chooser] = {
+        "random": choosers.Random(seed),
+        "least_loaded": choosers.LeastLoaded(),
+        "hashed": choosers.Hashed(),
+        "built_in": choosers.BuiltIn(),
+    }
+    if program is not None:
+        source = pathlib.Path(program).read_text(encoding="utf-8")
+        score = language.parse(source, arms.CANDIDATE_NAMES)
+        ways["program"] = choosers.ByProgram(arms.Arm(name="program", score=score))
+    rows = emulation.compare(traffic.DEPLOYMENTS[deployment], ways, seconds, seed)
+    click.echo(table.as_json(rows) if as_json else table.plain(rows))
--- /dev/null
+++ b/src/croftpulley/emulator/choosers.py
@@ -0,0 +1,98 @@
+"""Ways of choosing an engine: the built-in rule, operators' programs, and baselines."""
+
+from __future__ import annotations
+
+import abc
+import random
+from collections.abc import Sequence
+
+from croftpulley.core import calls, choice, selection
+from croftpulley.policy import arms
+
+
+class Chooser(abc.ABC):
+    """Chooses among candidates as one router sees them."""
+
+    @abc.abstractmethod
+    def choose(
+        self, facts: calls.CallFacts, candidates: Sequence[selection.Candidate]
+    ) -> selection.Candidate:
+        """Return the engine for a request; ``candidates`` is not empty."""
+
+
+class Random(Chooser):
+    """Any engine."""
+
+    def __init__(self, seed: int) -> None:
+        self._chance = random.Random(seed)
+
+    def choose(
+        self, facts: calls.CallFacts, candidates: Sequence[selection.Candidate]
+    ) -> selection.Candidate:
+        """Return any."""
+        return self._chance.choice(candidates)
+
+
+class LeastLoaded(Chooser):
+    """The engine with the fewest requests in flight, as last heard."""
+
+    def choose(
+        self, facts: calls.CallFacts, candidates: Sequence[selection.Candidate]
+    ) -> selection.Candidate:
+        """Return the least loaded."""
+        return selection.least_busy(facts.request_id, candidates, "")
+
+
+class Hashed(Chooser):
+    """Rendezvous hashing of the last shared part, whatever the load."""
+
+    def choose(
+        self, facts: calls.CallFacts, candidates: Sequence[selection.Candidate]
+    ) -> selection.Candidate:
+        """Return the first in the order of the hash."""
+        by_name = {each.name: each for each in candidates}
+        return by_name[choice.order(facts.shared[-1].part, by_name)[0]]
+
+
+class BuiltIn(Chooser):
+    """What routers do without programs."""
+
+    def choose(
+        self, facts: calls.CallFacts, candidates: Sequence[selection.Candidate]
+    ) -> selection.Candidate:
+        """Return the choice of `selection.for_prompt`."""
+        most = max(each.held_tokens for each in candidates)
+        spill = selection.Spill()
+        return selection.for_prompt(_prompt(facts), candidates, most, spill, selection.Rates())
+
+
+class ByProgram(Chooser):
+    """An operators' program, among those below the cap as in routers."""
+
+    def __init__(self, arm: arms.Arm) -> None:
+        self._arm = arm
+
+    def choose(
+        self, facts: calls.CallFacts, candidates: Sequence[selection.Candidate]
+    ) -> selection.Candidate:
+        """Return the program's choice; raises `language.ProgramError`."""
+        prompt = _prompt(facts)
+        request = arms.Request(
+            key=prompt.key,
+            prompt_tokens=prompt.tokens,
+            shared_tokens=prompt.shared_tokens,
+            priority=0,
+            budget_ms=0.0,
+            hall="",
+        )
+        most = max(each.held_tokens for each in candidates)
+        chosen = arms.chosen(self._arm, request, selection.Spill().fit(candidates), most)
+        return chosen or candidates[0]
+
+
+def _prompt(facts: calls.CallFacts) -> selection.Prompt:
+    return selection.Prompt(
+        key=facts.shared[-1].part,
+        tokens=facts.prompt_tokens,
+        shared_tokens=sum(part.tokens for part in facts.shared),
+    )
