croftpulley ctl speaks with control boxes that share their state

Operators of replicas had to call them by hand. ctl takes several control boxes and asks one after the other until the one that leads answers; status shows replicas and who is waited for. A token may be asked for there as well (http/tokens.py, moved). Own interface only: what the users' platform speaks is unchanged.

--- a/src/croftpulley/cli/ctl.py
+++ b/src/croftpulley/cli/ctl.py
@@ -15,30 +15,45 @@
 
 _SUBMISSIONS = "/v1/config/submissions"
 _POLL_INTERVAL_S = 0.2
+_ASK_ANOTHER = (codes.ResultCode.CONTROL_UNREACHABLE, codes.ResultCode.NOT_LEADER)
 
 
 class Operator:
-    """The operator's connection to a control box."""
+    """The operator's connection to the control boxes, of which one leads."""
 
-    def __init__(self, address: str, token_file: str, as_json: bool) -> None:
-        self._address = address
+    def __init__(self, addresses: tuple[str, ...], token_file: str | None, as_json: bool) -> None:
+        self._addresses = addresses
         self._token_file = token_file
         self._as_json = as_json
         self._pool = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(10.0))
 
     def ask(self, method: str, path: str, document: Any = None) -> Any:
-        """Make one request and return the answer; raises `errors.CroftpulleyError`."""
-        token = pathlib.Path(self._token_file).read_text(encoding="utf-8").strip()
-        headers = {"Authorization": f"Bearer {token}", "Content-Type": "application/json"}
+        """Ask one box after the other and return the answer; raises `errors.CroftpulleyError`.
+
+        A box that is away or does not lead is passed over; the last failure is raised.
+        """
+        for address in self._addresses[:-1]:
+            try:
+                return self._ask(address, method, path, document)
+            except errors.CroftpulleyError as failure:
+                if failure.code not in _ASK_ANOTHER:
+                    raise
+        return self._ask(self._addresses[-1], method, path, document)
+
+    def _ask(self, address: str, method: str, path: str, document: Any) -> Any:
+        headers = {"Content-Type": "application/json"}
+        if self._token_file is not None:
+            token = pathlib.Path(self._token_file).read_text(encoding="utf-8").strip()
+            headers["Authorization"] = f"Bearer {token}"
         body = None if document is None else orjson.dumps(document)
         try:
             response = self._pool.request(
-                method, f"http://{self._address}{path}", body=body, headers=headers
+                method, f"http://{address}{path}", body=body, headers=headers
             )
         except urllib3.exceptions.HTTPError as failure:
             raise errors.CroftpulleyError(
                 codes.ResultCode.CONTROL_UNREACHABLE,
-                f"{self._address}: {failure}; a submission may be sent again safely",
+                f"{address}: {failure}; a submission may be sent again safely",
                 run_state=codes.RunState.UNKNOWN,
             ) from failure
         answer = orjson.loads(response.data)
@@ -57,16 +72,24 @@
 
 
 @click.group()
-@click.option("--control", "address", required=True, help="Operator address of a control box.")
-@click.option("--token-file", required=True, type=click.Path(), help="File with the token.")
+@click.option(
+    "--control",
+    "addresses",
+    multiple=True,
+    required=True,
+    help="Operator address of a control box; name all, they are asked in turn.",
+)
+@click.option("--token-file", type=click.Path(), help="File with the token, if one is needed.")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @click.pass_context
-def ctl(context: click.Context, address: str, token_file: str, as_json: bool) -> None:
+def ctl(
+    context: click.Context, addresses: tuple[str, ...], token_file: str | None, as_json: bool
+) -> None:
     """Steer the fleet.
 
     Example: croftpulley ctl --control 127.0.0.1:8301 --token-file token status
     """
-    context.obj = Operator(address, token_file, as_json)
+    context.obj = Operator(addresses, token_file, as_json)
 
 
 @ctl.group()
@@ -122,8 +145,29 @@
 @ctl.command()
 @click.pass_obj
 def status(client: Operator) -> None:
-    """Show boxes, engines and who owns which."""
+    """Show boxes, engines and who owns which; of replicas, who leads and who is waited for."""
     answer = client.ask("GET", "/v1/status")
+    rows = _replica_rows(answer) if "term" in answer else _fleet_rows(answer)
+    client.show(answer, "\n".join(rows))
+
+
+def _replica_rows(answer: Any) -> list[str]:
+    rows = [
+        f"configuration version {answer['configuration_version']}",
+        f"this box {answer['role']}  term {answer['term']}"
+        f"  leader {answer['leader_address'] or 'unknown'}",
+    ]
+    for member in answer["members"]:
+        kind = "voter" if member["voter"] else "learner"
+        rows.append(f"replica {member['replica']}  {member['address']}  {kind}")
+    for box in answer["boxes"]:
+        state = "draining" if box["draining"] else "serving"
+        waited = "  waited for" if box["name"] in answer["waiting_for"] else ""
+        rows.append(f"box {box['name']}  {box['hall']}  {box['caller_address']}  {state}{waited}")
+    return rows
+
+
+def _fleet_rows(answer: Any) -> list[str]:
     owners = {each["engine"]: each for each in answer["owners"]}
     rows = [f"configuration version {answer['configuration_version']}"]
     for box in answer["boxes"]:
@@ -137,4 +181,4 @@
         held = f"owner {owner['box']} epoch {owner['epoch']}" if owner else "no owner"
         state = "leaving" if engine["leaving"] else "live"
         rows.append(f"engine {engine['name']}  {engine['pool']}  {state}  {held}")
-    client.show(answer, "\n".join(rows))
+    return rows
--- a/src/croftpulley/daemons/control.py
+++ b/src/croftpulley/daemons/control.py
@@ -10,7 +10,7 @@
 from croftpulley import codes
 from croftpulley.controllers import actors, agreement, directory
 from croftpulley.core import agreed, claims, submissions
-from croftpulley.http import health_app, operator_app, server, wsgi
+from croftpulley.http import health_app, operator_app, server, tokens, wsgi
 from croftpulley.observe import events, metrics
 from croftpulley.settings import schema
 from croftpulley.transport import channels, control_server, messages
@@ -29,7 +29,7 @@
     def __init__(self, settings: schema.ControlSettings, clock: clocks.Clock | None = None) -> None:
         self._clock = clock or clocks.SystemClock()
         self._counters = metrics.Metrics()
-        token = operator_app.TokenCheck(settings.operator_token_file)
+        token = tokens.TokenCheck(settings.operator_token_file)
         self._agreement = agreement.SingleLog(pathlib.Path(settings.data_folder))
         self._directory = directory.DirectoryController.start(
             self._agreement,
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -50,7 +50,7 @@
         clock: clocks.Clock | None = None,
     ) -> None:
         self._settings = settings
-        self._interface = interface or operators.OwnOperatorInterface()
+        self._interface = interface or operators.OwnOperatorInterface(settings.operator_token_file)
         self._clock = clock or clocks.SystemClock()
         self._counters = metrics.Metrics()
         self._standing = actors.View(replica.Standing())
--- a/src/croftpulley/http/operator_app.py
+++ b/src/croftpulley/http/operator_app.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import hmac
-import pathlib
 from collections.abc import Callable
 
 import attrs
@@ -12,29 +10,10 @@
 from croftpulley import codes, errors
 from croftpulley.controllers import directory
 from croftpulley.core import submissions
-from croftpulley.http import health_app, wsgi
+from croftpulley.http import health_app, tokens, wsgi
 from croftpulley.settings import formats
 
 _SUBMISSIONS = "/v1/config/submissions"
-_BEARER = "Bearer "
-
-
-class TokenCheck:
-    """Compares the operator token in constant time."""
-
-    def __init__(self, token_file: str) -> None:
-        self._token = pathlib.Path(token_file).read_bytes().strip()
-        if not self._token:
-            raise errors.SettingsErrorGroup(
-                "settings are not valid",
-                [errors.SettingsError(token_file, "(file)", "the operator token is empty")],
-            )
-
-    def check(self, request: wsgi.Request) -> None:
-        """Raise UNAUTHORIZED unless the request carries the token."""
-        given = request.headers.get("authorization", "").removeprefix(_BEARER).encode()
-        if not hmac.compare_digest(given, self._token):
-            raise errors.CroftpulleyError(codes.ResultCode.UNAUTHORIZED)
 
 
 class ControlApp:
@@ -43,7 +22,7 @@
     def __init__(
         self,
         health: health_app.HealthApp,
-        token: TokenCheck,
+        token: tokens.TokenCheck,
         submit: Callable[[submissions.Submission], submissions.SubmissionAnswer],
         read: Callable[[], submissions.Register],
         waiting_for: Callable[[int], tuple[str, ...]],
--- a/src/croftpulley/interfaces/operators.py
+++ b/src/croftpulley/interfaces/operators.py
@@ -9,7 +9,7 @@
 from croftpulley import codes, errors
 from croftpulley.controllers import control_plane
 from croftpulley.endpoints import caches, http_platform, lists
-from croftpulley.http import wsgi
+from croftpulley.http import tokens, wsgi
 from croftpulley.interfaces import callers
 from croftpulley.settings import formats
 
@@ -36,7 +36,14 @@
 
 
 class OwnOperatorInterface(OperatorInterface):
-    """The fleet's own interface (``docs/INTERFACES.md``)."""
+    """The fleet's own interface (``docs/INTERFACES.md``).
+
+    With a ``token_file`` every call needs the token in it; without one, whoever reaches the address
+    is an operator.
+    """
+
+    def __init__(self, token_file: str = "") -> None:
+        self._token = tokens.TokenCheck(token_file) if token_file else None
 
     @property
     def documents(self) -> formats.DocumentFormat:
@@ -55,6 +62,8 @@
         """Make the handler of ``/v1/config`` and ``/v1/status``."""
 
         def handle(request: wsgi.Request) -> wsgi.Response:
+            if self._token is not None:
+                self._token.check(request)
             if (request.method, request.path) == ("POST", "/v1/config/submissions"):
                 number, document = _parse_submission(request.body)
                 version = plane.submit(number, document)
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -153,7 +153,8 @@
 
     ``seeds`` are addresses of control boxes for each other; at the ``first_start`` of a whole fleet
     they are the first replicas. ``peer_listen_address`` is where this box listens if others reach
-    it at ``peer_address`` by way of something in between; empty, it listens there itself.
+    it at ``peer_address`` by way of something in between; empty, it listens there itself. Without
+    an ``operator_token_file`` whoever reaches ``operator_address`` is an operator.
     """
 
     box: str = attrs.field(validator=_name)
@@ -163,6 +164,7 @@
     operator_address: str = attrs.field(validator=_address)
     metrics_address: str = attrs.field(validator=_address)
     data_folder: str
+    operator_token_file: str = ""
     seeds: tuple[str, ...] = attrs.field(validator=_addresses)
     first_start: bool = False
     platform_address: str = attrs.field(validator=_address)
--- a/testing/daemons/test_own_interface.py
+++ b/testing/daemons/test_own_interface.py
@@ -6,11 +6,16 @@
 import json
 
 import pytest
+from click import testing as click_testing
 
 from conftest import wait_until
+from croftpulley import codes, errors
 from croftpulley.bench import scrape
+from croftpulley.cli import main
 from croftpulley.daemons import replica, router
 from croftpulley.fakes import forwarded, platform_list
+from croftpulley.http import wsgi
+from croftpulley.interfaces import operators
 from croftpulley.policy import comparison
 from croftpulley.settings import schema
 from site_of_routers import ANY_PORT, ReservedPort, read
@@ -201,3 +206,42 @@
         answer = submit(control, 1, CONFIGURATION | {"arms": arms})
         assert answer.status == 400
         assert b"arms[0]: score: line 2: is not in the language" in answer.body
+
+
+class TestOperatorsCommand:
+    """``croftpulley ctl`` against control boxes that share their state."""
+
+    def run(self, control, *arguments):
+        # The first address is of a box that is away: the next one is asked.
+        ways = ["--control", "127.0.0.1:1", "--control", control.operator_address]
+        words = ["ctl", *ways, *arguments]
+        return click_testing.CliRunner().invoke(main.cli, words, standalone_mode=False)
+
+    def test_a_configuration_is_submitted_and_shown(self, boxes, tmp_path):
+        control, entry, _ = boxes
+        wait_until(control.leads, "it leads")
+        file = tmp_path / "fleet.jsonc"
+        file.write_text(f"// the fleet\n{json.dumps(CONFIGURATION)}")
+        words = ("config", "submit", str(file), "--operator", "aigerim", "--number", "4")
+        wait_until(lambda: self.run(control, *words).exit_code == 0, "it is accepted")
+        assert "number 4: version 4, in force" in self.run(control, *words).output
+        assert '"clinic.example"' in self.run(control, "config", "show").output
+        assert call(entry, "r-1").status == 200
+
+    def test_the_status_names_replicas_and_boxes(self, boxes):
+        control, _, _ = boxes
+        in_use(boxes, 1)
+        shown = self.run(control, "status").output
+        assert "configuration version 1" in shown
+        assert "this box leader  term" in shown
+        assert "voter" in shown
+        assert "box router-1  hall-a" in shown
+
+    def test_a_call_without_the_token_is_refused_where_one_is_set(self, tmp_path):
+        token_file = tmp_path / "token"
+        token_file.write_text("secret\n")
+        handle = operators.OwnOperatorInterface(str(token_file)).operator(None, "")
+        request = wsgi.Request("GET", "/v1/config", "", {}, b"", {})
+        with pytest.raises(errors.CroftpulleyError) as raised:
+            handle(request)
+        assert raised.value.code is codes.ResultCode.UNAUTHORIZED
