--- a/src/croftpulley/bench/agreement.py
+++ b/src/croftpulley/bench/agreement.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import pathlib
+import tempfile
 import time
 
 import attrs
@@ -15,7 +17,9 @@
 from croftpulley.bench import table
 from croftpulley.controllers import actors, agreement, listing, replica, sessions
 from croftpulley.core import agreed, membership, submissions, versions
+from croftpulley.core.replication import messages
 from croftpulley.core.replication import replica as replicas
+from croftpulley.storage import commands, replica_store
 from croftpulley.transport import box_messages, json_codec
 
 SIZES = ((12, 40), (50, 60), (79, 70), (200, 200), (790, 2000))
@@ -28,6 +32,7 @@
 _RENEW_INTERVAL_S = 0.25
 _LOADED_ENDPOINTS = 20
 """How many endpoints a router has requests at, at one moment."""
+LOG_LENGTHS = (100, 1000, 5000)
 _LEASE_S = 3.0
 _MARGIN_S = 0.2
 _FAR_S = 1e9
@@ -131,8 +136,33 @@
 
 
 def run() -> list[table.Row]:
-    """Measure every size."""
-    return [row for routers, endpoints in SIZES for row in measure(routers, endpoints)]
+    """Measure every size, and restarts by the length of the log."""
+    rows = [row for routers, endpoints in SIZES for row in measure(routers, endpoints)]
+    return rows + [restart(entries) for entries in LOG_LENGTHS]
+
+
+def restart(entries: int) -> table.Row:
+    """Time the reading of a log of so many submissions, and applying them, after a restart.
+
+    A real replica writes its log anew after 128 entries or 2 MB; this is without that.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        store = replica_store.ReplicaStore(pathlib.Path(folder))
+        store.load(messages.Stored())
+        for index in range(1, entries + 1):
+            command = agreed.SubmitConfiguration(submissions.Submission("bench", index, "{}"))
+            payload = commands.encode(command).decode()
+            entry = messages.Entry(1, messages.EntryKind.COMMAND, payload, None)
+            store.write(messages.Write(1, "bench", index, (entry,)))
+        store.close()
+        began_s = time.perf_counter()
+        stored = store.load(messages.Stored())
+        state = agreed.AgreedState(submissions=submissions.HighestNumber())
+        for entry in stored.entries:
+            state.apply(commands.decode(entry.payload.encode()))
+        spent_s = time.perf_counter() - began_s
+        store.close()
+    return table.Row(f"restart_{entries}_entries_ms", round(spent_s * 1000, 1))
 
 
 def measure(routers: int, endpoints: int) -> list[table.Row]:
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -163,7 +163,7 @@
     body = orjson.dumps({"number": version, "document": fleet.document(version)})
     while not stopped.wait(_OPERATOR_PAUSE_S):
         box = chance.choice(site.control)
-        answer = _operator(box, "POST", "/v1/config/submissions", body)
+        answer = operate(box, "POST", "/v1/config/submissions", body)
         if answer is not None and answer.status == 200:
             book.accept(version)
             return
@@ -173,14 +173,15 @@
     """Read the configuration at one box after the other, until one answers."""
     accepted_version = book.accepted_version
     for box in chance.sample(site.control, fleet.CONTROL):
-        answer = _operator(box, "GET", "/v1/config", None)
+        answer = operate(box, "GET", "/v1/config", None)
         if answer is not None and answer.status == 200:
             version = orjson.loads(answer.body)["version"]
             return records.Read(accepted_version=accepted_version, version=version)
     return records.Read(accepted_version=accepted_version, version=None)
 
 
-def _operator(box: processes.Program, method: str, path: str, body):
+def operate(box: processes.Program, method: str, path: str, body):
+    """Make one call of the operator's; ``None`` if no answer came."""
     host, _, port = box.settings["operator_address"].rpartition(":")
     connection = http.client.HTTPConnection(host, int(port), timeout=_OPERATOR_TIMEOUT_S)
     try:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -44,14 +44,14 @@
     planned_only = seed % 3 == 0
     try:
         site.start()
-        _until_served(site, book, seed)
+        until_served(site, book, seed)
         crowd = callers.Crowd(site, book, seed)
         crowd.start()
         drawn = troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
         troubles.play(drawn, seconds_s)
         recovery_s = _recover(site, book, seed)
         crowd.stop()
-        _until_served(site, book, seed)
+        until_served(site, book, seed)
         runs = site.runs()
     finally:
         site.stop()
@@ -85,11 +85,11 @@
     for each in site.served:
         each.stand_in.faults.clear()
     began_s = time.monotonic()
-    _until_served(site, book, seed)
+    until_served(site, book, seed)
     return time.monotonic() - began_s
 
 
-def _until_served(site: fleet.Fleet, book: records.Book, seed: int) -> None:
+def until_served(site: fleet.Fleet, book: records.Book, seed: int) -> None:
     """Wait until each router answers each kind of request, and what was accepted is read back."""
     chance = random.Random(seed)
     ends_s = time.monotonic() + RECOVERY_LIMIT_S
