--- a/src/croftpulley/storage/state_codec.py
+++ b/src/croftpulley/storage/state_codec.py
@@ -53,7 +53,7 @@
         return
     try:
         document = _CONVERTER.structure(orjson.loads(text), _Document)
-        register = _CONVERTER.structure(document.register, _REGISTERS)
+        register = _CONVERTER.structure(_upgraded(document.register), _REGISTERS)
     except (KeyError, cattrs.BaseValidationError) as failure:
         raise ValueError(f"got a snapshot that holds no state: {failure}") from failure
     state.submissions = register
@@ -64,6 +64,16 @@
     state.owners = {owner.engine: owner for owner in document.owners}
 
 
+def _upgraded(register: dict[str, Any]) -> dict[str, Any]:
+    """Return a register in today's form: once it held the document and its version side by side."""
+    if "held" in register:
+        return register
+    names = ("version", "document_json")
+    held = {name: register[name] for name in names}
+    rest = {name: value for name, value in register.items() if name not in names}
+    return rest | {"held": held}
+
+
 def _make_converter() -> cattrs.Converter:
     converter = orjson_converter.make_converter()
     strategies.configure_tagged_union(_REGISTERS, converter, tag_name="rule")
--- a/testing/storage/test_state_codec.py
+++ b/testing/storage/test_state_codec.py
@@ -35,3 +35,22 @@
 def test_a_text_that_holds_no_state_is_refused():
     with pytest.raises(ValueError, match="holds no state"):
         state_codec.restore('{"boxes": 3}', agreed.AgreedState())
+
+
+def test_a_snapshot_of_the_form_before_is_read_and_nothing_lost():
+    # Disks written before the document and its version became one value.
+    text = (
+        '{"register": {"rule": "HighestNumber", "version": 9, "document_json": "{}9", '
+        '"current": {"operator": "", "number": 9, "digest": "d", "version": 9}}, '
+        '"claims": [], "boxes": [], "owners": []}'
+    )
+    state = agreed.AgreedState(submissions=submissions.HighestNumber())
+    state_codec.restore(text, state)
+    assert state.submissions.held == submissions.Held(9, "{}9")
+    assert state.submissions.history()[0].number == 9
+
+
+def test_a_register_of_no_known_form_is_refused():
+    text = '{"register": {"rule": "HighestNumber"}, "claims": [], "boxes": [], "owners": []}'
+    with pytest.raises(ValueError, match="holds no state"):
+        state_codec.restore(text, agreed.AgreedState())
