--- a/src/croftpulley/cli/bench.py
+++ b/src/croftpulley/cli/bench.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import pathlib
 import time
 
 import click
@@ -14,9 +13,10 @@
 from croftpulley.bench import demo as demo_bench
 from croftpulley.bench import fleet_files, scrape, table
 from croftpulley.bench import path as path_bench
+from croftpulley.cli import policy as policy_cli
 from croftpulley.emulator import choosers, traffic
 from croftpulley.emulator import run as emulation
-from croftpulley.policy import arms, language
+from croftpulley.policy import arms
 
 _READY_TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.1
@@ -141,8 +141,7 @@
         "built_in": choosers.BuiltIn(),
     }
     if program is not None:
-        source = pathlib.Path(program).read_text(encoding="utf-8")
-        score = language.parse(source, arms.CANDIDATE_NAMES)
+        score = policy_cli.read_program(program, arms.CANDIDATE_NAMES)
         ways["program"] = choosers.ByProgram(arms.Arm(name="program", score=score))
     rows = emulation.compare(traffic.DEPLOYMENTS[deployment], ways, seconds, seed)
     click.echo(table.as_json(rows) if as_json else table.plain(rows))
--- a/src/croftpulley/cli/explain.py
+++ b/src/croftpulley/cli/explain.py
@@ -13,7 +13,7 @@
 
 
 def _lines(file: str) -> Iterator[str]:
-    """Read a log line by line: the logs of a day need not fit into memory."""
+    """Read a log line by line: only what concerns one request is kept in memory."""
     with pathlib.Path(file).open(encoding="utf-8", errors="replace") as log:
         yield from log
 
--- a/src/croftpulley/cli/policy.py
+++ b/src/croftpulley/cli/policy.py
@@ -6,8 +6,16 @@
 
 import click
 
-from croftpulley.bench import scrape, table
-from croftpulley.policy import arms, comparison, language
+from croftpulley.bench import comparison, scrape, table
+from croftpulley.policy import arms, language
+
+
+def read_program(file: str, names: tuple[str, ...]) -> language.Program:
+    """Read a program that is given ``names``; a fault ends the command with one line."""
+    try:
+        return language.parse(pathlib.Path(file).read_text(encoding="utf-8"), names)
+    except (OSError, language.ProgramError) as failure:
+        raise click.ClickException(f"{file}: {failure}") from failure
 
 
 @click.group()
@@ -23,11 +31,7 @@
 
     Example: croftpulley policy check examples/policies/shifa.policy
     """
-    names = arms.REQUEST_NAMES if admit else arms.CANDIDATE_NAMES
-    try:
-        language.parse(pathlib.Path(file).read_text(encoding="utf-8"), names)
-    except (OSError, language.ProgramError) as failure:
-        raise click.ClickException(f"{file}: {failure}") from failure
+    read_program(file, arms.REQUEST_NAMES if admit else arms.CANDIDATE_NAMES)
     click.echo(f"{file}: in order")
 
 
--- a/src/croftpulley/core/replication/progress.py
+++ b/src/croftpulley/core/replication/progress.py
@@ -101,18 +101,19 @@
         return now_s - known.acknowledged_sent_s < within_s
 
     def take_due(
-        self, last_index: int, now_s: float, answer_s: float, pause_s: float
+        self, last_index: int, now_s: float, answer_s: float, pause_s: float | None
     ) -> Iterator[tuple[str, int]]:
         """Yield each replica to send to and the index to begin with, and count it as sent.
 
-        Those are due that lack entries, or were sent nothing for ``pause_s``; a request under way
-        is waited for at most ``answer_s``.
+        Those are due that lack entries, or were sent nothing for ``pause_s`` (``None``: only those
+        that lack entries); a request under way is waited for at most ``answer_s``.
         """
         for name, known in self._by_name.items():
             since_s = now_s - known.sent_s
             if known.in_flight and since_s < answer_s:
                 continue
-            if known.next_index <= last_index or since_s >= pause_s:
+            paused = pause_s is not None and since_s >= pause_s
+            if known.next_index <= last_index or paused:
                 known.in_flight = True
                 known.sent_s = now_s
                 yield name, known.next_index
--- a/src/croftpulley/core/replication/replica.py
+++ b/src/croftpulley/core/replication/replica.py
@@ -464,7 +464,7 @@
         """Send to each replica that is due and has no request under way."""
         timing = self._timing
         self._others.follow(self.members, self.log.last_index + 1, now_s)
-        pause_s = timing.heartbeat_s if heartbeat else float("inf")
+        pause_s = timing.heartbeat_s if heartbeat else None
         due = self._others.take_due(self.log.last_index, now_s, timing.answer_s, pause_s)
         for replica, next_index in due:
             effects.sends.append(self._append_request(replica, next_index))
--- a/src/croftpulley/emulator/run.py
+++ b/src/croftpulley/emulator/run.py
@@ -59,9 +59,11 @@
         """Return the figures; ``skew_max_ratio`` is the mean over time of largest over mean."""
         self.first_s.sort()
         requests = max(1, self.requests)
+        skew = self._most_ratio_sum / max(1, self._samples)
+        reuse = self.held_tokens / max(1, self.prompt_tokens)
         return [
-            table.Row(f"{key}_skew_max_ratio", round(self._most_ratio_sum / self._samples, 3)),
-            table.Row(f"{key}_cache_reuse_ratio", round(self.held_tokens / self.prompt_tokens, 3)),
+            table.Row(f"{key}_skew_max_ratio", round(skew, 3)),
+            table.Row(f"{key}_cache_reuse_ratio", round(reuse, 3)),
             table.Row(f"{key}_in_time_ratio", round(self.in_time / requests, 3)),
             table.Row(
                 f"{key}_first_token_p50_ms", round(1000 * table.percentile(self.first_s, 0.5), 1)
--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -65,8 +65,10 @@
 
 def explain(request_id: str, all_lines: Iterable[Line]) -> Story:
     """Return the story of a request: its lines, and those of its box that explain its end."""
-    ordered = sorted(all_lines, key=lambda line: line.time)
-    own = [line for line in ordered if line.fields.get("request_id") == request_id]
+    # Lines of other requests are most of a log and explain nothing here.
+    wanted = (line for line in all_lines if line.fields.get("request_id") in (None, request_id))
+    ordered = sorted(wanted, key=lambda line: line.time)
+    own = [line for line in ordered if "request_id" in line.fields]
     if not own:
         left_out = [line for line in ordered if line.event == events.Event.LOG_LINES_LEFT_OUT]
         return Story(
--- a/testing/policy/test_comparison.py
+++ b/testing/bench/test_comparison.py
@@ -4,9 +4,8 @@
 
 import random
 
-from croftpulley.bench import scrape
+from croftpulley.bench import comparison, scrape
 from croftpulley.observe import metrics
-from croftpulley.policy import comparison
 
 
 def samples_of(*counters):
--- a/testing/cli/test_main.py
+++ b/testing/cli/test_main.py
@@ -79,3 +79,15 @@
     code, _, err = run("ctl", "--control", "127.0.0.1:1", "--token-file", token_file, "status")
     assert code == codes.ResultCode.CONTROL_UNREACHABLE
     assert "may be sent again safely" in err
+
+
+def test_a_program_that_is_not_in_order_ends_the_command_with_its_line(run, tmp_path):
+    file = tmp_path / "a.policy"
+    file.write_text("return 1\nwhile 1:\n    x = 1\n")
+    for words in (
+        ("policy", "check", file),
+        ("bench", "policy", "--deployment", "shifa", "--program", file),
+    ):
+        code, _, err = run(*words)
+        assert code == 1
+        assert err.strip().endswith("line 2: is not in the language")
--- a/testing/daemons/test_own_interface.py
+++ b/testing/daemons/test_own_interface.py
@@ -10,13 +10,12 @@
 
 from conftest import wait_until
 from croftpulley import codes, errors
-from croftpulley.bench import scrape
+from croftpulley.bench import comparison, scrape
 from croftpulley.cli import main
 from croftpulley.daemons import replica, router
 from croftpulley.fakes import forwarded, platform_list
 from croftpulley.http import wsgi
 from croftpulley.interfaces import operators
-from croftpulley.policy import comparison
 from croftpulley.settings import schema
 from site_of_routers import ANY_PORT, ReservedPort, read
 
--- a/testing/emulator/test_emulation.py
+++ b/testing/emulator/test_emulation.py
@@ -79,3 +79,8 @@
     result = click_testing.CliRunner().invoke(main.cli, arguments + program)
     found = orjson.loads(result.output)
     assert found["program_skew_max_ratio"] < found["built_in_skew_max_ratio"]
+
+
+def test_a_run_too_short_for_any_figure_gives_zeros():
+    rows = run.Emulation(SHIFA, choosers.BuiltIn()).play([], 1.0).rows("none")
+    assert {row.key: row.value for row in rows}["none_skew_max_ratio"] == 0
