--- a/src/croftpulley/daemons/signals.py
+++ b/src/croftpulley/daemons/signals.py
@@ -31,9 +31,9 @@
     """Begin a planned stop.
 
     Python gives signals their default meaning back while it ends: another one would then end the
-    process as killed, after all its work was done (seed 24 of the soak).
+    process as killed, after all its work was done (seeds 24 and 36 of the soak).
     """
-    for number in _STOPS:
+    for number in (*_STOPS, signal.SIGHUP):
         signal.signal(number, signal.SIG_IGN)
     stopped.set()
 
--- a/testing/daemons/test_signals.py
+++ b/testing/daemons/test_signals.py
@@ -30,7 +30,7 @@
     assert not stopped.is_set()
     signal.raise_signal(number)
     assert stopped.is_set()
-    assert signal.getsignal(signal.SIGTERM) is signal.SIG_IGN
+    assert all(signal.getsignal(each) is signal.SIG_IGN for each in NUMBERS)
     signal.raise_signal(signal.SIGTERM)
 
 
