--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -361,9 +361,9 @@
                 _fail(proposal, codes.RunState.NOT_RUN)
             return
         payloads = [commands.encode(proposal.command).decode() for proposal in batch]
-        effects, first_index = self._replica.propose(payloads, self._clock.monotonic_s())
-        for position, proposal in enumerate(batch):
-            self._pending[first_index + position] = (self._replica.term, proposal)
+        effects, indexes = self._replica.propose(payloads, self._clock.monotonic_s())
+        for index, proposal in zip(indexes, batch, strict=True):
+            self._pending[index] = (self._replica.term, proposal)
         self._carry_out(self._replica, effects)
 
     def _apply(self, replica: replicas.Replica) -> None:
@@ -384,7 +384,7 @@
         long = len(replica.log.entries) > SNAPSHOT_AFTER_ENTRIES
         if not long and self._store.size_bytes < SNAPSHOT_AFTER_BYTES:
             return
-        if replica.log.snapshot.index == replica.commit_index:
+        if replica.log.snapshot.index == replica.applied_index:
             return
         began_s = self._clock.monotonic_s()
         before_bytes = self._store.size_bytes
--- a/src/croftpulley/core/replication/log.py
+++ b/src/croftpulley/core/replication/log.py
@@ -43,13 +43,16 @@
         """Return an entry that is held."""
         return self.entries[index - self.snapshot.index - 1]
 
-    def slice(self, first_index: int, size_limit_bytes: int) -> tuple[messages.Entry, ...]:
-        """Return entries from ``first_index`` on: at least one, then as many as fit."""
+    def slice(self, first_index: int, length_limit: int) -> tuple[messages.Entry, ...]:
+        """Return entries from ``first_index`` on: at least one, then as many as fit.
+
+        ``length_limit`` counts the characters of their payloads.
+        """
         chosen: list[messages.Entry] = []
-        size_bytes = 0
+        length = 0
         for entry in self.entries[first_index - self.snapshot.index - 1 :]:
-            size_bytes += len(entry.payload)
-            if chosen and size_bytes > size_limit_bytes:
+            length += len(entry.payload)
+            if chosen and length > length_limit:
                 break
             chosen.append(entry)
         return tuple(chosen)
--- a/src/croftpulley/core/replication/messages.py
+++ b/src/croftpulley/core/replication/messages.py
@@ -54,12 +54,13 @@
 
 @attrs.frozen
 class Entry:
-    """One entry of the log."""
+    """One entry of the log; with ``continues`` its command goes on in the next entry."""
 
     term: int
     kind: EntryKind
     payload: str = ""
     members: Members | None = None
+    continues: bool = False
 
 
 @attrs.frozen
@@ -137,17 +138,36 @@
 
 @attrs.frozen(kw_only=True)
 class SnapshotRequest:
-    """The leader's snapshot, for a replica that is behind the log's beginning."""
+    """A part of the leader's snapshot, for a replica that is behind the log's beginning.
+
+    ``text`` begins at character ``offset`` of the state, which has ``length`` characters; the
+    other fields are those of the `Snapshot`.
+    """
 
     to: str
     term: int
     leader: str
-    snapshot: Snapshot
+    index: int
+    snapshot_term: int
+    members: Members
+    offset: int
+    length: int
+    text: str
+
+
+@attrs.frozen(kw_only=True)
+class SnapshotReply:
+    """The answer to a `SnapshotRequest`: the replica holds ``received`` characters of the state."""
+
+    replica: str
+    term: int
+    index: int
+    received: int
 
 
 @attrs.frozen(kw_only=True)
 class AppendReply:
-    """The answer to an `AppendRequest` or `SnapshotRequest`.
+    """The answer to an `AppendRequest`.
 
     Up to ``match_index`` the log agrees with the leader's if ``success``; otherwise the leader
     should go on from behind it.
@@ -176,4 +196,4 @@
 
 
 Request = VoteRequest | AppendRequest | SnapshotRequest
-Reply = VoteReply | AppendReply
+Reply = VoteReply | AppendReply | SnapshotReply
--- a/src/croftpulley/core/replication/progress.py
+++ b/src/croftpulley/core/replication/progress.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from croftpulley.core.replication import messages
+from croftpulley.core.replication import messages, parts
 
 
 @attrs.define
@@ -24,11 +24,29 @@
     acknowledged_sent_s: float = float("-inf")
     in_flight: bool = False
     sent_s: float = float("-inf")
+    outgoing: parts.OutgoingSnapshot | None = None
 
     def acknowledged(self, sent_s: float) -> None:
         """Note an answer to a request that was sent at ``sent_s``."""
         self.acknowledged_sent_s = max(self.acknowledged_sent_s, sent_s)
 
+    def holds(self, match_index: int) -> None:
+        """Note that the replica's log agrees up to ``match_index``."""
+        self.match_index = max(self.match_index, match_index)
+        self.next_index = self.match_index + 1
+
+    def received(self, reply: messages.SnapshotReply) -> None:
+        """Note how much of the snapshot under way the replica holds."""
+        if self.outgoing is not None and self.outgoing.is_received(reply):
+            self.outgoing = None
+            self.holds(reply.index)
+
+    def snapshot_part(self, newest: messages.Snapshot) -> parts.OutgoingSnapshot:
+        """Return the snapshot that is under way, or begin with ``newest``."""
+        if self.outgoing is None:
+            self.outgoing = parts.OutgoingSnapshot(newest)
+        return self.outgoing
+
 
 def quorum_value(values: list[float], quorum: int) -> float:
     """Return the largest value that at least ``quorum`` of ``values`` reach.
@@ -102,8 +120,8 @@
 
     def take_due(
         self, last_index: int, now_s: float, answer_s: float, pause_s: float | None
-    ) -> Iterator[tuple[str, int]]:
-        """Yield each replica to send to and the index to begin with, and count it as sent.
+    ) -> Iterator[tuple[str, Progress]]:
+        """Yield each replica to send to, and count it as sent.
 
         Those are due that lack entries, or were sent nothing for ``pause_s`` (``None``: only those
         that lack entries); a request under way is waited for at most ``answer_s``.
@@ -116,4 +134,4 @@
             if known.next_index <= last_index or paused:
                 known.in_flight = True
                 known.sent_s = now_s
-                yield name, known.next_index
+                yield name, known
--- a/src/croftpulley/core/replication/replica.py
+++ b/src/croftpulley/core/replication/replica.py
@@ -8,10 +8,7 @@
 import attrs
 
 from croftpulley.core.replication import log as logs
-from croftpulley.core.replication import membership, messages, progress, voting
-
-APPEND_SIZE_BYTES = 256 * 1024
-"""The payload of one append request; a large configuration still goes in one."""
+from croftpulley.core.replication import membership, messages, parts, progress, voting
 
 
 class Role(enum.Enum):
@@ -71,7 +68,10 @@
         self.leader = ""
         self.log = logs.Log(stored.snapshot, list(stored.entries))
         self.commit_index = stored.snapshot.index
+        self._taken_index = stored.snapshot.index
         self._applied_index = stored.snapshot.index
+        self._assembly = parts.Assembly()
+        self._incoming = parts.IncomingSnapshot()
         self._voted_for = stored.voted_for
         self._timing = timing
         self._chance = chance
@@ -100,6 +100,11 @@
         """Tell whether this replica should ask to be taken in."""
         return self.members.find(self.id) is None or self._unknown_to_others
 
+    @property
+    def applied_index(self) -> int:
+        """Up to which entry the caller has taken all commands whole."""
+        return self._applied_index
+
     def leader_address(self) -> str:
         """Return the address of the leader as last heard, empty if unknown."""
         member = self.members.find(self.leader)
@@ -350,19 +355,37 @@
     def _on_snapshot(self, request: messages.SnapshotRequest, now_s: float) -> Effects:
         effects = Effects()
         if request.term < self.term:
-            effects.reply = self._append_reply(False, 0)
+            effects.reply = self._snapshot_reply(request, 0)
             return effects
-        self._hear(request.term, request.leader, now_s)
-        snapshot = request.snapshot
-        if snapshot.index > self.commit_index:
-            self.log.compact(snapshot)
-            self.commit_index = snapshot.index
-            self._applied_index = snapshot.index
-            self._installed = snapshot
-        self._save(effects)
-        effects.reply = self._append_reply(True, snapshot.index)
+        if self._hear(request.term, request.leader, now_s):
+            self._save(effects)
+        if request.index <= self.commit_index:
+            effects.reply = self._snapshot_reply(request, request.length)
+            return effects
+        snapshot = self._incoming.take(request)
+        effects.reply = self._snapshot_reply(request, self._incoming.received)
+        if snapshot is not None:
+            self._install(snapshot)
+            self._save(effects)
         return effects
 
+    def _install(self, snapshot: messages.Snapshot) -> None:
+        """Begin the log anew from a snapshot that has arrived whole."""
+        self.log.compact(snapshot)
+        self.commit_index = snapshot.index
+        self._taken_index = snapshot.index
+        self._applied_index = snapshot.index
+        self._assembly.clear()
+        self._incoming.clear()
+        self._installed = snapshot
+
+    def _snapshot_reply(
+        self, request: messages.SnapshotRequest, received: int
+    ) -> messages.SnapshotReply:
+        return messages.SnapshotReply(
+            replica=self.id, term=self.term, index=request.index, received=received
+        )
+
     def _append_reply(self, success: bool, match_index: int) -> messages.AppendReply:
         return messages.AppendReply(
             replica=self.id, term=self.term, success=success, match_index=match_index
@@ -370,17 +393,29 @@
 
     # --- leading ------------------------------------------------------------------------------
 
-    def propose(self, payloads: list[str], now_s: float) -> tuple[Effects, int]:
-        """Append commands; return the index of the first, 0 if this replica does not lead."""
+    def propose(self, payloads: list[str], now_s: float) -> tuple[Effects, tuple[int, ...]]:
+        """Append commands; return the index of each one's last entry.
+
+        There are no indexes where this replica does not lead.
+        """
         effects = Effects()
         if self.role is not Role.LEADER:
-            return effects, 0
-        first_index = self.log.last_index + 1
-        entries = [self._entry(messages.EntryKind.COMMAND, payload) for payload in payloads]
+            return effects, ()
+        entries: list[messages.Entry] = []
+        indexes: list[int] = []
+        for payload in payloads:
+            entries += self._command_entries(payload)
+            indexes.append(self.log.last_index + len(entries))
         self._append(tuple(entries), effects)
         self._advance()
         self._send_appends(now_s, effects, heartbeat=False)
-        return effects, first_index
+        return effects, tuple(indexes)
+
+    def _command_entries(self, payload: str) -> list[messages.Entry]:
+        *before, last = parts.split(payload)
+        kind = messages.EntryKind.COMMAND
+        entries = [messages.Entry(self.term, kind, part, continues=True) for part in before]
+        return [*entries, messages.Entry(self.term, kind, last)]
 
     def admit(self, request: messages.JoinRequest, now_s: float) -> tuple[Effects, bool]:
         """Take a replica in as a learner; return whether it is in the set now."""
@@ -399,9 +434,11 @@
 
     def reply(self, reply: messages.Reply, sent_s: float, now_s: float) -> Effects:
         """Handle the answer to a request that was sent at ``sent_s``."""
-        if isinstance(reply, messages.VoteReply):
-            return self._on_vote_reply(reply, now_s)
-        return self._on_append_reply(reply, sent_s, now_s)
+        match reply:
+            case messages.VoteReply():
+                return self._on_vote_reply(reply, now_s)
+            case messages.AppendReply() | messages.SnapshotReply():
+                return self._on_progress(reply, sent_s, now_s)
 
     def failed(self, replica: str, now_s: float) -> None:
         """Note that a request to ``replica`` got no answer."""
@@ -409,7 +446,9 @@
         if known is not None:
             known.in_flight = False
 
-    def _on_append_reply(self, reply: messages.AppendReply, sent_s: float, now_s: float) -> Effects:
+    def _on_progress(
+        self, reply: messages.AppendReply | messages.SnapshotReply, sent_s: float, now_s: float
+    ) -> Effects:
         effects = Effects()
         if reply.term > self.term:
             self._follow(reply.term, "", now_s)
@@ -420,22 +459,20 @@
             return effects
         known.in_flight = False
         known.acknowledged(sent_s)
-        if reply.success:
-            known.match_index = max(known.match_index, reply.match_index)
-            known.next_index = known.match_index + 1
-            self._advance()
+        if isinstance(reply, messages.SnapshotReply):
+            known.received(reply)
+        elif reply.success:
+            known.holds(reply.match_index)
         else:
             known.next_index = max(1, min(known.next_index - 1, reply.match_index + 1))
+        self._advance()
         self._send_appends(now_s, effects, heartbeat=False)
         return effects
 
     def _entry(
-        self,
-        kind: messages.EntryKind,
-        payload: str = "",
-        members: messages.Members | None = None,
+        self, kind: messages.EntryKind, members: messages.Members | None = None
     ) -> messages.Entry:
-        return messages.Entry(self.term, kind, payload, members)
+        return messages.Entry(self.term, kind, members=members)
 
     def _append(self, entries: tuple[messages.Entry, ...], effects: Effects) -> None:
         first_index = self.log.last_index + 1
@@ -466,26 +503,40 @@
         self._others.follow(self.members, self.log.last_index + 1, now_s)
         pause_s = timing.heartbeat_s if heartbeat else None
         due = self._others.take_due(self.log.last_index, now_s, timing.answer_s, pause_s)
-        for replica, next_index in due:
-            effects.sends.append(self._append_request(replica, next_index))
+        for replica, known in due:
+            effects.sends.append(self._append_request(replica, known))
 
-    def _append_request(self, replica: str, next_index: int) -> messages.Request:
-        previous_index = next_index - 1
+    def _append_request(self, replica: str, known: progress.Progress) -> messages.Request:
+        previous_index = known.next_index - 1
         previous_term = self.log.term_at(previous_index)
         if previous_term is None:
-            return messages.SnapshotRequest(
-                to=replica, term=self.term, leader=self.id, snapshot=self.log.snapshot
-            )
+            return self._snapshot_request(replica, known.snapshot_part(self.log.snapshot))
         return messages.AppendRequest(
             to=replica,
             term=self.term,
             leader=self.id,
             previous_index=previous_index,
             previous_term=previous_term,
-            entries=self.log.slice(next_index, APPEND_SIZE_BYTES),
+            entries=self.log.slice(known.next_index, parts.PART_LENGTH),
             commit_index=self.commit_index,
         )
 
+    def _snapshot_request(
+        self, replica: str, outgoing: parts.OutgoingSnapshot
+    ) -> messages.SnapshotRequest:
+        snapshot = outgoing.snapshot
+        return messages.SnapshotRequest(
+            to=replica,
+            term=self.term,
+            leader=self.id,
+            index=snapshot.index,
+            snapshot_term=snapshot.term,
+            members=snapshot.members,
+            offset=outgoing.offset,
+            length=len(snapshot.state),
+            text=outgoing.text,
+        )
+
     # --- applying -----------------------------------------------------------------------------
 
     def take_installed(self) -> messages.Snapshot | None:
@@ -498,12 +549,19 @@
         return installed
 
     def take_committed(self) -> list[tuple[int, messages.Entry]]:
-        """Return the committed entries that were not taken yet, with their indexes."""
-        taken = [
-            (index, self.log.entry(index))
-            for index in range(self._applied_index + 1, self.commit_index + 1)
-        ]
-        self._applied_index = self.commit_index
+        """Return the committed entries that were not taken yet, with their indexes.
+
+        A command in several entries is returned whole, at the index of the last of them.
+        """
+        taken: list[tuple[int, messages.Entry]] = []
+        for index in range(self._taken_index + 1, self.commit_index + 1):
+            entry = self._assembly.take(self.log.entry(index))
+            if entry is not None:
+                taken.append((index, entry))
+            if self._assembly.is_whole:
+                # A snapshot must not stand for a part of a command.
+                self._applied_index = index
+        self._taken_index = self.commit_index
         return taken
 
     def snapshot(self, state: str) -> messages.Snapshot:
--- a/src/croftpulley/storage/commands.py
+++ b/src/croftpulley/storage/commands.py
@@ -1,4 +1,7 @@
-"""How commands of the agreed state are written as log records: JSON, with the command's name."""
+"""How commands of the agreed state are written as log records: JSON, with the command's name.
+
+Long ones are packed (`packed_text`).
+"""
 
 from __future__ import annotations
 
@@ -11,17 +14,20 @@
 from cattrs.preconf import orjson as orjson_converter
 
 from croftpulley.core import agreed
+from croftpulley.storage import packed_text
 
 
 def encode(command: agreed.Command) -> bytes:
     """Return the record for a command."""
-    return orjson.dumps(_converter().unstructure(command, agreed.Command))
+    record = orjson.dumps(_converter().unstructure(command, agreed.Command))
+    return packed_text.pack(record.decode()).encode()
 
 
 def decode(record: bytes) -> agreed.Command:
     """Return the command in a record; raises `ValueError` for a record of no known command."""
     try:
-        command: agreed.Command = _converter().structure(orjson.loads(record), _ANY_COMMAND)
+        document = orjson.loads(packed_text.unpack(record.decode()))
+        command: agreed.Command = _converter().structure(document, _ANY_COMMAND)
     except (KeyError, cattrs.BaseValidationError) as failure:
         raise ValueError(f"got a log record that holds no known command: {record[:80]!r}") from (
             failure
--- a/src/croftpulley/storage/state_codec.py
+++ b/src/croftpulley/storage/state_codec.py
@@ -1,4 +1,4 @@
-"""The agreed state as text, for snapshots: JSON."""
+"""The agreed state as text, for snapshots: JSON, packed if it is long (`packed_text`)."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from cattrs.preconf import orjson as orjson_converter
 
 from croftpulley.core import agreed, claims, membership, submissions
+from croftpulley.storage import packed_text
 
 _REGISTERS: Any = submissions.Submissions | submissions.HighestNumber
 
@@ -41,7 +42,7 @@
         boxes=tuple(state.boxes.values()),
         owners=tuple(state.owners.values()),
     )
-    return orjson.dumps(_CONVERTER.unstructure(document)).decode()
+    return packed_text.pack(orjson.dumps(_CONVERTER.unstructure(document)).decode())
 
 
 def restore(text: str, state: agreed.AgreedState) -> None:
@@ -52,7 +53,7 @@
     if not text:
         return
     try:
-        document = _CONVERTER.structure(orjson.loads(text), _Document)
+        document = _CONVERTER.structure(orjson.loads(packed_text.unpack(text)), _Document)
         register = _CONVERTER.structure(_upgraded(document.register), _REGISTERS)
     except (KeyError, cattrs.BaseValidationError) as failure:
         raise ValueError(f"got a snapshot that holds no state: {failure}") from failure
--- a/testing/core/replication/cluster.py
+++ b/testing/core/replication/cluster.py
@@ -125,7 +125,7 @@
     def propose(self, command: str) -> bool:
         """Propose at a leader, if there is one."""
         for machine in self.leaders():
-            effects, index = machine.running.propose([command], self.now_s)
+            effects, (index,) = machine.running.propose([command], self.now_s)
             self.waiting[(index, machine.running.term)] = command
             self.carry_out(machine, effects)
             return True
@@ -218,7 +218,7 @@
         linked = frozenset((message.source, message.target)) not in self.cut
         if target is None or not target.alive or not linked:
             return
-        if isinstance(message.body, (messages.VoteReply, messages.AppendReply)):
+        if isinstance(message.body, messages.Reply):
             effects = target.running.reply(message.body, message.sent_s, self.now_s)
             self.carry_out(target, effects)
             return
--- a/testing/core/replication/test_large_entries.py
+++ b/testing/core/replication/test_large_entries.py
@@ -22,7 +22,8 @@
 import pytest
 
 from core.replication import cluster as clusters
-from croftpulley.core.replication import messages, replica
+from croftpulley.core.replication import messages, parts, replica
+from croftpulley.transport import json_codec
 
 SEEDS = range(3)
 ADDRESSES = tuple(f"{name}:1" for name in "abcdefg")
@@ -102,4 +103,66 @@
         quorum_s = leader.running.authority_until_s(cluster.now_s)
         assert quorum_s > cluster.now_s, "a quorum follows all the while"
     assert leader.running.role is replica.Role.LEADER
-    assert messages.EntryKind.COMMAND in {each.kind for each in leader.running.log.entries}
+    assert len(cluster.acknowledged) == 1
+
+
+def test_parts_of_a_command_whose_leader_was_lost_are_left_out():
+    assembly = parts.Assembly()
+    kind = messages.EntryKind.COMMAND
+    assert assembly.take(messages.Entry(1, kind, "lost", continues=True)) is None
+    start = messages.Entry(2, messages.EntryKind.START)
+    assert assembly.take(start) is start
+    assert assembly.is_whole
+    after = messages.Entry(2, kind, "after")
+    assert assembly.take(after) == after
+
+
+def test_a_snapshot_stands_for_no_part_of_a_command():
+    cluster = settled(1)
+    (leader,) = cluster.leaders()
+    cluster.propose(large_text(200_000))
+    while leader.running.commit_index < 3:
+        cluster.step()
+    assert leader.running.commit_index < leader.running.log.last_index
+    assert leader.running.applied_index == 1, "the entry with which the term began"
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_parts_of_snapshots_of_two_leaders_are_never_put_together(seed):
+    chance = random.Random(seed)
+    texts = {term: large_text(5 * parts.PART_LENGTH, term) for term in (4, 5)}
+    incoming = parts.IncomingSnapshot()
+    whole = []
+    for _ in range(300):
+        term = chance.choice((4, 5)) if chance.random() < 0.1 else incoming.term or 4
+        offset = 0 if term != incoming.term else incoming.received
+        if chance.random() < 0.1:
+            offset = chance.randrange(5) * parts.PART_LENGTH
+        text = texts[term][offset : offset + parts.PART_LENGTH]
+        request = messages.SnapshotRequest(
+            to="a",
+            term=term,
+            leader="b",
+            index=9,
+            snapshot_term=3,
+            members=messages.Members(),
+            offset=offset,
+            length=len(texts[term]),
+            text=text,
+        )
+        snapshot = incoming.take(request)
+        if snapshot is not None:
+            whole.append(snapshot.state)
+            incoming.clear()
+    assert whole
+    assert set(whole) <= set(texts.values())
+
+
+def test_no_request_is_long_whatever_is_replicated():
+    cluster = settled(1)
+    cluster.propose(large_text(1_500_000))
+    sizes_bytes = []
+    for _ in range(200):
+        cluster.step()
+        sizes_bytes += [len(json_codec.encode(each.body)) for each in cluster.network]
+    assert 1.5 * parts.PART_LENGTH > max(sizes_bytes) > parts.PART_LENGTH
