Failing tests: a state beyond the limit of a log file is written anew at each entry

With a state of 2 MiB and a byte more, each of 4 of 5 further entries of 100 bytes had the whole state written and synced anew before the next was taken (the fifth races with the end of the test). Nine tests fail for want of the mend.

--- a/testing/controllers/test_replica_sight.py
+++ b/testing/controllers/test_replica_sight.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import random
 
 import pytest
@@ -78,6 +79,20 @@
     assert line.size_bytes > 0
 
 
+def test_a_state_beyond_the_limit_is_not_written_anew_at_each_further_entry(start, caplog):
+    caplog.set_level("INFO")
+    _, view, log = start()
+    wait_until(lambda: view.get().role is replicas.Role.LEADER, "it leads")
+    document = json.dumps("x" * (replica.SNAPSHOT_AFTER_BYTES + 1))
+    submission = submissions.Submission("operator", 1, document)
+    log.propose(agreed.SubmitConfiguration(submission)).get(timeout=5)
+    wait_until(lambda: logged(caplog, events.Event.LOG_COMPACTED), "the log was compacted")
+    for number in range(5):
+        log.propose(agreed.GrantOwnership(f"engine-{number}", "a")).get(timeout=5)
+    (line,) = logged(caplog, events.Event.LOG_COMPACTED)
+    assert line.size_bytes > replica.SNAPSHOT_AFTER_BYTES
+
+
 def test_a_new_role_is_logged_with_how_far_the_log_goes_and_is_committed(start, caplog):
     caplog.set_level("INFO")
     _, view, _ = start()
--- a/testing/storage/test_replica_store.py
+++ b/testing/storage/test_replica_store.py
@@ -51,6 +51,55 @@
     assert [path.name for path in tmp_path.glob("log-*")] == ["log-00000002"]
 
 
+def state_of(size_bytes):
+    return messages.Stored(1, "a", messages.Snapshot(1, 1, MEMBERS, "x" * size_bytes))
+
+
+def test_what_was_added_counts_from_the_beginning_of_the_generation(store):
+    assert store.added_bytes == 0
+    store.write(messages.Write(1, "a", 1, (entry("x"),)))
+    assert 0 < store.added_bytes < store.size_bytes
+    store.rewrite(state_of(1000))
+    assert store.added_bytes == 0
+
+
+def test_what_was_added_is_known_when_a_generation_is_loaded(store, tmp_path):
+    store.rewrite(state_of(1000))
+    store.write(messages.Write(1, "a", 2, (entry("x"),)))
+    again = replica_store.ReplicaStore(tmp_path)
+    again.load(messages.Stored())
+    assert again.added_bytes == store.added_bytes > 0
+    assert again.size_bytes == store.size_bytes
+    again.close()
+
+
+@pytest.mark.parametrize(
+    ("base_bytes", "added_bytes", "outgrown"),
+    [
+        (100, 1500, False),  # less than the least
+        (100, 2500, True),
+        (4000, 2500, False),  # less than the base
+        (4000, 4500, True),
+        (12_000_000, 8_000_000, False),
+        (
+            12_000_000,
+            9_000_000,
+            True,
+        ),  # less than the base, but more than a small disk has room for
+    ],
+)
+def test_a_generation_is_outgrown_by_as_much_as_it_began_with_within_bounds(
+    store, tmp_path, base_bytes, added_bytes, outgrown
+):
+    store.rewrite(state_of(base_bytes))
+    store.write(messages.Write(1, "a", 2, (entry("x" * added_bytes),)))
+    assert store.has_outgrown(least_bytes=2000) is outgrown
+    again = replica_store.ReplicaStore(tmp_path)
+    again.load(messages.Stored())
+    assert again.has_outgrown(least_bytes=2000) is outgrown
+    again.close()
+
+
 def test_an_old_generation_that_came_back_does_not_count(store, tmp_path):
     store.write(messages.Write(1, "a", 1, (entry("x"),)))
     old = (tmp_path / "log-00000001").read_bytes()
