A log file is written anew by what was added to it, not by how large it is

Ruled out: the limit of 128 entries; a state of 1 MB is not written anew.

Change: ReplicaStore knows what was added since its generation was begun, also after a load. A generation is outgrown once as much was added as it began with, 2 MiB at least and 8 MiB at most (room on a disk of 64 MB).

--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -30,7 +30,8 @@
 JOIN_PATH = "/v1/replica/joins"
 SNAPSHOT_AFTER_ENTRIES = 128
 SNAPSHOT_AFTER_BYTES = 2 * 1024 * 1024
-"""A log file is written anew beyond either: restarts stay short and a small disk is never full."""
+"""A log file is written anew when more than either was added since it was begun, or as much as it
+began with if that is more: restarts stay short and a small disk has room for it."""
 LOGGED_SIZE_BYTES = 64 * 1024
 """A request this large that gets no answer is logged each time: its size may be why."""
 _JOIN_INTERVAL_S = 0.3
@@ -382,7 +383,7 @@
 
     def _compact(self, replica: replicas.Replica) -> None:
         long = len(replica.log.entries) > SNAPSHOT_AFTER_ENTRIES
-        if not long and self._store.size_bytes < SNAPSHOT_AFTER_BYTES:
+        if not long and not self._store.has_outgrown(SNAPSHOT_AFTER_BYTES):
             return
         if replica.log.snapshot.index == replica.commit_index:
             return
--- a/src/croftpulley/storage/record_log.py
+++ b/src/croftpulley/storage/record_log.py
@@ -85,6 +85,11 @@
     return RecordLog(file, whole_bytes), Replay(tuple(payloads), len(data) - whole_bytes)
 
 
+def size_bytes(payload: bytes) -> int:
+    """Return how much of a file the record of a payload takes."""
+    return _HEADER.size + len(payload)
+
+
 def _encode(payload: bytes) -> bytes:
     length = struct.pack("<I", len(payload))
     return _HEADER.pack(len(payload), zlib.crc32(length + payload)) + payload
--- a/src/croftpulley/storage/replica_store.py
+++ b/src/croftpulley/storage/replica_store.py
@@ -24,6 +24,14 @@
 _GENERATION = re.compile(r"log-(\d{8})")
 _CONVERTER = orjson_converter.make_converter()
 
+ADDED_LIMIT_BYTES = 8 * 1024 * 1024
+"""A generation to which this much was added is outgrown, however large it began.
+
+Just before the old generation is removed, a disk holds its beginning, what was added and the new
+one: with this limit and an entry as large as the state, a disk of 64 MB suffices for a state of
+18 MB.
+"""
+
 OpenFile = Callable[[pathlib.Path], files.AppendFile]
 
 
@@ -57,6 +65,7 @@
         self._open_file = open_file
         self._log: record_log.RecordLog | None = None
         self._generation = 0
+        self._base_bytes = 0
 
     def load(self, fresh: messages.Stored) -> messages.Stored:
         """Open the newest whole generation and return what it holds, ``fresh`` if there is none.
@@ -72,6 +81,7 @@
             if replay.payloads:
                 self._log = log
                 self._generation = generation
+                self._base_bytes = record_log.size_bytes(replay.payloads[0])
                 return _replayed(replay.payloads)
             log.close()
         self.rewrite(fresh)
@@ -99,6 +109,7 @@
         self.close()
         self._log = log
         self._generation = generation
+        self._base_bytes = log.size_bytes
         self._remove_before(generation)
 
     @property
@@ -106,6 +117,20 @@
         """How large the present generation is."""
         return self._log.size_bytes if self._log is not None else 0
 
+    @property
+    def added_bytes(self) -> int:
+        """How much was added since the present generation was begun."""
+        return self.size_bytes - self._base_bytes if self._log is not None else 0
+
+    def has_outgrown(self, least_bytes: int) -> bool:
+        """Tell whether the present generation should be written anew.
+
+        That is when as much was added as it began with, so that writing it anew costs no more
+        than what was added did; but not before ``least_bytes``, and at `ADDED_LIMIT_BYTES` in any
+        case.
+        """
+        return self.added_bytes >= min(max(least_bytes, self._base_bytes), ADDED_LIMIT_BYTES)
+
     def close(self) -> None:
         """Close the file."""
         if self._log is not None:
