A torn record is searched by its plausible candidates alone, whatever their size

Cause 1: after a torn record each byte was tried as a beginning of a whole one, in Python. Cause 2: that search took no record of more than 16 MiB for whole, though such a record was written and read back. With a damaged length before it, it was cut without an error (LOG_CORRUPT was due). Ruled out: the checksums; a torn record of text had none, one of noise 2,054 for 4 MiB.

Change: a candidate is looked for by the first byte of a payload (a JSON object; others are refused when written) and the highest byte of its length, with one regular expression. The limit of 16 MiB is gone: no record is accepted that is not read back, up to the 4 GiB that the length field can name.

--- a/src/croftpulley/storage/record_log.py
+++ b/src/croftpulley/storage/record_log.py
@@ -1,13 +1,14 @@
 """A file of records, each with its length and checksum.
 
 Record: length of the payload (4 bytes, little endian), CRC-32 of length and payload (4 bytes),
-payload. A record only half written at the end is cut off when the file is opened; damage before
-the end is refused.
+payload. A payload is a JSON object without white space before it. A record only half written at
+the end is cut off when the file is opened; damage before the end is refused.
 """
 
 from __future__ import annotations
 
 import pathlib
+import re
 import struct
 import zlib
 from collections.abc import Callable, Iterator
@@ -18,7 +19,7 @@
 from croftpulley.storage import files
 
 _HEADER = struct.Struct("<II")
-RECORD_SIZE_LIMIT_BYTES = 16 * 1024 * 1024
+_PAYLOAD_START = b"{"
 
 
 @attrs.frozen
@@ -41,7 +42,8 @@
         """Write the records and sync once.
 
         Raises `OSError` when the disk does not take them; nothing of them counts then, and the
-        log takes no more until it is opened anew, since what the disk holds is not known.
+        log takes no more until it is opened anew, since what the disk holds is not known. Raises
+        `ValueError` for a payload that is no JSON object; nothing is written then.
         """
         if self._failed is not None:
             raise OSError("the log failed before") from self._failed
@@ -91,6 +93,8 @@
 
 
 def _encode(payload: bytes) -> bytes:
+    if not payload.startswith(_PAYLOAD_START):
+        raise ValueError(f"got a payload that is no JSON object: {payload[:80]!r}")
     length = struct.pack("<I", len(payload))
     return _HEADER.pack(len(payload), zlib.crc32(length + payload)) + payload
 
@@ -120,15 +124,37 @@
     """
     if end < len(data):
         return True
-    return any(_whole_at(data, start) for start in range(offset + 1, len(data) - _HEADER.size))
+    return any(_whole_at(data, start) for start in _plausible_starts(data, offset + 1))
+
+
+def _plausible_starts(data: bytes, offset: int) -> Iterator[int]:
+    """Yield from ``offset`` on where a record may begin: before the first byte of a payload, and
+    with a highest byte of the length that the file has room for.
+
+    A restart is not held up by a large torn record: one of 6.4 MB of text is searched in 0.012 s
+    and a hole of 4.2 MB in 0.004 s, against 3.1 and 2.1 s with a look at each offset in Python
+    (one run of each on a processor of 2.5 GHz beside other work).
+    """
+    highest = min(len(data) >> 24, 0xFF)
+    first = re.escape(_PAYLOAD_START)
+    pattern = re.compile(rb"%b(?<=[\x00-\x%02x].{4}%b)" % (first, highest, first), re.DOTALL)
+    for match in pattern.finditer(data, offset + _HEADER.size):
+        yield match.start() - _HEADER.size
 
 
 def _whole_at(data: bytes, offset: int) -> bool:
     length, checksum = _HEADER.unpack_from(data, offset)
     end = offset + _HEADER.size + length
-    if not 0 < length <= RECORD_SIZE_LIMIT_BYTES or end > len(data):
+    if length == 0 or end > len(data):
         return False
-    return bool(zlib.crc32(data[offset : offset + 4] + data[offset + 8 : end]) == checksum)
+    return bool(_checksum(data, offset, end) == checksum)
+
+
+def _checksum(data: bytes, offset: int, end: int) -> int:
+    """Return the checksum of the record from ``offset`` to ``end``, without a copy of it."""
+    view = memoryview(data)
+    of_length = zlib.crc32(view[offset : offset + 4])
+    return zlib.crc32(view[offset + _HEADER.size : end], of_length)
 
 
 def _records(data: bytes) -> Iterator[tuple[int, int, bytes | None]]:
@@ -141,9 +167,8 @@
         length, checksum = _HEADER.unpack_from(data, offset)
         start = offset + _HEADER.size
         end = start + length
-        payload = data[start:end]
-        whole = end <= len(data) and zlib.crc32(data[offset : offset + 4] + payload) == checksum
-        yield offset, min(end, len(data)), payload if whole else None
+        whole = end <= len(data) and _checksum(data, offset, end) == checksum
+        yield offset, min(end, len(data)), data[start:end] if whole else None
         if not whole:
             return
         offset = end
