--- a/src/croftpulley/storage/packed_text.py
+++ b/src/croftpulley/storage/packed_text.py
@@ -12,8 +12,9 @@
 from croftpulley import errors
 from croftpulley.transport import packing
 
-PREFIX = "zlib,base64:"
-"""Stands before a packed text; no JSON document begins so."""
+PREFIX = '{"zlib_base64":"'
+SUFFIX = '"}'
+"""Around a packed text: every record is a JSON object."""
 PACKED_FROM_LENGTH = 4 * 1024
 """Shorter texts stay readable on the disk: packing them would save next to nothing."""
 
@@ -26,7 +27,7 @@
     """
     if len(text) < PACKED_FROM_LENGTH:
         return text
-    return PREFIX + base64.b64encode(packing.pack(text)).decode()
+    return PREFIX + base64.b64encode(packing.pack(text)).decode() + SUFFIX
 
 
 def unpack(text: str) -> str:
@@ -34,6 +35,7 @@
     if not text.startswith(PREFIX):
         return text
     try:
-        return packing.unpack(base64.b64decode(text[len(PREFIX) :], validate=True))
+        encoded = text.removeprefix(PREFIX).removesuffix(SUFFIX)
+        return packing.unpack(base64.b64decode(encoded, validate=True))
     except (binascii.Error, errors.CroftpulleyError) as failure:
         raise ValueError(f"got a text that cannot be unpacked: {failure}") from failure
