The last step of forwarding is split into modules of one job each

Cause: forwarding/relay.py had 342 lines and did six things: sent attempts, read the heads of answers, decided on repeats, went from endpoint to endpoint, went on with streams, and worked out what the caller is told.

The pool of a request was worked out in two places and is a property of the exchange now. Ruled out: wiring each part in daemons/router.py, which would have to know how the relay is built; its constructor is as before.

Behaviour as before, but for one field: `logger` of log lines names the module that writes them, so events of attempts, repeats and resumptions name the new modules.

--- /dev/null
+++ b/src/croftpulley/forwarding/attempt.py
@@ -0,0 +1,95 @@
+"""One attempt at one endpoint: sent, counted in, and counted out when it is closed."""
+
+from __future__ import annotations
+
+import attrs
+
+from croftpulley import clock as clocks
+from croftpulley import codes, errors
+from croftpulley.controllers import traffic
+from croftpulley.core import attempts, membership
+from croftpulley.forwarding import base, failures, headers, place, sender, vocabulary
+
+LEAST_BUDGET_S = 0.02
+"""With less time left than this no endpoint can answer; it is not asked."""
+
+
+@attrs.define
+class OpenAttempt:
+    """An attempt whose answer has begun: counted at its endpoint until it is closed."""
+
+    endpoint: membership.Endpoint
+    attempt: attempts.Attempt
+    answer: sender.Answer
+    counts: traffic.Traffic
+    reading_tokens: int = 0
+    closed: bool = False
+
+    def prompt_is_read(self) -> None:
+        """Note that the first event came: the prompt holds nobody up any more."""
+        tokens, self.reading_tokens = self.reading_tokens, 0
+        if tokens:
+            self.counts.end_reading(self.endpoint.name, tokens)
+
+    def close(self) -> None:
+        """Free the connection and count the attempt out; a second call does nothing."""
+        if not self.closed:
+            self.closed = True
+            self.answer.close()
+            self.prompt_is_read()
+            self.counts.leave(self.endpoint.name)
+
+
+class Opener:
+    """Sends attempts."""
+
+    def __init__(
+        self,
+        way: sender.Sender,
+        counts: traffic.Traffic,
+        names: vocabulary.Vocabulary,
+        clock: clocks.Clock,
+    ) -> None:
+        self._sender = way
+        self._counts = counts
+        self._names = names
+        self._clock = clock
+
+    def open(
+        self, exchange: base.Exchange, placed: place.Placed, last_event_id: str
+    ) -> OpenAttempt:
+        """Send the request to an endpoint and return once its answer has begun.
+
+        Raises `errors.CroftpulleyError`; nothing is counted at the endpoint then.
+        """
+        endpoint = placed.endpoint
+        budget_s = exchange.deadline_s - self._clock.monotonic_s()
+        if budget_s < LEAST_BUDGET_S:
+            late = errors.CroftpulleyError(codes.ResultCode.DEADLINE_PASSED)
+            raise failures.final(exchange, late)
+        attempt = exchange.attempts.begin(endpoint.name)
+        outgoing = headers.Outgoing(
+            endpoint=endpoint,
+            budget_s=budget_s,
+            last_event_id=last_event_id,
+            cache_from=placed.cache_from,
+        )
+        order = self._order(exchange, outgoing)
+        self._counts.enter(endpoint.name)
+        self._counts.begin_reading(exchange.facts, endpoint.name, placed.reading_tokens)
+        try:
+            answer = self._sender.send(order, attempt, exchange.token)
+        except BaseException:
+            self._counts.end_reading(endpoint.name, placed.reading_tokens)
+            self._counts.leave(endpoint.name)
+            raise
+        return OpenAttempt(endpoint, attempt, answer, self._counts, placed.reading_tokens)
+
+    def _order(self, exchange: base.Exchange, outgoing: headers.Outgoing) -> sender.Order:
+        return sender.Order(
+            endpoint=outgoing.endpoint,
+            method=exchange.request.method,
+            target=exchange.request.target,
+            headers=headers.to_endpoint(exchange, outgoing, self._names),
+            body=exchange.request.body,
+        )
--- a/src/croftpulley/forwarding/base.py
+++ b/src/croftpulley/forwarding/base.py
@@ -9,7 +9,7 @@
 
 from croftpulley import cancel, errors
 from croftpulley.controllers import router_state
-from croftpulley.core import attempts, calls
+from croftpulley.core import attempts, calls, tables
 from croftpulley.filters import steps
 from croftpulley.settings import fleet
 
@@ -67,6 +67,11 @@
             raise RuntimeError("the request has no route yet")
         return self.route
 
+    @property
+    def pool(self) -> str:
+        """The pool that the request goes to, for the steps after the one that finds its route."""
+        return tables.pool_for(self.known_route, self.facts.request_id)
+
     @property
     def workspace_name(self) -> str:
         """The workspace's name, empty if there is none."""
--- /dev/null
+++ b/src/croftpulley/forwarding/event_stream.py
@@ -0,0 +1,83 @@
+"""The events of a streamed answer, which goes on at another endpoint where the route allows it."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator
+
+from croftpulley import codes, errors
+from croftpulley.controllers import traffic
+from croftpulley.core import event_cut
+from croftpulley.forwarding import attempt, base, failover, retry
+from croftpulley.observe import events
+
+_LOG = logging.getLogger(__name__)
+
+
+class EventStream:
+    """Passes on whole events, so that a stream can go on behind the last one."""
+
+    def __init__(
+        self, endpoints: failover.Failover, repeats: retry.Retry, counts: traffic.Traffic
+    ) -> None:
+        self._failover = endpoints
+        self._retry = repeats
+        self._counts = counts
+
+    def events(
+        self, exchange: base.Exchange, current: attempt.OpenAttempt, tried: set[str]
+    ) -> Iterator[bytes]:
+        """Yield whole events from ``current`` and those that follow it; closes each.
+
+        Raises `errors.CroftpulleyError` if the stream broke off and does not go on; before the
+        first event no other endpoint is asked here.
+        """
+        cutter = event_cut.EventCutter()
+        cutter.last_id = exchange.facts.last_event_id
+        begun = False
+        try:
+            while True:
+                try:
+                    for whole in _whole_events(cutter, current):
+                        begun = True
+                        current.prompt_is_read()
+                        yield whole
+                    self._counts.answered(current.endpoint.name)
+                    return
+                except errors.CroftpulleyError as failure:
+                    if not begun:
+                        raise
+                    self._failover.broke_off(exchange, current, failure)
+                    if not cutter.last_id:
+                        # Events without ids: nothing says where to go on.
+                        raise
+                    self._retry.go_on_or_raise(exchange, failure)
+                cutter.drop_partial()
+                current = self._failover.begin(exchange, tried, cutter.last_id)
+                _log_resumed(exchange, current, cutter.last_id)
+        finally:
+            current.close()
+
+
+def _whole_events(cutter: event_cut.EventCutter, current: attempt.OpenAttempt) -> Iterator[bytes]:
+    """Yield what is whole; raises `errors.CroftpulleyError` if the answer ends within an event."""
+    for chunk in current.answer.chunks():
+        whole = cutter.feed(chunk)
+        if whole:
+            yield whole
+    if not cutter.is_between_events:
+        raise errors.CroftpulleyError(
+            codes.ResultCode.WORKER_BROKE,
+            f"{current.endpoint.address}: the stream ended within an event",
+            run_state=codes.RunState.RAN,
+        )
+
+
+def _log_resumed(exchange: base.Exchange, current: attempt.OpenAttempt, after_event: str) -> None:
+    events.emit(
+        _LOG,
+        events.Event.ANSWER_RESUMED,
+        request_id=exchange.facts.request_id,
+        endpoint=current.endpoint.name,
+        after_event=after_event,
+    )
--- /dev/null
+++ b/src/croftpulley/forwarding/failures.py
@@ -0,0 +1,63 @@
+"""Failed attempts: what the caller is told in the end, and the log lines on the way."""
+
+from __future__ import annotations
+
+import logging
+
+from croftpulley import codes, errors
+from croftpulley.core import membership
+from croftpulley.forwarding import base
+from croftpulley.observe import events
+
+_LOG = logging.getLogger(__name__)
+_UNAVAILABLE = 503
+_NOT_SERVED = (codes.ResultCode.WORKER_UNREACHABLE, codes.ResultCode.WORKER_BROKE)
+
+
+def final(exchange: base.Exchange, failure: errors.CroftpulleyError) -> errors.CroftpulleyError:
+    """Make what the caller is told: of all attempts, and 503 only if none can have run.
+
+    ``failure`` may be of a kind that is told otherwise than by what is known of all attempts.
+    """
+    run_state = exchange.attempts.run_state
+    code = failure.code
+    if exchange.token.reason is not None:
+        code = exchange.token.reason
+    elif run_state is codes.RunState.NOT_RUN and code in _NOT_SERVED:
+        code = codes.ResultCode.DECLINED
+    elif run_state is not codes.RunState.NOT_RUN and codes.INFO[code].http_status == _UNAVAILABLE:
+        code = codes.ResultCode.WORKER_BROKE
+    retry_after_s = failure.retry_after_s if code is failure.code else None
+    return errors.CroftpulleyError(
+        code, failure.detail, run_state=run_state, retry_after_s=retry_after_s
+    )
+
+
+def log_attempt(
+    exchange: base.Exchange, endpoint: membership.Endpoint, failure: errors.CroftpulleyError
+) -> None:
+    """Log that an attempt at an endpoint failed."""
+    events.emit(
+        _LOG,
+        events.Event.ENGINE_ATTEMPT_FAILED,
+        level=logging.WARNING,
+        request_id=exchange.facts.request_id,
+        engine=endpoint.name,
+        address=endpoint.address,
+        code=failure.code.name,
+        run_state=failure.run_state.label,
+        problem=failure.detail,
+    )
+
+
+def log_repeat(exchange: base.Exchange, failure: errors.CroftpulleyError) -> None:
+    """Log that another endpoint is asked after a failure."""
+    events.emit(
+        _LOG,
+        events.Event.REQUEST_REPEATED,
+        level=logging.WARNING,
+        request_id=exchange.facts.request_id,
+        attempts=len(exchange.attempts.attempts),
+        code=failure.code.name,
+        run_state=failure.run_state.label,
+    )
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -9,7 +9,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import traffic
-from croftpulley.core import membership, places, selection, tables
+from croftpulley.core import membership, places, selection
 from croftpulley.forwarding import base, steer
 from croftpulley.observe import events
 
@@ -46,7 +46,7 @@
 
     def choose(self, exchange: base.Exchange, tried: set[str]) -> Placed:
         """Return the endpoint for the next attempt; raises NO_ENGINE if none is left."""
-        pool = tables.pool_for(exchange.known_route, exchange.facts.request_id)
+        pool = exchange.pool
         members = [each for each in exchange.state.endpoints if each.pool == pool]
         endpoints = [each for each in members if not each.leaving and each.name not in tried]
         held_tokens = self._held_tokens(exchange, members)
--- /dev/null
+++ b/src/croftpulley/forwarding/retry.py
@@ -0,0 +1,46 @@
+"""Whether another endpoint may be asked after a failure.
+
+That depends on whether the endpoint can have run the request (`attempts.Attempt`) and on whether
+it may run again (`fleet.Route.may_repeat`), never on which exception was caught.
+"""
+
+from __future__ import annotations
+
+from croftpulley import clock as clocks
+from croftpulley import codes, errors
+from croftpulley.controllers import traffic
+from croftpulley.core import attempts
+from croftpulley.forwarding import attempt, base, failures
+
+MOST_SENDS = 4
+"""How many endpoints a request is sent to at most, those that declined it counted too."""
+
+
+class Retry:
+    """Decides on repeats, within the routers' common budget."""
+
+    def __init__(self, counts: traffic.Traffic, clock: clocks.Clock) -> None:
+        self._counts = counts
+        self._clock = clock
+
+    def may_go_on(self, exchange: base.Exchange, failure: errors.CroftpulleyError) -> bool:
+        """Tell whether another endpoint may be asked; takes one repeat from the budget if so."""
+        if exchange.token.reason is not None:
+            return False
+        log = exchange.attempts.attempts
+        ran = sum(each.run_state is not codes.RunState.NOT_RUN for each in log)
+        if len(log) >= MOST_SENDS or ran >= exchange.known_route.attempts:
+            return False
+        if failure.run_state is not codes.RunState.NOT_RUN and not exchange.known_route.may_repeat:
+            return False
+        if self._clock.monotonic_s() + attempt.LEAST_BUDGET_S >= exchange.deadline_s:
+            return False
+        if log and log[-1].phase is attempts.Phase.UNSENT:
+            return True
+        return self._counts.may_repeat(exchange.pool, len(exchange.state.boxes))
+
+    def go_on_or_raise(self, exchange: base.Exchange, failure: errors.CroftpulleyError) -> None:
+        """Return if another endpoint may be asked, else raise what the caller is told."""
+        if not self.may_go_on(exchange, failure):
+            raise failures.final(exchange, failure) from failure
+        failures.log_repeat(exchange, failure)
