A decision without arms builds nothing for programs and works the cap out once

Change: Arms.is_empty (no arm has a weight); Steering.chosen returns at once there. What a Prompt is made of stood in place.py and emulator/choosers.py and is Prompt.of now; the shared tokens are summed in one place. Decisions are the same. Ruled out: working the fit out within Steering, which would do it twice for prompts.

Checks: core/test_forwarded.py, emulator, policy, forwarding, daemons/test_own_interface.py: 177 passed.

--- a/src/croftpulley/core/calls.py
+++ b/src/croftpulley/core/calls.py
@@ -33,6 +33,11 @@
         """The tokens of the whole prompt."""
         return sum(part.tokens for part in self.prompt)
 
+    @property
+    def shared_tokens(self) -> int:
+        """The tokens of the beginning that other requests have too."""
+        return sum(part.tokens for part in self.shared)
+
 
 def parse_prompt(text: str) -> tuple[PromptPart, ...]:
     """Read ``ID:TOKENS,ID:TOKENS``; what is malformed says nothing and is left out.
--- a/src/croftpulley/core/selection.py
+++ b/src/croftpulley/core/selection.py
@@ -15,7 +15,7 @@
 
 import attrs
 
-from croftpulley.core import choice
+from croftpulley.core import calls, choice
 
 
 @attrs.frozen(kw_only=True)
@@ -76,6 +76,15 @@
     tokens: int
     shared_tokens: int
 
+    @classmethod
+    def of(cls, facts: calls.CallFacts) -> Prompt:
+        """Return the prompt of a request whose beginning others share."""
+        return cls(
+            key=facts.shared[-1].part,
+            tokens=facts.prompt_tokens,
+            shared_tokens=facts.shared_tokens,
+        )
+
 
 @attrs.frozen(kw_only=True)
 class Reading:
@@ -115,18 +124,14 @@
 
 
 def for_prompt(
-    prompt: Prompt,
-    candidates: Sequence[Candidate],
-    most_held_tokens: int,
-    spill: Spill,
-    rates: Rates,
+    prompt: Prompt, fit: Sequence[Candidate], most_held_tokens: int, rates: Rates
 ) -> Candidate:
-    """Choose a holder, else the engine that can begin soonest; ``candidates`` is not empty.
+    """Choose a holder, else the engine that can begin soonest.
 
-    ``most_held_tokens`` is how much of the prompt any engine holds, also one that is leaving.
+    ``fit`` are those that may take one more (`Spill.fit`), at least one. ``most_held_tokens`` is
+    how much of the prompt any engine holds, also one that is leaving.
     """
-    fit = {each.name: each for each in spill.fit(candidates)}
-    holders = [each for each in fit.values() if each.held_tokens >= prompt.shared_tokens]
+    holders = [each for each in fit if each.held_tokens >= prompt.shared_tokens]
     if holders:
         return min(holders, key=lambda each: (each.load, each.name))
 
@@ -136,7 +141,8 @@
         tie_ms = rates.load_ms * candidate.load + rates.rank_ms * rank
         return wait_ms + rates.read_weight * own_ms + tie_ms
 
-    ranked = [fit[name] for name in choice.order(prompt.key, fit)]
+    by_name = {each.name: each for each in fit}
+    ranked = [by_name[name] for name in choice.order(prompt.key, by_name)]
     costs_ms = [cost_ms(rank, each) for rank, each in enumerate(ranked)]
     return ranked[costs_ms.index(min(costs_ms))]
 
--- a/src/croftpulley/emulator/choosers.py
+++ b/src/croftpulley/emulator/choosers.py
@@ -62,8 +62,8 @@
     ) -> selection.Candidate:
         """Return the choice of `selection.for_prompt`."""
         most = max(each.held_tokens for each in candidates)
-        spill = selection.Spill()
-        return selection.for_prompt(_prompt(facts), candidates, most, spill, selection.Rates())
+        fit = selection.Spill().fit(candidates)
+        return selection.for_prompt(selection.Prompt.of(facts), fit, most, selection.Rates())
 
 
 class ByProgram(Chooser):
@@ -76,7 +76,7 @@
         self, facts: calls.CallFacts, candidates: Sequence[selection.Candidate]
     ) -> selection.Candidate:
         """Return the program's choice; raises `language.ProgramError`."""
-        prompt = _prompt(facts)
+        prompt = selection.Prompt.of(facts)
         request = arms.Request(
             key=prompt.key,
             prompt_tokens=prompt.tokens,
@@ -88,11 +88,3 @@
         most = max(each.held_tokens for each in candidates)
         chosen = arms.chosen(self._arm, request, selection.Spill().fit(candidates), most)
         return chosen or candidates[0]
-
-
-def _prompt(facts: calls.CallFacts) -> selection.Prompt:
-    return selection.Prompt(
-        key=facts.shared[-1].part,
-        tokens=facts.prompt_tokens,
-        shared_tokens=sum(part.tokens for part in facts.shared),
-    )
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -60,11 +60,7 @@
             )
         prompt = _prompt(exchange)
         most = max(held_tokens.values(), default=0)
-        if prompt is None:
-            built_in = selection.least_busy(exchange.facts.request_id, candidates, self._hall)
-        else:
-            built_in = selection.for_prompt(prompt, candidates, most, self._spill, self._rates)
-        chosen = self._programs.chosen(exchange, self._spill.fit(candidates), most, built_in)
+        chosen = self._chosen(exchange, prompt, candidates, most)
         if prompt is None:
             placed = Placed(endpoint=_named(endpoints, chosen.name))
         else:
@@ -72,6 +68,25 @@
         self._log(exchange, chosen, candidates, now_s)
         return placed
 
+    def _chosen(
+        self,
+        exchange: base.Exchange,
+        prompt: selection.Prompt | None,
+        candidates: list[selection.Candidate],
+        most_held_tokens: int,
+    ) -> selection.Candidate:
+        """Return the choice of the request's arm, or the built-in one."""
+        if prompt is None:
+            built_in = selection.least_busy(exchange.facts.request_id, candidates, self._hall)
+            # The built-in choice needs no cap here; only programs do.
+            if exchange.state.tables.arms.is_empty:
+                return built_in
+            fit = self._spill.fit(candidates)
+        else:
+            fit = self._spill.fit(candidates)
+            built_in = selection.for_prompt(prompt, fit, most_held_tokens, self._rates)
+        return self._programs.chosen(exchange, fit, most_held_tokens, built_in)
+
     def _held_tokens(
         self, exchange: base.Exchange, members: list[membership.Endpoint]
     ) -> dict[str, int]:
@@ -128,14 +143,9 @@
 
 def _prompt(exchange: base.Exchange) -> selection.Prompt | None:
     """Return the prompt of a request whose beginning others share."""
-    shared = exchange.facts.shared
-    if not shared or not exchange.known_route.sticky:
+    if not exchange.facts.shared or not exchange.known_route.sticky:
         return None
-    return selection.Prompt(
-        key=shared[-1].part,
-        tokens=exchange.facts.prompt_tokens,
-        shared_tokens=sum(part.tokens for part in shared),
-    )
+    return selection.Prompt.of(exchange.facts)
 
 
 def _named(endpoints: list[membership.Endpoint], name: str) -> membership.Endpoint:
--- a/src/croftpulley/forwarding/steer.py
+++ b/src/croftpulley/forwarding/steer.py
@@ -32,8 +32,12 @@
     ) -> selection.Candidate:
         """Return the endpoint to take: the arm's, or ``built_in`` where none decides otherwise.
 
-        Raises ARM_REFUSED if the arm's program for admission has the caller come back later.
+        ``candidates`` are those that may take one more. Raises ARM_REFUSED if the arm's program
+        for admission has the caller come back later.
         """
+        # Without arms a request is spared the values for programs.
+        if exchange.state.tables.arms.is_empty:
+            return built_in
         request = self._request(exchange)
         arm = exchange.state.tables.arms.of(request.key)
         if arm is None:
@@ -81,7 +85,7 @@
             # Requests with one beginning are one chat as far as a router can tell.
             key=facts.shared[-1].part if facts.shared else facts.request_id,
             prompt_tokens=facts.prompt_tokens,
-            shared_tokens=sum(part.tokens for part in facts.shared),
+            shared_tokens=facts.shared_tokens,
             priority=workspace.priority if workspace else exchange.known_route.priority,
             budget_ms=left_s * 1000,
             hall=self._hall,
--- a/src/croftpulley/policy/arms.py
+++ b/src/croftpulley/policy/arms.py
@@ -61,15 +61,22 @@
     'a'
     >>> Arms(()).of("chat-1") is None
     True
+    >>> Arms((Arm(name="a", weight=0),)).is_empty
+    True
     """
 
     def __init__(self, arms: tuple[Arm, ...]) -> None:
         self._arms = arms
         self._total = sum(arm.weight for arm in arms)
 
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no chat falls to any arm."""
+        return not self._total
+
     def of(self, key: str) -> Arm | None:
         """Return the arm of a chat; the same at every router."""
-        if not self._total:
+        if self.is_empty:
             return None
         position = xxhash.xxh3_64_intdigest(f"arm\x00{key}".encode()) % self._total
         for arm in self._arms:
--- a/testing/core/test_forwarded.py
+++ b/testing/core/test_forwarded.py
@@ -109,8 +109,8 @@
     @staticmethod
     def choose(candidates, most_held=0, tokens=1000):
         prompt = selection.Prompt(key="k", tokens=tokens, shared_tokens=tokens - 100)
-        spill, rates = selection.Spill(), selection.Rates()
-        return selection.for_prompt(prompt, candidates, most_held, spill, rates)
+        fit = selection.Spill().fit(candidates)
+        return selection.for_prompt(prompt, fit, most_held, selection.Rates())
 
     @given(st.lists(st.integers(0, 50), min_size=2, max_size=12), st.integers(0, 11))
     def test_no_choice_takes_an_engine_far_above_the_mean(self, loads, holder):
