The settings that entry boxes and routers have in common are one class

Cause: nine fields with the same type, default and range stood in EntrySettings and RouterSettings.

Change: CallersBoxSettings has them. Fields whose default or range differs (streams, renew_interval_s, renew_timeout_s, lease_margin_s, entry_ttl_s, connect_timeout_s) stay with their class. Ruled out: a base of all boxes with the fields that control boxes share too; it would have two levels for three fields.

Where a file has several faults their order is another, as those of the common fields come first; the platform's own settings file, of whose faults only the first is told, may then tell of another of them. One test more: both kinds name the faults of common fields alike.

--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -67,17 +67,26 @@
 
 
 @attrs.frozen(kw_only=True)
-class EntrySettings:
-    """Settings of ``croftpulley entry``."""
+class CallersBoxSettings:
+    """What the settings of all boxes that take callers' requests have in common."""
 
     box: str = attrs.field(validator=_name)
     hall: str = attrs.field(validator=_name)
     caller_address: str = attrs.field(validator=_address)
-    peer_address: str = attrs.field(validator=_address)
-    operator_address: str = attrs.field(validator=_address)
     control_addresses: tuple[str, ...] = attrs.field(validator=_addresses)
     platform_address: str = attrs.field(validator=_address)
     http: HttpLimits = attrs.field(factory=HttpLimits)
+    platform_interval_s: float = attrs.field(default=1.0, validator=_between(0.05, 60))
+    workspace_labels: int = attrs.field(default=200, validator=_between(1, 5000))
+    log_level: str = attrs.field(default="INFO", validator=_level)
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings(CallersBoxSettings):
+    """Settings of ``croftpulley entry``."""
+
+    peer_address: str = attrs.field(validator=_address)
+    operator_address: str = attrs.field(validator=_address)
     streams: int = attrs.field(default=512, validator=_between(1, 5000))
     default_deadline_ms: int = attrs.field(default=60_000, validator=_between(100, 3_600_000))
     deadline_limit_ms: int = attrs.field(default=600_000, validator=_between(100, 3_600_000))
@@ -85,7 +94,6 @@
     renew_timeout_s: float = attrs.field(default=1.0, validator=_between(0.05, 60))
     lease_margin_s: float = attrs.field(default=0.5, validator=_between(0.0, 60))
     load_report_interval_s: float = attrs.field(default=1.0, validator=_between(0.05, 60))
-    platform_interval_s: float = attrs.field(default=1.0, validator=_between(0.05, 60))
     entry_ttl_s: float = attrs.field(default=5.0, validator=_between(0.1, 600))
     drain_limit_s: float = attrs.field(default=120.0, validator=_between(0.1, 3600))
     connect_timeout_s: float = attrs.field(default=1.0, validator=_between(0.05, 60))
@@ -95,8 +103,6 @@
     admission_wait_s: float = attrs.field(default=2.0, validator=_between(0, 60))
     candidates_per_attempt: int = attrs.field(default=8, validator=_between(1, 64))
     thread_switch_ms: float = attrs.field(default=5.0, validator=_between(0.1, 1000))
-    workspace_labels: int = attrs.field(default=200, validator=_between(1, 5000))
-    log_level: str = attrs.field(default="INFO", validator=_level)
 
 
 @attrs.frozen(kw_only=True)
@@ -118,23 +124,16 @@
 
 
 @attrs.frozen(kw_only=True)
-class RouterSettings:
+class RouterSettings(CallersBoxSettings):
     """Settings of a router: an entry box that forwards requests by the configured routes."""
 
-    box: str = attrs.field(validator=_name)
-    hall: str = attrs.field(validator=_name)
-    caller_address: str = attrs.field(validator=_address)
     directory_address: str = attrs.field(validator=_address)
     ready_address: str = attrs.field(validator=_address)
     metrics_address: str = attrs.field(validator=_address)
-    control_addresses: tuple[str, ...] = attrs.field(validator=_addresses)
-    platform_address: str = attrs.field(validator=_address)
-    http: HttpLimits = attrs.field(factory=HttpLimits)
     streams: int = attrs.field(default=64, validator=_between(1, 5000))
     renew_interval_s: float = attrs.field(default=0.25, validator=_between(0.02, 60))
     renew_timeout_s: float = attrs.field(default=0.4, validator=_between(0.05, 60))
     lease_margin_s: float = attrs.field(default=0.1, validator=_between(0.0, 60))
-    platform_interval_s: float = attrs.field(default=1.0, validator=_between(0.05, 60))
     list_fallback_s: float = attrs.field(default=2.5, validator=_between(0.1, 600))
     entry_ttl_s: float = attrs.field(default=1.0, validator=_between(0.1, 600))
     grace_s: float = attrs.field(default=30.0, validator=_between(0.1, 3600))
@@ -143,8 +142,6 @@
     retry_ratio: float = attrs.field(default=0.2, validator=_between(0, 10))
     retry_extra: float = attrs.field(default=50.0, validator=_between(0, 100_000))
     retry_window_s: float = attrs.field(default=10.0, validator=_between(0.1, 3600))
-    workspace_labels: int = attrs.field(default=200, validator=_between(1, 5000))
-    log_level: str = attrs.field(default="INFO", validator=_level)
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/settings/test_loader.py
+++ b/testing/settings/test_loader.py
@@ -52,6 +52,16 @@
     assert len(faults(text)) == 1
 
 
+@pytest.mark.parametrize("kind", [schema.EntrySettings, schema.RouterSettings])
+def test_boxes_that_take_callers_name_faults_of_their_common_settings_alike(kind):
+    found = faults('{"box": 3, "platform_interval_s": 0, "workspace_labels": 0}', kind)
+    assert found["box"] == "box.jsonc: box: got 3, allowed is a string"
+    wanted = "box.jsonc: platform_interval_s: got 0.0, allowed is 0.05 to 60"
+    assert found["platform_interval_s"] == wanted
+    assert found["workspace_labels"] == "box.jsonc: workspace_labels: got 0, allowed is 1 to 5000"
+    assert found["caller_address"] == "box.jsonc: caller_address: missing; it is required"
+
+
 def test_true_is_no_number():
     assert "streams" in faults('{"streams": true}')
 
