Interfaces of routers and control boxes share the list and the form of configurations

Cause: the abstract `documents` and `endpoint_list` stood in CallerInterface and in OperatorInterface, and their code in both of the fleet's own and in both of the platform's classes.

Change: interfaces/base.py has Interface and OwnInterface, platform/interface.py PlatformInterface; each of the two pairs is written once.

--- a/src/croftpulley/interfaces/callers.py
+++ b/src/croftpulley/interfaces/callers.py
@@ -10,32 +10,19 @@
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, router_state
 from croftpulley.core import membership
-from croftpulley.endpoints import http_platform, lists
 from croftpulley.forwarding import vocabulary
 from croftpulley.http import wsgi
-from croftpulley.settings import formats
+from croftpulley.interfaces import base
 
-LIST_TIMEOUT_S = 1.0
-"""The platform's list answers within milliseconds; a reader that waits longer is cut off."""
 
-
-class CallerInterface(abc.ABC):
-    """Names, formats and calls of the outside world; decides nothing."""
+class CallerInterface(base.Interface):
+    """What callers and the platform speak with a router; decides nothing."""
 
     @property
     @abc.abstractmethod
     def names(self) -> vocabulary.Vocabulary:
         """The names of the headers."""
 
-    @property
-    @abc.abstractmethod
-    def documents(self) -> formats.DocumentFormat:
-        """How a submitted configuration is written."""
-
-    @abc.abstractmethod
-    def endpoint_list(self, address: str) -> lists.PlatformList:
-        """Make the reader of the platform's list at ``address``."""
-
     @abc.abstractmethod
     def directory(
         self, view: actors.View[router_state.RouterState], ttl_s: float, clock: clocks.Clock
@@ -47,7 +34,7 @@
         """Make the handler that tells whether this box is ready."""
 
 
-class OwnCallerInterface(CallerInterface):
+class OwnCallerInterface(base.OwnInterface, CallerInterface):
     """The fleet's own interface (``docs/INTERFACES.md``)."""
 
     @property
@@ -55,15 +42,6 @@
         """The names of the headers."""
         return vocabulary.OWN
 
-    @property
-    def documents(self) -> formats.DocumentFormat:
-        """JSON with comments."""
-        return formats.OwnFormat()
-
-    def endpoint_list(self, address: str) -> lists.PlatformList:
-        """Make the reader of ``GET /v1/endpoints``."""
-        return http_platform.HttpPlatformList(address, LIST_TIMEOUT_S)
-
     def directory(
         self, view: actors.View[router_state.RouterState], ttl_s: float, clock: clocks.Clock
     ) -> wsgi.Handler:
--- a/src/croftpulley/interfaces/operators.py
+++ b/src/croftpulley/interfaces/operators.py
@@ -8,24 +8,14 @@
 
 from croftpulley import codes, errors
 from croftpulley.controllers import control_plane
-from croftpulley.endpoints import caches, http_platform, lists
+from croftpulley.endpoints import caches
 from croftpulley.http import tokens, wsgi
-from croftpulley.interfaces import callers
-from croftpulley.settings import formats
+from croftpulley.interfaces import base, callers
 
 
-class OperatorInterface(abc.ABC):
+class OperatorInterface(base.Interface):
     """Formats and calls of operators; decides nothing."""
 
-    @property
-    @abc.abstractmethod
-    def documents(self) -> formats.DocumentFormat:
-        """How a submitted configuration is written."""
-
-    @abc.abstractmethod
-    def endpoint_list(self, address: str) -> lists.PlatformList:
-        """Make the reader of the platform's list at ``address``."""
-
     @abc.abstractmethod
     def cache_reader(self) -> caches.CacheReader:
         """Make the reader of what engines keep of prompts."""
@@ -35,7 +25,7 @@
         """Make the handler of operators' calls on ``address``."""
 
 
-class OwnOperatorInterface(OperatorInterface):
+class OwnOperatorInterface(base.OwnInterface, OperatorInterface):
     """The fleet's own interface (``docs/INTERFACES.md``).
 
     With a ``token_file`` every call needs the token in it; without one, whoever reaches the address
@@ -45,15 +35,6 @@
     def __init__(self, token_file: str = "") -> None:
         self._token = tokens.TokenCheck(token_file) if token_file else None
 
-    @property
-    def documents(self) -> formats.DocumentFormat:
-        """JSON with comments."""
-        return formats.OwnFormat()
-
-    def endpoint_list(self, address: str) -> lists.PlatformList:
-        """Make the reader of ``GET /v1/endpoints``."""
-        return http_platform.HttpPlatformList(address, callers.LIST_TIMEOUT_S)
-
     def cache_reader(self) -> caches.CacheReader:
         """Return a reader of nothing: the fleet's own engines do not tell what they keep."""
         return caches.NoCaches()
--- a/src/croftpulley/platform/callers.py
+++ b/src/croftpulley/platform/callers.py
@@ -7,18 +7,16 @@
 
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, router_state
-from croftpulley.endpoints import lists
 from croftpulley.forwarding import vocabulary
 from croftpulley.http import wsgi
 from croftpulley.interfaces import callers
-from croftpulley.platform import documents, instances, names
-from croftpulley.settings import formats
+from croftpulley.platform import interface, names
 
 _MOST_ADDRESSES = 64
 """Callers look at no more addresses of one answer."""
 
 
-class PlatformCallers(callers.CallerInterface):
+class PlatformCallers(interface.PlatformInterface, callers.CallerInterface):
     """The platform's interface for callers."""
 
     @property
@@ -26,15 +24,6 @@
         """The names of the headers."""
         return names.VOCABULARY
 
-    @property
-    def documents(self) -> formats.DocumentFormat:
-        """The platform's form of a configuration."""
-        return documents.PlatformDocuments()
-
-    def endpoint_list(self, address: str) -> lists.PlatformList:
-        """Make the reader of ``GET /instances``."""
-        return instances.InstanceList(address)
-
     def directory(
         self, view: actors.View[router_state.RouterState], ttl_s: float, clock: clocks.Clock
     ) -> wsgi.Handler:
--- a/src/croftpulley/platform/operators.py
+++ b/src/croftpulley/platform/operators.py
@@ -4,29 +4,19 @@
 
 from croftpulley import codes, errors
 from croftpulley.controllers import control_plane
-from croftpulley.endpoints import caches, lists
+from croftpulley.endpoints import caches
 from croftpulley.http import wsgi
 from croftpulley.interfaces import callers, operators
 from croftpulley.platform import caches as platform_caches
-from croftpulley.platform import documents, instances
-from croftpulley.settings import formats
+from croftpulley.platform import documents, interface
 
 _SUBMIT_PATH = "/Configuration.Replace"
 _READ_PATH = "/Configuration.Read"
 
 
-class PlatformOperators(operators.OperatorInterface):
+class PlatformOperators(interface.PlatformInterface, operators.OperatorInterface):
     """The platform's interface for operators."""
 
-    @property
-    def documents(self) -> formats.DocumentFormat:
-        """The platform's form of a configuration."""
-        return documents.PlatformDocuments()
-
-    def endpoint_list(self, address: str) -> lists.PlatformList:
-        """Make the reader of ``GET /instances``."""
-        return instances.InstanceList(address)
-
     def cache_reader(self) -> caches.CacheReader:
         """Make the reader of ``GET /kv-list``."""
         return platform_caches.EngineCaches()
