Entry boxes and routers share how they run and how their streams end

Cause: serve, wait, drain, stop and the exit code stood in cli/daemons.py and in platform/launch.py; waiting for the last streams and the line on it in both daemons.

Change: daemons/entry_box.py has EntryBox (run) and end_streams. The `logger` of the events that a drain finished or reached its limit is that module's name now; nothing else changes. Looked at and left, since only the shape is the same: pairs of log events, decoders and encoders of the wire, the commands (their help differs), the two chains (each is read as a whole), reasons for not being ready (a router has one more, and their states are of two classes), ControlClient and ControlHandler (one may find no control box).

--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -10,9 +10,9 @@
 
 from croftpulley.daemons import control as control_daemon
 from croftpulley.daemons import entry as entry_daemon
+from croftpulley.daemons import entry_box, signals
 from croftpulley.daemons import replica as replica_daemon
 from croftpulley.daemons import router as router_daemon
-from croftpulley.daemons import signals
 from croftpulley.observe import logs
 from croftpulley.settings import loader, schema
 
@@ -84,16 +84,9 @@
     return lambda: loader.load(path, type(settings)).log_level
 
 
-def _run_entry_box(
-    daemon: entry_daemon.EntryDaemon | router_daemon.RouterDaemon, read_level: Callable[[], str]
-) -> NoReturn:
+def _run_entry_box(daemon: entry_box.EntryBox, read_level: Callable[[], str]) -> NoReturn:
     """Serve until SIGTERM, then drain; the exit code tells whether every stream ended."""
-    stopped = signals.stop_signal(read_level)
-    daemon.start()
-    stopped.wait()
-    ended = daemon.drain()
-    daemon.stop()
-    sys.exit(0 if ended else 1)
+    sys.exit(daemon.run(signals.stop_signal(read_level)))
 
 
 def _run_control_box(
--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -12,6 +12,7 @@
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, endpoints, fleet_state, gate, state, streams
 from croftpulley.core import membership
+from croftpulley.daemons import entry_box
 from croftpulley.dispatch import local, remote
 from croftpulley.endpoints import http_engine, http_platform, http_worker
 from croftpulley.filters import (
@@ -43,7 +44,7 @@
 """How much longer another box is waited for than an engine, so that its own word comes first."""
 
 
-class EntryDaemon:
+class EntryDaemon(entry_box.EntryBox):
     """One entry box."""
 
     def __init__(self, settings: schema.EntrySettings, clock: clocks.Clock | None = None) -> None:
@@ -108,10 +109,7 @@
         # Callers may use their cached answer for this long; they are served as before.
         self._closed.wait_for(bool, self._settings.entry_ttl_s)
         self._closed.publish(True)
-        ended = self._streams.wait_until_empty(self._settings.drain_limit_s)
-        event = events.Event.DRAIN_FINISHED if ended else events.Event.DRAIN_LIMIT_REACHED
-        events.emit(_LOG, event, streams=self._streams.open_count())
-        return ended
+        return entry_box.end_streams(self._streams, self._settings.drain_limit_s)
 
     def stop(self) -> None:
         """Stop at once; `drain` comes first in a planned stop."""
--- /dev/null
+++ b/src/croftpulley/daemons/entry_box.py
@@ -0,0 +1,44 @@
+"""What all boxes that take callers' requests do alike: serve, then stop by plan."""
+
+from __future__ import annotations
+
+import abc
+import logging
+import threading
+
+from croftpulley.controllers import streams
+from croftpulley.observe import events
+
+_LOG = logging.getLogger(__name__)
+
+
+class EntryBox(abc.ABC):
+    """A daemon that is drained before it stops."""
+
+    @abc.abstractmethod
+    def start(self) -> None:
+        """Begin to serve and to renew."""
+
+    @abc.abstractmethod
+    def drain(self) -> bool:
+        """Stop by plan; return whether every stream ended in time."""
+
+    @abc.abstractmethod
+    def stop(self) -> None:
+        """Stop at once; `drain` comes first in a planned stop."""
+
+    def run(self, stopped: threading.Event) -> int:
+        """Serve until ``stopped`` is set, then drain; return 0 if every stream ended, else 1."""
+        self.start()
+        stopped.wait()
+        ended = self.drain()
+        self.stop()
+        return 0 if ended else 1
+
+
+def end_streams(in_flight: streams.Streams, limit_s: float) -> bool:
+    """Wait for the streams to end, and log whether all did; return that."""
+    ended = in_flight.wait_until_empty(limit_s)
+    event = events.Event.DRAIN_FINISHED if ended else events.Event.DRAIN_LIMIT_REACHED
+    events.emit(_LOG, event, streams=in_flight.open_count())
+    return ended
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -12,6 +12,7 @@
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, listing, renewal, router_state, streams, traffic
 from croftpulley.core import membership, retry_budget, selection
+from croftpulley.daemons import entry_box
 from croftpulley.forwarding import chain, observe, place, relay, rules, sender, steer
 from croftpulley.http import forward_app, health_app, server, wsgi
 from croftpulley.interfaces import callers
@@ -46,7 +47,7 @@
         return silent and self._chance.random() < 0.5
 
 
-class RouterDaemon:
+class RouterDaemon(entry_box.EntryBox):
     """One router."""
 
     def __init__(
@@ -130,10 +131,8 @@
         kept_s = min(_LONGEST_KEPT * self._settings.entry_ttl_s, self._settings.grace_s / 2)
         self._closed.wait_for(bool, kept_s)
         self._closed.publish(True)
-        ended = self._streams.wait_until_empty(max(0.0, ends_at_s - self._clock.monotonic_s()))
-        event = events.Event.DRAIN_FINISHED if ended else events.Event.DRAIN_LIMIT_REACHED
-        events.emit(_LOG, event, streams=self._streams.open_count())
-        return ended
+        left_s = max(0.0, ends_at_s - self._clock.monotonic_s())
+        return entry_box.end_streams(self._streams, left_s)
 
     def stop(self) -> None:
         """Stop at once; `drain` comes first in a planned stop."""
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -36,11 +36,7 @@
     logs.set_up(settings.box, settings.log_level)
     stopped = signals.stop_signal()
     daemon = router.RouterDaemon(settings, callers.PlatformCallers())
-    daemon.start()
-    stopped.wait()
-    ended = daemon.drain()
-    daemon.stop()
-    return 0 if ended else 1
+    return daemon.run(stopped)
 
 
 def _run_control(path: str) -> int:
