Soak: links of control boxes may have a rate, and be narrow for a while

Change: what leaves a control box (requests to its peers, answers of its own) passes a lane of a rate, which its connections share slice by slice; whose connection it is the kernel's table tells. Without a rate nothing changes. What a sender has given up still passes, as from the kernel's buffers. Ruled out: a rate for one box alone, as then another box leads and the fault does not show; one lane for all boxes, as a deposed leader's rest would slow the new one.

--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections
+import math
 import pathlib
+import random
 import shutil
 
 import attrs
@@ -25,6 +27,14 @@
 """Of each kind."""
 WORK_S = 0.03
 """How long an endpoint works on a call, and between the events of a stream."""
+LARGE_ROUTES = 700
+"""Of a large configuration: 210 kB as control boxes send it, which they need seconds to read."""
+LINK_BYTES_PER_S = 625_000.0
+"""What a control box sends, where links have a rate: a 20th of the 12.5 MB/s of real ones.
+
+Two copies of a large configuration take longer on it than a request between control boxes may
+(0.4 s), as seven copies of 885 kB do on a real one.
+"""
 
 
 def key_of(version: int) -> str:
@@ -38,16 +48,28 @@
     return f"/v{version}/{kind}/{stream}{request_id}"
 
 
-def document(version: int) -> dict:
-    """Return the configuration of one version: its own routes and key, and the last one's."""
+def document(version: int, spare_routes: int = 0) -> dict:
+    """Return the configuration of one version: its own routes and key, and the last one's.
+
+    ``spare_routes`` make it large; nobody uses them.
+    """
     live = [each for each in (version - 1, version) if each > 0]
     return {
         "workspaces": [{"name": "clinic", "keys": [key_of(each) for each in live]}],
         "pools": [{"name": ENGINE_POOL}, {"name": WORKER_POOL}],
-        "routes": [_route(each, kind) for each in live for kind in KINDS],
+        "routes": [
+            *(_route(each, kind) for each in live for kind in KINDS),
+            *(_spare_route(version, number) for number in range(spare_routes)),
+        ],
     }
 
 
+def _spare_route(version: int, number: int) -> dict:
+    """Return a route whose name cannot be packed much."""
+    name = random.Random(f"{version} {number}").randbytes(16).hex()
+    return _route(version, "once") | {"name": name, "path_prefix": f"/{name}/"}
+
+
 def _route(version: int, kind: str) -> dict:
     is_stream = kind in STREAMS
     return {
@@ -73,10 +95,14 @@
 
 
 class Fleet:
-    """Three control boxes, three routers, and what they serve."""
+    """Three control boxes, three routers, and what they serve.
 
-    def __init__(self, folder: pathlib.Path) -> None:
+    Each control box sends over a link of ``link_bytes_per_s``.
+    """
+
+    def __init__(self, folder: pathlib.Path, link_bytes_per_s: float = math.inf) -> None:
         self.folder = folder
+        self.link_bytes_per_s = link_bytes_per_s
         self.loop = proxy.Loop()
         self.listed = platform_list.FakePlatformList(
             schema.FakeSettings(name="list", address=ANY_PORT)
@@ -89,7 +115,10 @@
             for _ in range(ENDPOINTS):
                 self.add_endpoint(pool)
         self._ports: list[ReservedPort] = []
-        self.control_ways = [proxy.Proxy(self.loop) for _ in range(CONTROL)]
+        self.lanes = [proxy.Lane(link_bytes_per_s) for _ in range(CONTROL)]
+        self.control_ways = [
+            proxy.Proxy(self.loop, lane=lane, lane_of=self._lane_of) for lane in self.lanes
+        ]
         self.control = [self._make_control(number) for number in range(CONTROL)]
         self.router_ways = [proxy.Proxy(self.loop) for _ in range(ROUTERS)]
         self.routers = [self._make_router(number) for number in range(ROUTERS)]
@@ -178,6 +207,14 @@
                 found[run.headers["x-request-id"]].append(each.stand_in.incarnation)
         return found
 
+    def _lane_of(self, port: int, listening_port: int) -> proxy.Lane | None:
+        """Return the lane of the control box that connects, if it is one."""
+        name = processes.socket_between(port, listening_port)
+        for lane, box in zip(self.lanes, self.control, strict=True):
+            if box.holds(name):
+                return lane
+        return None
+
     def _port(self) -> str:
         self._ports.append(ReservedPort())
         return self._ports[-1].address
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -13,6 +13,10 @@
 
 _STOP_WAIT_S = 15.0
 """Beyond the grace of every program."""
+_CONNECTIONS = pathlib.Path("/proc/net/tcp")
+"""Each line has both ends of a connection, in hex, and the inode of its socket."""
+_LOCAL, _REMOTE, _INODE = 1, 2, 9
+"""Its columns."""
 _MAIN = "from croftpulley.cli import main; main.main()"
 
 
@@ -88,6 +92,34 @@
             self.kill()
             return None
 
+    def holds(self, socket_name: str) -> bool:
+        """Tell whether this process has a socket open, by the name that the kernel gives it."""
+        if not self.runs:
+            return False
+        try:
+            opened = list(pathlib.Path(f"/proc/{self._process.pid}/fd").iterdir())
+        except OSError:
+            return False
+        return any(_link(each) == socket_name for each in opened)
+
     def log_tail(self, lines: int = 20) -> str:
         """Return the end of what it wrote."""
         return "\n".join(self._log_path.read_text(errors="replace").splitlines()[-lines:])
+
+
+def socket_between(port: int, listening_port: int) -> str:
+    """Return the kernel's name of the socket at ``port`` that is connected to the other one."""
+    for line in _CONNECTIONS.read_text().splitlines()[1:]:
+        fields = line.split()
+        ports = [int(fields[each].rpartition(":")[2], 16) for each in (_LOCAL, _REMOTE)]
+        if ports == [port, listening_port]:
+            return f"socket:[{fields[_INODE]}]"
+    return ""
+
+
+def _link(path: pathlib.Path) -> str:
+    try:
+        return os.readlink(path)
+    except OSError:
+        # Closed since it was listed.
+        return ""
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import enum
+import math
 import socket
 import struct
 import threading
+import time
+from collections.abc import Callable
 
 _SO_LINGER_RESET = struct.pack("ii", 1, 0)
 _CHUNK_BYTES = 65_536
+_SLICE_BYTES = 4096
+"""What one connection sends over a lane before others have their turn."""
 _POLL_S = 0.02
 
 
@@ -33,12 +38,42 @@
 _HELD_FROM = (Harm.CUT_FROM, Harm.SILENT)
 
 
-class Proxy:
-    """Passes connections on to ``target``, which may change while it runs."""
+class Lane:
+    """The link by which a process sends: its connections share the rate.
+
+    What a sender has given up still passes, as what lies in the kernel's buffers does.
+    """
+
+    def __init__(self, rate_bytes_per_s: float = math.inf) -> None:
+        self.rate_bytes_per_s = rate_bytes_per_s
+        self._free_at_s = 0.0
+
+    async def carry(self, size_bytes: int) -> None:
+        """Return once so many bytes have passed, behind those of others that came before."""
+        now_s = time.monotonic()
+        self._free_at_s = max(now_s, self._free_at_s) + size_bytes / self.rate_bytes_per_s
+        if self._free_at_s > now_s:
+            await asyncio.sleep(self._free_at_s - now_s)
+
 
-    def __init__(self, loop: Loop, target: str = "") -> None:
+class Proxy:
+    """Passes connections on to ``target``, which may change while it runs.
+
+    ``lane`` is the link of the target, for its answers; ``lane_of`` finds the link of the process
+    that connects, from the ports of both ends.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        target: str = "",
+        lane: Lane | None = None,
+        lane_of: Callable[[int, int], Lane | None] = lambda _port, _listening_port: None,
+    ) -> None:
         self.target = target
         self.harm = Harm.NONE
+        self._lane = lane
+        self._lane_of = lane_of
         self._loop = loop
         self._writers: set[asyncio.StreamWriter] = set()
         self.address = loop.call(self._listen())
@@ -66,9 +101,12 @@
             abort(writer)
             return
         self._writers |= {writer, back}
+        port = writer.get_extra_info("peername")[1]
+        listening_port = writer.get_extra_info("sockname")[1]
+        lane = self._lane_of(port, listening_port)
         pumps = (
-            asyncio.ensure_future(self._pump(reader, back, _HELD_TO)),
-            asyncio.ensure_future(self._pump(there, writer, _HELD_FROM)),
+            asyncio.ensure_future(self._pump(reader, back, _HELD_TO, lane)),
+            asyncio.ensure_future(self._pump(there, writer, _HELD_FROM, self._lane)),
         )
         await asyncio.wait(pumps)
         self._writers -= {writer, back}
@@ -76,7 +114,11 @@
             each.close()
 
     async def _pump(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, held_by: tuple[Harm, ...]
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        held_by: tuple[Harm, ...],
+        lane: Lane | None,
     ) -> None:
         """Pass bytes one way; a reset on one side is a reset on the other."""
         try:
@@ -85,14 +127,24 @@
                     await asyncio.sleep(DELAY_S)
                 while self.harm in held_by:
                     await asyncio.sleep(_POLL_S)
-                writer.write(data)
-                await writer.drain()
+                await _send(data, writer, lane)
             if writer.can_write_eof():
                 writer.write_eof()
         except OSError:
             abort(writer)
 
 
+async def _send(data: bytes, writer: asyncio.StreamWriter, lane: Lane | None) -> None:
+    """Write, over a lane slice by slice."""
+    size_bytes = _SLICE_BYTES if lane is not None else len(data)
+    for begin in range(0, len(data), size_bytes):
+        part = data[begin : begin + size_bytes]
+        if lane is not None:
+            await lane.carry(len(part))
+        writer.write(part)
+        await writer.drain()
+
+
 def abort(writer: asyncio.StreamWriter) -> None:
     """End a connection with a reset."""
     sock = writer.get_extra_info("socket")
--- a/testing/soak/troubles.py
+++ b/testing/soak/troubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import math
 import random
 import signal
 import threading
@@ -22,6 +23,10 @@
 """After the loss of a disk, before the next: one may be lost at a time."""
 _LEAVING_S = 3.5
 """How long an endpoint serves on once it is listed as leaving."""
+_NARROW_GAP_S = 2.0
+"""Mean time between two narrow links."""
+_NARROW_SHARE = 0.4
+"""Of its rate that is left to a narrow link."""
 _ENDPOINT_FAULTS = (
     faults.Fault.RESET_BEFORE_ANSWER,
     faults.Fault.RESET_AFTER_RUN,
@@ -149,6 +154,22 @@
         self.way.harm = proxy.Harm.NONE
 
 
+@attrs.frozen
+class Narrow(Trouble):
+    """What leaves a process shares a fraction of its link."""
+
+    lane: proxy.Lane
+    link_bytes_per_s: float
+
+    def begin(self) -> None:
+        """Narrow."""
+        self.lane.rate_bytes_per_s = self.link_bytes_per_s * _NARROW_SHARE
+
+    def end(self) -> None:
+        """Give the link back."""
+        self.lane.rate_bytes_per_s = self.link_bytes_per_s
+
+
 @attrs.frozen
 class Faulty(Trouble):
     """An endpoint spoils its next answers."""
@@ -206,18 +227,32 @@
         self, seed: int, site: fleet.Fleet, book: records.Book, *, planned_only: bool
     ) -> None:
         self._chance = random.Random(seed)
+        # Of its own: the other troubles of a seed stay what they are.
+        self._narrow_chance = random.Random(f"{seed} narrow")
         self._site = site
         self._book = book
         self._planned_only = planned_only
         self._disk_at_s = float("-inf")
 
     def all(self, seconds_s: float) -> list[Timed]:
-        """Return what goes wrong in a run of so many seconds, in order."""
+        """Return what goes wrong in a run of so many seconds; each at its time."""
         drawn = []
         at_s = 0.5
         while at_s < seconds_s:
             drawn.append(self._one(at_s))
             at_s += self._chance.expovariate(1 / _GAP_S)
+        if not math.isinf(self._site.link_bytes_per_s):
+            drawn += self._narrow(seconds_s)
+        return drawn
+
+    def _narrow(self, seconds_s: float) -> list[Timed]:
+        chance = self._narrow_chance
+        drawn = []
+        at_s = chance.expovariate(1 / _NARROW_GAP_S)
+        while at_s < seconds_s:
+            trouble = Narrow(chance.choice(self._site.lanes), self._site.link_bytes_per_s)
+            drawn.append(Timed(at_s, chance.uniform(_RESTART_S, _LONGEST_S), trouble))
+            at_s += chance.expovariate(1 / _NARROW_GAP_S)
         return drawn
 
     def _one(self, at_s: float) -> Timed:
