Soak: large configurations, and an acceptance within 30 s after all troubles

After the last trouble of any seed one more version, large in these seeds, must be acknowledged and read back within 30 s.

--- a/testing/soak/acceptance.py
+++ b/testing/soak/acceptance.py
@@ -14,7 +14,6 @@
 import time
 
 import click
-import orjson
 
 from croftpulley.bench import table
 from soak import callers, fleet, records, run
@@ -24,28 +23,13 @@
 """For a killed box to be back and voting before the next one is killed."""
 
 
-def timed_submission(site: fleet.Fleet, book: records.Book, chance: random.Random) -> float:
-    """Submit a version, and again to any box until it is acknowledged; return how long it took."""
-    version = book.submit()
-    body = orjson.dumps({"number": version, "document": fleet.document(version)})
-    began_s = time.monotonic()
-    while True:
-        for box in chance.sample(site.control, fleet.CONTROL):
-            answer = callers.operate(box, "POST", "/v1/config/submissions", body)
-            if answer is not None and answer.status == 200:
-                book.accept(version)
-                return time.monotonic() - began_s
-
-
 def kill_leader(site: fleet.Fleet) -> None:
     """Kill the control box that leads and start it again."""
-    for box in site.control:
-        answer = callers.operate(box, "GET", "/v1/status", None)
-        if answer is not None and orjson.loads(answer.body).get("role") == "leader":
-            box.signal(signal.SIGKILL)
-            box.kill()
-            threading.Timer(_START_WAIT_S / 2, site.start_again, (box,)).start()
-            return
+    box = callers.leader(site)
+    if box is not None:
+        box.signal(signal.SIGKILL)
+        box.kill()
+        threading.Timer(_START_WAIT_S / 2, site.start_again, (box,)).start()
 
 
 @click.command()
@@ -60,11 +44,13 @@
     try:
         site.start()
         run.until_served(site, book, seed=1)
-        calm_s = sorted(timed_submission(site, book, chance) for _ in range(count))
+        calm_s = sorted(
+            callers.timed_submission(site, book, chance).acknowledged_s for _ in range(count)
+        )
         killed_s = []
         for _ in range(kills):
             kill_leader(site)
-            killed_s.append(timed_submission(site, book, chance))
+            killed_s.append(callers.timed_submission(site, book, chance).acknowledged_s)
             time.sleep(_START_WAIT_S)
     finally:
         site.stop()
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import http.client
+import math
 import random
 import threading
 import time
@@ -20,9 +21,13 @@
 """Beyond the time limit of every route."""
 _OPERATOR_TIMEOUT_S = 5.0
 """Beyond the time in which a control box acknowledges or gives up."""
+_LARGE_TIMEOUT_S = 15.0
+"""For a large configuration: it is read before the time for the acknowledgement begins."""
 _OPERATOR_PAUSE_S = 0.2
 _CHANGE_SHARE = 0.25
 """How many of the operator's rounds submit a new version; the others read it back."""
+_LARGE_SHARE = 0.3
+"""How many of the new versions are large, where links have a rate."""
 _OLD_SHARE = 0.15
 """How many requests use a route or a key that is gone or about to go."""
 
@@ -35,6 +40,8 @@
         self._book = book
         self._stopped = threading.Event()
         chances = [random.Random(f"{seed} {number}") for number in range(CALLERS + 1)]
+        # Of its own: the other choices of a seed stay what they are.
+        self._large_chance = random.Random(f"{seed} large")
         self._threads = [threading.Thread(target=self._operate, args=(chances[0],), daemon=True)]
         self._threads += [
             threading.Thread(target=self._call, args=(number, chance), daemon=True)
@@ -84,10 +91,16 @@
             return max(1, accepted)
         return max(1, accepted + chance.choice((-2, -1, 1)))
 
+    def _spare_routes(self) -> int:
+        if math.isinf(self._site.link_bytes_per_s):
+            return 0
+        return fleet.LARGE_ROUTES if self._large_chance.random() < _LARGE_SHARE else 0
+
     def _operate(self, chance: random.Random) -> None:
         while not self._stopped.wait(_OPERATOR_PAUSE_S):
             if chance.random() < _CHANGE_SHARE:
-                submit(self._site, self._book, chance, self._stopped)
+                spare_routes = self._spare_routes()
+                submit(self._site, self._book, chance, self._stopped, spare_routes)
             else:
                 self._book.reads.append(read_back(self._site, self._book, chance))
 
@@ -156,19 +169,79 @@
 
 
 def submit(
-    site: fleet.Fleet, book: records.Book, chance: random.Random, stopped: threading.Event
+    site: fleet.Fleet,
+    book: records.Book,
+    chance: random.Random,
+    stopped: threading.Event,
+    spare_routes: int = 0,
 ) -> None:
     """Submit a new version, to any box until it is acknowledged; others may race it meanwhile."""
-    version = book.submit()
-    body = orjson.dumps({"number": version, "document": fleet.document(version)})
+    version, body = _submission(book, spare_routes)
+    timeout_s = _LARGE_TIMEOUT_S if spare_routes else _OPERATOR_TIMEOUT_S
     while not stopped.wait(_OPERATOR_PAUSE_S):
-        box = chance.choice(site.control)
-        answer = operate(box, "POST", "/v1/config/submissions", body)
-        if answer is not None and answer.status == 200:
+        box = (leader(site) if spare_routes else None) or chance.choice(site.control)
+        if _is_acknowledged(box, body, timeout_s):
             book.accept(version)
             return
 
 
+def timed_submission(
+    site: fleet.Fleet,
+    book: records.Book,
+    chance: random.Random,
+    limit_s: float = math.inf,
+    spare_routes: int = 0,
+) -> records.Acceptance:
+    """Submit a new version until it is acknowledged, then read back until it is there."""
+    version, body = _submission(book, spare_routes)
+    timeout_s = _LARGE_TIMEOUT_S if spare_routes else _OPERATOR_TIMEOUT_S
+    began_s = time.monotonic()
+    while time.monotonic() - began_s < limit_s:
+        first = leader(site) if spare_routes else None
+        boxes = [first] if first else chance.sample(site.control, fleet.CONTROL)
+        if any(_is_acknowledged(box, body, timeout_s) for box in boxes):
+            book.accept(version)
+            acknowledged_s = time.monotonic() - began_s
+            took_s = _read_after_s(site, book, chance, began_s, limit_s)
+            return records.Acceptance(
+                version=version, limit_s=limit_s, acknowledged_s=acknowledged_s, took_s=took_s
+            )
+    return records.Acceptance(version=version, limit_s=limit_s)
+
+
+def _read_after_s(
+    site: fleet.Fleet, book: records.Book, chance: random.Random, began_s: float, limit_s: float
+) -> float | None:
+    """Return how long it took until what was accepted is read back, ``None`` if it is given up."""
+    while time.monotonic() - began_s < limit_s:
+        read = read_back(site, book, chance)
+        book.reads.append(read)
+        if read.version is not None:
+            return time.monotonic() - began_s
+        time.sleep(_OPERATOR_PAUSE_S)
+    return None
+
+
+def _submission(book: records.Book, spare_routes: int) -> tuple[int, bytes]:
+    version = book.submit()
+    document = fleet.document(version, spare_routes)
+    return version, orjson.dumps({"number": version, "document": document})
+
+
+def _is_acknowledged(box: processes.Program, body: bytes, timeout_s: float) -> bool:
+    answer = operate(box, "POST", "/v1/config/submissions", body, timeout_s)
+    return answer is not None and answer.status == 200
+
+
+def leader(site: fleet.Fleet) -> processes.Program | None:
+    """Return the control box that says that it leads, if one does."""
+    for box in site.control:
+        answer = operate(box, "GET", "/v1/status", None)
+        if answer is not None and orjson.loads(answer.body).get("role") == "leader":
+            return box
+    return None
+
+
 def read_back(site: fleet.Fleet, book: records.Book, chance: random.Random) -> records.Read:
     """Read the configuration at one box after the other, until one answers."""
     accepted_version = book.accepted_version
@@ -180,10 +253,12 @@
     return records.Read(accepted_version=accepted_version, version=None)
 
 
-def operate(box: processes.Program, method: str, path: str, body):
+def operate(
+    box: processes.Program, method: str, path: str, body, timeout_s: float = _OPERATOR_TIMEOUT_S
+):
     """Make one call of the operator's; ``None`` if no answer came."""
     host, _, port = box.settings["operator_address"].rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=_OPERATOR_TIMEOUT_S)
+    connection = http.client.HTTPConnection(host, int(port), timeout=timeout_s)
     try:
         connection.request(method, path, body)
         return read_answer(connection.getresponse())
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -24,6 +24,7 @@
         *_wrong_answers(book),
         *_outside_of_any_configuration(book, runs),
         *_older_read_back(book),
+        *_late_acceptances(book),
         *_planned_stops(book),
     ]
 
@@ -98,6 +99,16 @@
             yield f"version {each.version} was read back after {each.accepted_version}"
 
 
+def _late_acceptances(book: records.Book) -> Iterator[str]:
+    for each in book.acceptances:
+        if each.took_s is None or each.took_s > each.limit_s:
+            took = "given up" if each.took_s is None else f"took {each.took_s:.1f} s"
+            yield (
+                f"version {each.version} was not accepted and read back "
+                f"within {each.limit_s:.0f} s ({took})"
+            )
+
+
 def _planned_stops(book: records.Book) -> Iterator[str]:
     for program, code in book.exits:
         if code != 0:
--- a/testing/soak/records.py
+++ b/testing/soak/records.py
@@ -53,12 +53,27 @@
     version: int | None
 
 
+@attrs.frozen(kw_only=True)
+class Acceptance:
+    """A configuration that was submitted once all troubles had ended.
+
+    ``acknowledged_s`` is how long that took, ``took_s`` until it was read back as well; ``None`` if
+    it was given up.
+    """
+
+    version: int
+    limit_s: float
+    acknowledged_s: float | None = None
+    took_s: float | None = None
+
+
 @attrs.define
 class Book:
     """All records, and the versions that all callers go by."""
 
     asked: list[Asked] = attrs.field(factory=list)
     reads: list[Read] = attrs.field(factory=list)
+    acceptances: list[Acceptance] = attrs.field(factory=list)
     exits: list[tuple[str, int | None]] = attrs.field(factory=list)
     """Programs that were stopped as planned, with their exit codes."""
     accepted_version: int = 0
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import math
 import pathlib
 import random
 import sys
@@ -21,6 +22,9 @@
 
 RECOVERY_LIMIT_S = 60.0
 """After the last trouble. Far more than is promised: the time it took is printed, not judged."""
+ACCEPTED_LIMIT_S = 30.0
+"""For a configuration that is submitted after all troubles. Most of it is for the
+reading of a large one, which takes a control box and then the routers seconds each."""
 _ROUND_S = 0.1
 
 
@@ -35,11 +39,18 @@
     """How many requests ended how, by the status or by what the caller met instead."""
     accepted_version: int
     recovery_s: float
+    accepted_s: float | None
+    """How long the configuration took that was submitted last; ``None`` if it was given up."""
 
 
 def run_seed(seed: int, seconds_s: float, folder: pathlib.Path) -> Outcome:
-    """Run one seed; a third of them has planned work only."""
-    site = fleet.Fleet(folder)
+    """Run one seed.
+
+    A third of them has planned work only; in another third the links of control boxes have a rate,
+    and configurations may be large.
+    """
+    has_rate = seed % 3 == 2
+    site = fleet.Fleet(folder, fleet.LINK_BYTES_PER_S if has_rate else math.inf)
     book = records.Book()
     planned_only = seed % 3 == 0
     try:
@@ -51,6 +62,10 @@
         troubles.play(drawn, seconds_s)
         recovery_s = _recover(site, book, seed)
         crowd.stop()
+        spare_routes = fleet.LARGE_ROUTES if has_rate else 0
+        chance = random.Random(seed)
+        accepted = callers.timed_submission(site, book, chance, ACCEPTED_LIMIT_S, spare_routes)
+        book.acceptances.append(accepted)
         until_served(site, book, seed)
         runs = site.runs()
     finally:
@@ -67,6 +82,7 @@
         ends=dict(collections.Counter(_end(each) for each in book.asked).most_common()),
         accepted_version=book.accepted_version,
         recovery_s=recovery_s,
+        accepted_s=accepted.took_s,
     )
 
 
@@ -74,6 +90,10 @@
     return str(asked.status) if asked.end is records.End.WHOLE else asked.end.value
 
 
+def _seconds(time_s: float | None) -> str:
+    return "no time" if time_s is None else f"{time_s:.1f} s"
+
+
 def _recover(site: fleet.Fleet, book: records.Book, seed: int) -> float:
     """Put all right and return how long it takes until all is served."""
     for way in site.ways:
@@ -153,7 +173,7 @@
         click.echo(
             f"seed {seed}: {len(outcome.broken)} broken, {outcome.requests} requests "
             f"{outcome.ends}, version {outcome.accepted_version}, "
-            f"recovered in {outcome.recovery_s:.1f} s"
+            f"recovered in {outcome.recovery_s:.1f} s, accepted in {_seconds(outcome.accepted_s)}"
         )
         for line in outcome.broken[:10]:
             click.echo(f"  broken: {line} (logs in {folder})")
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -77,6 +77,19 @@
     assert promises.broken(book, {}) == ["version 2 was read back after 3"]
 
 
+@pytest.mark.parametrize(
+    ("took_s", "lines"),
+    [
+        (19.9, []),
+        (20.1, ["version 4 was not accepted and read back within 20 s (took 20.1 s)"]),
+        (None, ["version 4 was not accepted and read back within 20 s (given up)"]),
+    ],
+)
+def test_a_configuration_that_is_accepted_late_is_reported(took_s, lines):
+    accepted = records.Acceptance(version=4, limit_s=20.0, took_s=took_s)
+    assert promises.broken(records.Book(acceptances=[accepted]), {}) == lines
+
+
 def test_a_planned_stop_that_was_cut_short_is_reported():
     assert promises.broken(records.Book(exits=[("router-1", 1), ("router-2", 0)]), {}) == [
         "router-1 ended a planned stop with 1"
