Failing tests: a configuration that the link of the leading control box cannot carry at once

Cause: a renewal's answer holds the whole packed configuration, under the limit of a renewal (0.4 s), begun anew when broken off, to all routers at once over the leader's one link.

--- /dev/null
+++ b/testing/daemons/test_large_configurations.py
@@ -0,0 +1,117 @@
+"""Configurations that are large for the links between control boxes and routers.
+
+What users saw: after all boxes had lost power right after a change of 1,400 more routes, no request
+was served for longer than a recovery may take.
+
+Order of events: the answer to a router's renewal held the whole configuration. After a change, and
+after the loss, 79 routers asked the leading control box within one interval. Their answers shared
+its one link, took longer there than a renewal may, were broken off and begun anew from their first
+byte, and the leader's heartbeats waited behind them.
+
+Evidence: the longest answer in the first of these tests was 94 kB; 79 of that length are 7.4 MB,
+0.6 s on a link of 12.5 MB/s, where a renewal may take 0.4 s. Where such an answer is broken off,
+the second and third of these tests waited 20 s in vain. This cause was read off sizes and the code;
+in the record of the day the larger one between control boxes (incident 004) lies over it.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+
+import attrs
+import pytest
+
+from conftest import wait_until
+from croftpulley.transport import links
+from site_of_routers import DOCUMENT
+
+ROUTES = 2_800
+LONGEST_ANSWER_BYTES = 32 * 1024
+"""What a link of 12.5 MB/s carries in 2.6 ms, whatever the configuration."""
+
+
+def large_document(version, routes=ROUTES):
+    """Return a document whose paths cannot be packed much."""
+    chance = random.Random(version)
+    made = copy.deepcopy(DOCUMENT)
+    made["version"] = version
+    like = made["routes"][3]
+    for number in range(routes):
+        path = f"/{chance.randbytes(16).hex()}/"
+        made["routes"].append({**like, "name": f"route-{number}", "pathPrefix": path})
+    return made
+
+
+@attrs.define
+class Answers:
+    """The answers of control boxes to routers, and which of them are broken off."""
+
+    longest_bytes: int = 0
+    broken_off: int = 0
+    carried_bytes: int = 1 << 30
+
+    def pass_on(self, link, path, answer):
+        if not path.startswith("/v1/boxes/"):
+            return answer
+        self.longest_bytes = max(self.longest_bytes, len(answer))
+        if len(answer) > self.carried_bytes:
+            self.broken_off += 1
+            raise links.unreachable(link.address, "broken off at the limit of its time")
+        return answer
+
+
+@pytest.fixture
+def answers(monkeypatch):
+    watched = Answers()
+    post = links.Link.post
+
+    def watched_post(link, path, body):
+        return watched.pass_on(link, path, post(link, path, body))
+
+    monkeypatch.setattr(links.Link, "post", watched_post)
+    return watched
+
+
+@pytest.fixture
+def site(answers, make_site):
+    return make_site(control=3, routers=4)
+
+
+def in_force(site, made):
+    path = made["routes"][-1]["pathPrefix"]
+    return all(
+        site.ask("GET", path, address=each.caller_address).status == 200 for each in site.routers
+    )
+
+
+def accepted(site, made):
+    wait_until(lambda: site.operator.submit(made).status == 200, "it is accepted")
+
+
+def test_no_answer_to_a_router_grows_with_the_configuration(site, answers):
+    made = large_document(2)
+    accepted(site, made)
+    assert in_force(site, made)
+    assert 0 < answers.longest_bytes <= LONGEST_ANSWER_BYTES
+
+
+def test_a_configuration_is_in_force_over_links_that_carry_short_answers_only(site, answers):
+    answers.carried_bytes = LONGEST_ANSWER_BYTES
+    made = large_document(2)
+    accepted(site, made)
+    # A router without a lease would not have been waited for.
+    assert in_force(site, made)
+    assert all(each.lease_left_s() > 0 for each in site.routers)
+    assert answers.broken_off == 0
+
+
+def test_all_routers_have_it_again_after_a_loss_of_all_processes(site, answers):
+    made = large_document(2)
+    accepted(site, made)
+    site.stop_all_processes()
+    answers.carried_bytes = LONGEST_ANSWER_BYTES
+    site.start_all_processes()
+    wait_until(site.is_ready, "every router is ready")
+    assert in_force(site, made)
+    assert answers.broken_off == 0
