bench agreement: renewals whatever the configuration, and fetches in parts

Renewals no longer hold the configuration, so fetching it is measured by rows of its own (120, 1,400 and 2,800 routes). Paths of the text are hashes now: numbered ones packed 2,800 routes into a single part, which measured nothing.

--- a/src/croftpulley/bench/agreement.py
+++ b/src/croftpulley/bench/agreement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import pathlib
 import tempfile
 import time
@@ -15,8 +16,15 @@
 
 from croftpulley import clock as clocks
 from croftpulley.bench import table
-from croftpulley.controllers import actors, agreement, listing, replica, sessions
-from croftpulley.core import agreed, membership, submissions, versions
+from croftpulley.controllers import (
+    actors,
+    agreement,
+    configuration_parts,
+    listing,
+    replica,
+    sessions,
+)
+from croftpulley.core import agreed, membership, parts, submissions, versions
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import replica as replicas
 from croftpulley.storage import commands, replica_store
@@ -29,6 +37,8 @@
 STARTING_ROUNDS = 3
 """One to be registered, one to be leased, one to learn of all others."""
 ROUTES = 120
+FETCHED_ROUTES = (120, 1400, 2800)
+"""Routes of the configurations that a router fetches in parts."""
 _RENEW_INTERVAL_S = 0.25
 _LOADED_ENDPOINTS = 20
 """How many endpoints a router has requests at, at one moment."""
@@ -42,9 +52,9 @@
 class _Applied(agreement.Agreement):
     """Applies what is proposed at once, as if it were durable everywhere."""
 
-    def __init__(self) -> None:
+    def __init__(self, routes: int) -> None:
         self._state = agreed.AgreedState(submissions=submissions.HighestNumber())
-        self._state.submissions.submit(submissions.Submission("bench", 1, _document()))
+        self._state.submissions.submit(submissions.Submission("bench", 1, _document(routes)))
 
     def propose(self, command: agreed.Command) -> pykka.Future[agreed.Result]:
         result: pykka.Future[agreed.Result] = pykka.ThreadingFuture()
@@ -69,7 +79,7 @@
 class _Fleet:
     """A leading session controller and the routers that renew with it."""
 
-    def __init__(self, routers: int, endpoints: int) -> None:
+    def __init__(self, routers: int, endpoints: int, routes: int) -> None:
         self._clock = clocks.ManualClock()
         listed = tuple(_endpoint(number) for number in range(endpoints))
         step = max(1, endpoints // _LOADED_ENDPOINTS)
@@ -78,7 +88,7 @@
             replicas.Role.LEADER, term=1, leader_address=_ADDRESS, authority_until_s=_FAR_S
         )
         self._controller = sessions.SessionController(
-            _Applied(),
+            _Applied(routes),
             actors.View(standing),
             actors.View(listing.Listing(versions.Versioned(listed), 0.0)),
             _LEASE_S,
@@ -138,9 +148,38 @@
 def run() -> list[table.Row]:
     """Measure every size, and restarts by the length of the log."""
     rows = [row for routers, endpoints in SIZES for row in measure(routers, endpoints)]
+    rows += [row for routes in FETCHED_ROUTES for row in fetch(routes)]
     return rows + [restart(entries) for entries in LOG_LENGTHS]
 
 
+def fetch(routes: int) -> list[table.Row]:
+    """Measure how one router fetches a configuration from a control box that has packed it."""
+    served = configuration_parts.ConfigurationParts(_Applied(routes))
+    gathering = parts.Gathering()
+    gathering.aim(1)
+    exchanged_bytes: list[int] = []
+    # Packing and what the codec prepares once are not counted.
+    first = served.answer(parts.ConfigurationRequest(version=1, offset=0))
+    json_codec.decode(json_codec.encode(first), parts.ConfigurationPart)
+    json_codec.decode(json_codec.encode(gathering.request()), parts.ConfigurationRequest)
+    spent_s = 0.0
+    while (request := gathering.request()) is not None:
+        asked = json_codec.encode(request)
+        began_s = time.process_time()
+        decoded = json_codec.decode(asked, parts.ConfigurationRequest)
+        body = json_codec.encode(served.answer(decoded))
+        spent_s += time.process_time() - began_s
+        exchanged_bytes.append(len(asked) + len(body))
+        gathering.take(json_codec.decode(body, parts.ConfigurationPart))
+    key = f"fetch_{routes}_routes"
+    return [
+        table.Row(f"{key}_parts", len(exchanged_bytes)),
+        table.Row(f"{key}_bytes", sum(exchanged_bytes)),
+        table.Row(f"{key}_longest_bytes", max(exchanged_bytes)),
+        table.Row(f"{key}_control_us", round(spent_s * 1e6, 1)),
+    ]
+
+
 def restart(entries: int) -> table.Row:
     """Time the reading of a log of so many submissions, and applying them, after a restart.
 
@@ -165,9 +204,9 @@
     return table.Row(f"restart_{entries}_entries_ms", round(spent_s * 1000, 1))
 
 
-def measure(routers: int, endpoints: int) -> list[table.Row]:
+def measure(routers: int, endpoints: int, routes: int = ROUTES) -> list[table.Row]:
     """Measure one size; the first rounds are those of a fleet that has just started."""
-    fleet = _Fleet(routers, endpoints)
+    fleet = _Fleet(routers, endpoints, routes)
     started = [fleet.round() for _ in range(STARTING_ROUNDS)]
     steady = [fleet.round() for _ in range(ROUNDS)]
     return [
@@ -199,8 +238,9 @@
     )
 
 
-def _document() -> str:
-    """Return a text of the length of a configuration with `ROUTES` routes."""
-    route = '{"name":"route-%06d","host":"desk.example","path_prefix":"/path-%06d/","pool":"llm",'
+def _document(routes: int) -> str:
+    """Return a text as long as a configuration with so many routes; its paths pack badly."""
+    route = '{"name":"route-%06d","host":"desk.example","path_prefix":"/%s/","pool":"llm",'
     route += '"kind":"stream","time_limit_s":6.0,"objective_s":0.5,"attempts":2,"priority":1}'
-    return "[" + ",".join(route % (number, number) for number in range(ROUTES)) + "]"
+    paths = [hashlib.sha256(b"%d" % number).hexdigest()[:32] for number in range(routes)]
+    return "[" + ",".join(route % (number, path) for number, path in enumerate(paths)) + "]"
