The leader sends a router one part a round while others are about to hold the version

Cause: followers learn of a commit with the next heartbeat (0.1 s). A router that hears of a version before that found it at the leader only; asking the others anew after each part of the leader did not bound what it took from there. Ruled out: never asking the leader in that time, which would delay a configuration of one part after a loss of all.

--- a/src/croftpulley/controllers/configuration_fetch.py
+++ b/src/croftpulley/controllers/configuration_fetch.py
@@ -42,6 +42,7 @@
         self._addresses: tuple[str, ...] = ()
         self._leader_address = ""
         self._sources: list[str] = []
+        self._others_lag = False
         self._began_s = 0.0
         self._fails = False
 
@@ -62,9 +63,15 @@
         return self.is_incomplete and bool(self._sources)
 
     def begin_round(self, addresses: tuple[str, ...], leader_address: str) -> None:
-        """Ask each of these control boxes, the leader last, until one has the next part."""
+        """Ask each of these control boxes, the leader last, until one has the next part.
+
+        While others are about to hold the version the leader sends one part a round: guards against
+        all routers taking the whole from it before the next heartbeat (0.1 s) tells the others of a
+        commit. A configuration of one part is whole at once all the same.
+        """
         self._addresses = addresses
         self._leader_address = leader_address
+        self._others_lag = False
         self._order_sources()
 
     def step(self) -> Fetched | None:
@@ -84,11 +91,14 @@
         if self._gathering.request() == request:
             # Not held there yet: a follower learns of a commit with the next heartbeat.
             self._sources.pop(0)
+            self._others_lag = True
             return None
         self._fails = False
         if address == self._leader_address:
             # The others may hold it by now; what the leader sends delays its heartbeats.
             self._order_sources()
+            if self._others_lag:
+                self._sources.remove(address)
         return None
 
     def _order_sources(self) -> None:
--- a/testing/controllers/test_configuration_fetch.py
+++ b/testing/controllers/test_configuration_fetch.py
@@ -132,6 +132,23 @@
     assert boxes.asked.count(LEADER) == 1
 
 
+def test_the_leader_sends_one_part_a_round_while_the_others_lag(boxes):
+    lacking = configuration_parts.ConfigurationParts(Log(VERSION - 1, "older"))
+    boxes.serve.update(dict.fromkeys(FOLLOWERS, lacking))
+    fetch = make_fetch(boxes)
+    for sent in range(1, 4):
+        assert run(fetch) is None
+        assert boxes.asked.count(LEADER) == sent
+        fetch.begin_round((LEADER, *FOLLOWERS), LEADER)
+    assert run(fetch).document == TEXT
+
+
+def test_the_leader_sends_it_all_at_once_where_no_other_answers(boxes):
+    boxes.failed.update(FOLLOWERS)
+    assert run(make_fetch(boxes)).document == TEXT
+    assert boxes.asked.count(LEADER) == 4
+
+
 def test_what_was_had_is_kept_until_a_box_answers_again(boxes, caplog):
     fetch = make_fetch(boxes)
     fetch.step()
