--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -26,6 +26,9 @@
 
 _LOG = logging.getLogger(__name__)
 _NOTES_A_TERM = 1 << 32
+LIST_FRESH_S = 2.0
+"""A list read longer ago may be from a former leadership of this box, or from its start: boxes that
+have one keep theirs until it is read anew, which the leader does each 0.5 s."""
 FORGET_AFTER_S = 5.0
 """How long after the end of its lease a box leaves the agreed state; one that only restarted does
 not write to the log again."""
@@ -172,7 +175,7 @@
             boxes_version=self._boxes.version,
             boxes=self._boxes.unless(report.boxes_version),
             endpoints_version=listed.endpoints.version,
-            endpoints=listed.endpoints.unless(report.endpoints_version),
+            endpoints=self._newer_endpoints(listed, report.endpoints_version),
             loads=loads.in_flight,
             reading_tokens=loads.reading_tokens,
             notes=places.by_engine(page.notes),
@@ -180,6 +183,15 @@
             held_off=self._outcomes.held(self._clock.monotonic_s()),
         )
 
+    def _newer_endpoints(
+        self, listed: listing.Listing, known_version: int
+    ) -> listing.Endpoints | None:
+        """Return the list for a box that knows another one, unless it may know a newer one."""
+        is_old = self._clock.monotonic_s() - listed.read_at_s > LIST_FRESH_S
+        if is_old and known_version:
+            return None
+        return listed.endpoints.unless(known_version)
+
     def _tick(self) -> None:
         if not self._leads():
             self._refuse_waiting()
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -35,17 +35,34 @@
 _OPERATOR_THREADS = 16
 """Operators wait in a thread each until a configuration is in force everywhere."""
 _METRICS_THREADS = 2
+_UNLED_AFTER_S = 0.15
+"""A box that starts while another leads has heard it by then: a heartbeat goes out each 0.1 s."""
 
 
 class _WhileLeading(listing.Turn):
-    """The leading box reads the list for all."""
+    """The leading box reads the list for all; one that hears no leader at first reads it once.
 
-    def __init__(self, standing: actors.View[replica.Standing]) -> None:
+    After a loss of all processes whoever comes to lead has the list then. Else routers get it
+    0.2 s after their leases and refuse what comes meanwhile (from the logs of a recorded day).
+    """
+
+    def __init__(
+        self,
+        standing: actors.View[replica.Standing],
+        listed: actors.View[listing.Listing],
+        clock: clocks.Clock,
+    ) -> None:
         self._standing = standing
+        self._listed = listed
+        self._alone_at_s = clock.monotonic_s() + _UNLED_AFTER_S
 
     def has_come(self, now_s: float) -> bool:
-        """Tell whether this box leads."""
-        return self._standing.get().leads(now_s)
+        """Tell whether this box leads, or has never heard of a leader nor read the list."""
+        standing = self._standing.get()
+        if standing.leads(now_s):
+            return True
+        is_unled = not standing.leader_address and now_s >= self._alone_at_s
+        return is_unled and self._listed.get().read_at_s == float("-inf")
 
 
 class ReplicaDaemon:
@@ -76,7 +93,7 @@
         )
         self._listing = listing.ListingController.start(
             self._interface.endpoint_list(settings.platform_address),
-            _WhileLeading(self._standing),
+            _WhileLeading(self._standing, self._endpoints, self._clock),
             self._endpoints,
             settings.platform_interval_s,
             self._clock,
@@ -117,6 +134,10 @@
         """Return what the replica is at the moment."""
         return self._standing.get()
 
+    def listed_at_s(self) -> float:
+        """Return when this box last read the platform's list, ``-inf`` before the first time."""
+        return self._endpoints.get().read_at_s
+
     def leads(self) -> bool:
         """Tell whether this box alone may answer for the agreed state."""
         return self.standing().leads(self._clock.monotonic_s())
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -14,6 +14,8 @@
 from croftpulley.observe import events
 
 _LOG = logging.getLogger(__name__)
+UNLISTED_RETRY_S = 0.5
+"""When to come back to a box without a list: it has one within a renewal or two, 0.25 s each."""
 
 
 @attrs.frozen(kw_only=True)
@@ -25,6 +27,15 @@
     reading_tokens: int = 0
 
 
+def _no_engine(exchange: base.Exchange, pool: str) -> errors.CroftpulleyError:
+    code = codes.ResultCode.NO_ENGINE
+    if not exchange.state.endpoints:
+        return errors.CroftpulleyError(
+            code, "this box has no list of endpoints yet", retry_after_s=UNLISTED_RETRY_S
+        )
+    return errors.CroftpulleyError(code, f"pool {pool!r} has no endpoint that may be asked")
+
+
 class Placement:
     """Chooses among the endpoints of a request's pool that are in service."""
 
@@ -55,9 +66,7 @@
             self._counts.candidates(endpoints, exchange.state, held_tokens), now_s
         )
         if not candidates:
-            raise errors.CroftpulleyError(
-                codes.ResultCode.NO_ENGINE, f"pool {pool!r} has no endpoint that may be asked"
-            )
+            raise _no_engine(exchange, pool)
         prompt = _prompt(exchange)
         most = max(held_tokens.values(), default=0)
         chosen = self._chosen(exchange, prompt, candidates, most)
--- a/testing/daemons/test_replicas.py
+++ b/testing/daemons/test_replicas.py
@@ -156,6 +156,46 @@
         assert operator.submit(document(6)).status == 503
 
 
+class TestList:
+    """What is known of endpoints after a loss of all processes.
+
+    Routers had leases and configurations 0.2 s before the new leader had read the list: 174
+    requests of a recorded day were refused for want of an endpoint and told to come back after
+    2 s, as where a pool really has none.
+    """
+
+    def test_a_control_box_has_read_the_list_before_any_leads(self, site):
+        site.stop_all_processes()
+        before = site.instances.calls
+        site.start_control(0)
+        wait_until(lambda: site.instances.calls > before, "it reads the list, alone as it is")
+        assert not site.control[0].leads()
+
+    def test_one_that_has_read_it_once_leaves_it_to_the_leader(self, site):
+        gone = leader(site)
+        follower = next(number for number in range(3) if number != gone)
+        site.stop_control(follower)
+        site.start_control(follower)
+        daemon = site.control[follower]
+        wait_until(lambda: daemon.standing().leader_address, "it hears the leader")
+        assert daemon.listed_at_s() == float("-inf")
+
+    def test_a_router_without_a_list_says_to_come_back_soon(self, site):
+        site.instances.fails = True
+        site.stop_all_processes()
+        site.start_all_processes()
+        answers = []
+
+        def is_told():
+            answers.append(site.ask("GET", "/cancel/x"))
+            return answers[-1].headers.get("retry-after") == "0.5"
+
+        wait_until(is_told, "a router with a lease lacks only the list")
+        assert answers[-1].status == 503
+        site.instances.fails = False
+        wait_until(lambda: site.ask("GET", "/cancel/x").status == 200, "it is served")
+
+
 class TestInventory:
     """What is known of engines' caches after a loss of all processes."""
 
