--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -28,12 +28,12 @@
 WORK_S = 0.03
 """How long an endpoint works on a call, and between the events of a stream."""
 LARGE_ROUTES = 700
-"""Of a large configuration: 210 kB as control boxes send it, which they need seconds to read."""
+"""Of a large configuration: 210 kB as control boxes sent it whole."""
 LINK_BYTES_PER_S = 625_000.0
 """What a control box sends, where links have a rate: a 20th of the 12.5 MB/s of real ones.
 
 Two copies of a large configuration take longer on it than a request between control boxes may
-(0.4 s), as seven copies of 885 kB do on a real one.
+(0.4 s), as seven copies of 878 kB do on a real one.
 """
 
 
