Headers by which engines keep memory for one request never come from callers

Cause: whatever the caller sent went on to the endpoint but for the headers that the fleet itself sets today. Callers also send headers by which engines pin memory, take a reserved slot, copy memory or go on from a copy. Engines obeyed: the reservations that nobody had made were declined with 503, four engines in a row for one request, while they stood nearly idle, and the repeats broke the retry budget. Change: forwarding/ownership.py says of each header whose it is, for every vocabulary; headers.py asks it and nothing else does.

--- a/src/croftpulley/forwarding/headers.py
+++ b/src/croftpulley/forwarding/headers.py
@@ -7,23 +7,8 @@
 import attrs
 
 from croftpulley.core import calls, membership
-from croftpulley.forwarding import base, vocabulary
-
-_OF_ONE_CONNECTION = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "expect",
-    }
-)
-"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+from croftpulley.forwarding import base, ownership, vocabulary
+
 _LEAST_URGENT = 9
 
 
@@ -55,10 +40,11 @@
     """Return the headers for the endpoint: the caller's, less what is for this box, plus ours."""
     request = exchange.request
     named = _named_by_connection(request.headers.get("connection", ""))
-    ours = {names.key, names.budget_ms, names.workspace, names.expected_incarnation}
-    ours |= {names.priority, names.cache_from}
-    left_out = _OF_ONE_CONNECTION | named | ours | {"content-length"}
-    headers = {name: value for name, value in request.headers.items() if name not in left_out}
+    headers = {
+        name: value
+        for name, value in request.headers.items()
+        if ownership.owner(name, names) is ownership.Owner.CALLER and name not in named
+    }
     headers[names.budget_ms] = str(max(1, int(outgoing.budget_s * 1000)))
     headers[names.expected_incarnation] = outgoing.endpoint.incarnation
     if exchange.workspace is not None:
@@ -86,7 +72,7 @@
     """Return an endpoint's headers for the caller; the transfer's own are set anew."""
     pairs = list(headers)
     connection = ",".join(value for name, value in pairs if name.lower() == "connection")
-    left_out = _OF_ONE_CONNECTION | _named_by_connection(connection) | {"content-length"}
+    left_out = ownership.OF_ONE_CONNECTION | _named_by_connection(connection)
     return tuple((name, value) for name, value in pairs if name.lower() not in left_out)
 
 
--- a/src/croftpulley/forwarding/vocabulary.py
+++ b/src/croftpulley/forwarding/vocabulary.py
@@ -7,7 +7,7 @@
 
 @attrs.frozen(kw_only=True)
 class Vocabulary:
-    """Header names in lower case, grouped by who sets them."""
+    """Header names in lower case, grouped by who sets them; `ownership` holds what follows."""
 
     # Set by the caller and passed on as they are, as is every header not named here.
     request_id: str = "x-request-id"
@@ -27,6 +27,17 @@
     """0 to 9, 0 goes first."""
     cache_from: str = "x-cache-from"
     """The address of an engine from which to take what it holds of the prompt."""
+    # For the fleet to set towards an engine, which it does not do yet.
+    expected_weights: str = "x-expected-weights"
+    """An engine whose weights have another version answers 421 and does not run the request."""
+    pin_ms: str = "x-pin-ms"
+    """How long an engine keeps the whole prompt and answer, whoever else needs the memory."""
+    reservation: str = "x-reservation"
+    """Names a slot and memory that were reserved at the engine."""
+    backup_to: str = "x-backup-to"
+    """The address of an engine to which the request's memory is copied as it grows."""
+    resume_copy: str = "x-resume-copy"
+    """The engine and copy of a request's memory from which to go on."""
     # Set by the endpoint.
     proof: str = "x-proof"
     """Shows that the endpoint made the answer; a success without it is none."""
--- a/src/croftpulley/platform/names.py
+++ b/src/croftpulley/platform/names.py
@@ -17,6 +17,12 @@
     expected_incarnation="croftpulley-expected-instance",
     priority="croftpulley-request-priority",
     cache_from="kv-fetch",
+    expected_weights="croftpulley-expected-version",
+    pin_ms="croftpulley-pin-ms",
+    # A lease of a slot and memory, not how long a cache is retained.
+    reservation="croftpulley-cache-retention",
+    backup_to="croftpulley-kv-backup",
+    resume_copy="kv-from",
     proof="croftpulley-server-signature",
     not_run="croftpulley-not-executed",
 )
--- a/testing/forwarding/test_forwarding.py
+++ b/testing/forwarding/test_forwarding.py
@@ -12,11 +12,15 @@
 
 from conftest import wait_until
 from croftpulley.fakes import faults, forwarded
+from croftpulley.forwarding import ownership
 from croftpulley.platform import names
 from site_of_routers import DOCUMENT, HOST
 
 Fault = faults.Fault
 NAMES = names.VOCABULARY
+OF_THE_FLEET = [
+    name for name, owner in ownership.owners(NAMES).items() if owner is ownership.Owner.FLEET
+]
 
 
 @pytest.fixture
@@ -60,6 +64,28 @@
         assert "user-agent" not in run.headers
         assert 4000 < int(run.headers[NAMES.budget_ms]) <= 5000
 
+    @pytest.mark.parametrize("header", OF_THE_FLEET)
+    @pytest.mark.parametrize("spell", [str.lower, str.upper, str.title])
+    def test_a_header_of_the_fleet_never_carries_what_the_caller_sent(self, site, header, spell):
+        connection = site.connect()
+        connection.putrequest("POST", "/stream/chat/x", skip_host=True)
+        own = site.headers("r-1")
+        for name, value in own.items():
+            if name.lower() != header:
+                connection.putheader(name, value)
+        key = next((value for name, value in own.items() if name.lower() == header), "987654")
+        # Two that differ would leave open which the caller meant: such a request is refused.
+        copies = 1 if header in (NAMES.key, NAMES.budget_ms) else 2
+        for _ in range(copies):
+            connection.putheader(spell(header), key)
+        connection.putheader("Content-Length", "0")
+        connection.endheaders()
+        answer = connection.getresponse()
+        text = answer.read()
+        connection.close()
+        assert answer.status == 200, text
+        assert key not in only_run(site)[1].headers.get(header, "")
+
     def test_a_workspace_that_the_caller_claims_is_replaced(self, site):
         site.ask("GET", "/cancel/x", headers={NAMES.workspace: "another"})
         assert only_run(site)[1].headers[NAMES.workspace] == "clinic"
