After a loss of all power engines are asked at once for what they keep

The young leader asked 13 engines one after the other: 0.51 s, of which 0.4 s for one that was down; routers served from 0.1 s after it led. What it learnt went out in pages of 1,000 a quarter of a second apart, private ends of prompts among them. Ruled out: a late leader or list (leases 0.1 s after the leader stood); forgotten notes before the fault (few such reads until then). Change: sixteen engines are asked at a time; the longest parts are told first; a router with more notes waiting renews at each tick (63 ms); notes that come before the first renewal of a leadership begin its bulletin instead of being lost.

--- a/src/croftpulley/controllers/inventory.py
+++ b/src/croftpulley/controllers/inventory.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import threading
 from typing import Any
 
 import pykka
@@ -23,6 +24,10 @@
 YOUNG_S = 10.0
 """How long after its start a box takes the fleet to have started with it. One that leads later
 was a follower while others led, so routers know what they sent; asking costs engines time."""
+MOST_AT_ONCE = 16
+"""Engines that are asked at the same time. Asked one after the other, 13 engines took 0.51 s, 0.4 s
+of them for one that was down; routers served from 0.1 s on, and of their first 164 requests 91 were
+read anew, 245,000 tokens (logs of a loss of all power on ten boxes)."""
 
 
 class InventoryController(actors.Controller):
@@ -53,9 +58,18 @@
         if self._done or not self._standing.get().leads(now_s) or not listed.endpoints.value:
             return
         self._done = True
-        for endpoint in listed.endpoints.value:
-            if endpoint.kind is membership.EndpointKind.ENGINE:
-                self._ask(endpoint)
+        engines = [
+            each for each in listed.endpoints.value if each.kind is membership.EndpointKind.ENGINE
+        ]
+        for first in range(min(MOST_AT_ONCE, len(engines))):
+            asked = engines[first::MOST_AT_ONCE]
+            threading.Thread(
+                target=self._ask_each, args=(asked,), name="inventory", daemon=True
+            ).start()
+
+    def _ask_each(self, engines: list[membership.Endpoint]) -> None:
+        for engine in engines:
+            self._ask(engine)
 
     def _ask(self, engine: membership.Endpoint) -> None:
         try:
@@ -69,7 +83,9 @@
                 problem=str(failure),
             )
             return
-        parts = tuple(each.part for each in kept if each.tokens >= places.LEAST_TOKENS)
+        # The longest first: routers get them in this order, some at a time.
+        longest = sorted(kept, key=lambda each: each.tokens, reverse=True)
+        parts = tuple(each.part for each in longest if each.tokens >= places.LEAST_TOKENS)
         events.emit(
             _LOG, events.Event.CACHE_READ, engine=engine.name, parts=len(kept), told=len(parts)
         )
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -10,7 +10,7 @@
 from croftpulley import clock as clocks
 from croftpulley import errors
 from croftpulley.controllers import actors, configuration_fetch, listing, router_state, traffic
-from croftpulley.core import leases, membership, sessions, tables
+from croftpulley.core import leases, membership, places, sessions, tables
 from croftpulley.observe import events, metrics
 from croftpulley.settings import formats
 from croftpulley.transport import box_messages, json_codec, links
@@ -18,9 +18,10 @@
 _LOG = logging.getLogger(__name__)
 RENEW_PATH = "/v1/boxes/renewals"
 TICKS_AN_INTERVAL = 4
-"""A box that may not serve yet (it lacks a lease, a configuration or endpoints) renews at each
-tick, any other at every fourth one. After a loss of all processes routers are up 0.04 s before a
-leader (design 011): the next tick then decides when they serve."""
+"""A box that may not serve yet (it lacks a lease, a configuration or endpoints), or for which more
+notes of where prompts lie are waiting, renews at each tick, any other at every fourth one. After a
+loss of all processes routers are up 0.04 s before a leader (design 011): the next tick then decides
+when they serve."""
 _HOPS = 2
 """How often one renewal follows a box's word on who leads."""
 
@@ -72,6 +73,7 @@
         self._fetches = False
         self._leader = ""
         self._next_note = 0
+        self._more_notes = False
         self._fails = False
 
     def handle(self, message: object) -> None:
@@ -92,7 +94,7 @@
         began_s = self._clock.monotonic_s()
         self._renew_once()
         self._take_own_listing()
-        if self._view.get().may_serve(self._clock.monotonic_s()):
+        if self._view.get().may_serve(self._clock.monotonic_s()) and not self._more_notes:
             # Half a tick early: ticks are never quite on time.
             tick_s = self._interval_s / TICKS_AN_INTERVAL
             self._due_at_s = began_s + self._interval_s - tick_s / 2
@@ -234,6 +236,10 @@
         known = self._view.get()
         self._counts.learn_notes(answer.notes)
         self._next_note = answer.next_note
+        # A box that has just started gets its notes page by page; until it has them all it sends
+        # prompts to engines that do not hold them.
+        taken = sum(len(parts) for parts in answer.notes.values())
+        self._more_notes = taken >= places.NOTES_AN_ANSWER
         self._fetch.aim(answer.configuration_version)
         changed = attrs.evolve(
             known,
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -98,7 +98,10 @@
                 self._waiting.append(message)
                 self._settle()
             case PostNotes(notes):
-                self._bulletin.post(places.each_note(notes))
+                # Notes may be the first that is heard of a new leadership, which begins a bulletin
+                # of its own: posted to the old one they would be lost.
+                if self._leads():
+                    self._bulletin.post(places.each_note(notes))
             case actors.Tick():
                 self._tick()
             case Status():
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -31,26 +31,40 @@
         return self._state
 
 
+def report(known_version=0):
+    return box_messages.BoxReport(
+        box=BOX,
+        configuration_version=0,
+        boxes_version=0,
+        endpoints_version=known_version,
+        in_flight={},
+    )
+
+
 @pytest.fixture
-def told_after():
-    """Return what a router is told of endpoints, some time after the list was read."""
+def make_leader():
+    """Return a controller of a box that has just come to lead, and its clock."""
 
-    def tell(age_s, known_version):
+    def make():
         clock = clocks.ManualClock()
         standing = replica.Standing(replicas.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
         listed = listing.Listing(versions.Versioned((ENDPOINT,)), clock.monotonic_s())
         controller = sessions.SessionController(
             Applied(), actors.View(standing), actors.View(listed), 3.0, 0.1, clock
         )
+        return controller, clock
+
+    return make
+
+
+@pytest.fixture
+def told_after(make_leader):
+    """Return what a router is told of endpoints, some time after the list was read."""
+
+    def tell(age_s, known_version):
+        controller, clock = make_leader()
         clock.advance(age_s)
-        report = box_messages.BoxReport(
-            box=BOX,
-            configuration_version=0,
-            boxes_version=0,
-            endpoints_version=known_version,
-            in_flight={},
-        )
-        return controller.handle(report).endpoints
+        return controller.handle(report(known_version)).endpoints
 
     return tell
 
@@ -68,3 +82,9 @@
     told_after, age_s, known_version, told
 ):
     assert told_after(age_s, known_version) == told
+
+
+def test_notes_that_come_before_the_first_renewal_of_a_leadership_are_told(make_leader):
+    controller, _ = make_leader()
+    controller.handle(sessions.PostNotes({"e": ("part",)}))
+    assert controller.handle(report()).notes == {"e": ("part",)}
