croftpulley losses: which requests were late, failed or refused, when and why, from routers' logs

Change: request_answered carries first_s and objective_s; observe/losses.py tabulates by span, route and reason (pure), the command prints it or JSON. What reaches no router is in no log; lines left out are told. Tests: each reason, the spans, missing lines, the command over several logs.

--- a/src/croftpulley/cli/explain.py
+++ b/src/croftpulley/cli/explain.py
@@ -12,8 +12,8 @@
 from croftpulley.observe import explain as explaining
 
 
-def _lines(file: str) -> Iterator[str]:
-    """Read a log line by line: only what concerns one request is kept in memory."""
+def lines_of(file: str) -> Iterator[str]:
+    """Read a log line by line: a reader keeps in memory only what concerns it."""
     with pathlib.Path(file).open(encoding="utf-8", errors="replace") as log:
         yield from log
 
@@ -34,7 +34,7 @@
 
     Example: croftpulley explain 9c41d07be2a35f68 --logs router-1.log --logs control-1.log
     """
-    texts = [_lines(each) for each in files]
+    texts = [lines_of(each) for each in files]
     story = explaining.explain(request_id, explaining.read(itertools.chain.from_iterable(texts)))
     if as_json:
         lines = [str(line) for line in story.lines]
--- a/src/croftpulley/cli/main.py
+++ b/src/croftpulley/cli/main.py
@@ -8,7 +8,7 @@
 
 import croftpulley
 from croftpulley import codes, errors
-from croftpulley.cli import bench, ctl, daemons, explain, fakes, policy, settings
+from croftpulley.cli import bench, ctl, daemons, explain, fakes, losses, policy, settings
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -31,6 +31,7 @@
 cli.add_command(bench.bench)
 cli.add_command(policy.policy)
 cli.add_command(explain.explain)
+cli.add_command(losses.losses)
 
 
 def main() -> None:
--- a/src/croftpulley/forwarding/observe.py
+++ b/src/croftpulley/forwarding/observe.py
@@ -69,6 +69,8 @@
             code=code.name,
             endpoint=last.endpoint if last else "",
             attempts=len(exchange.attempts.attempts),
+            first_s=round(first_s, 3),
+            objective_s=exchange.known_route.objective_ms / 1000,
             after_s=round(self._elapsed_s(exchange), 3),
         )
         self._ended(exchange, code)
