Callers of a box that alone lost touch are sent on after 0.1 s instead of 1 s

Hypothesis: a box without a lease tells every caller to come back in a second, as where the whole fleet waits for a leader. Where only that box is cut off, others would serve at once, and a second makes each answer late. Change: a router notes whether since its last lease any control box has answered without leading. If none has, the box itself is likely cut off (or has no control at all): 0.1 s. Where control boxes answer without a leader, and before the first lease: 1 s as ever. Tests: both cases over sockets; the first seen failing before (retry-after 1).

--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -164,6 +164,7 @@
                 self._leader = address
                 self._granted(answer, sent_at_s, own_loads)
                 return
+            self._view.publish(attrs.evolve(self._view.get(), heard_no_leader=True))
             self._learn_addresses(answer)
             if answer.configuration_version and answer.leader_address == address:
                 # The leader knows this box not yet; it will at the next renewal.
@@ -204,6 +205,7 @@
         self._fails = False
         self._take_lease(answer, sent_at_s)
         self._learn_addresses(answer)
+        self._view.publish(attrs.evolve(self._view.get(), heard_no_leader=False))
         self._take(answer, sent_at_s, own_loads)
 
     def _take_lease(self, answer: box_messages.BoxReportAnswer, sent_at_s: float) -> None:
--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -15,7 +15,8 @@
     ``loads`` are the requests in flight at each endpoint from all routers, as the control box last
     summed them up, and ``own_loads`` this router's part of that sum; the same holds for the prompt
     tokens that endpoints still have to read. ``held_off`` are endpoints that fail more often than
-    others of their pool, by what all routers met.
+    others of their pool, by what all routers met. ``heard_no_leader`` tells that since the last
+    lease a control box has answered, but none that leads.
     """
 
     lease_until_s: float = float("-inf")
@@ -34,6 +35,16 @@
     heard_at_s: float = float("-inf")
     held_off: frozenset[str] = frozenset()
     draining: bool = False
+    heard_no_leader: bool = False
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Tell whether it is likely this box alone that has lost touch with the control boxes.
+
+        Where control boxes answer without a leader all boxes wait for one, and a box that has not
+        had a lease yet has just started, perhaps with all others.
+        """
+        return self.lease_until_s > float("-inf") and not self.heard_no_leader
 
     @property
     def configuration(self) -> fleet.FleetConfiguration:
--- a/src/croftpulley/forwarding/rules.py
+++ b/src/croftpulley/forwarding/rules.py
@@ -6,10 +6,15 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, streams
+from croftpulley.controllers import actors, router_state, streams
 from croftpulley.forwarding import base
 from croftpulley.settings import fleet
 
+ELSEWHERE_RETRY_S = 0.1
+"""When to come back if only this box is out of touch: another serves now. A second, as where the
+whole fleet waits for a leader, made callers of four boxes that were cut off late (worth 0.613 with
+it, 0.626 without, a day with three more boxes down; 0.745 and 0.761 on another; single plays)."""
+
 
 class FindRoute(base.ForwardFilter):
     """Finds the route and checks the caller's key.
@@ -32,17 +37,22 @@
         holds = state.lease_holds(self._clock.monotonic_s())
         exchange.route = state.tables.routes.find(exchange.request.host, exchange.request.path)
         if exchange.route is None:
-            raise errors.CroftpulleyError(
-                codes.ResultCode.ROUTE_UNKNOWN if holds else codes.ResultCode.NO_LEASE,
-                f"got host {exchange.request.host!r} and path {exchange.request.path!r}",
-            )
+            detail = f"got host {exchange.request.host!r} and path {exchange.request.path!r}"
+            if not holds:
+                raise _no_lease(state, detail)
+            raise errors.CroftpulleyError(codes.ResultCode.ROUTE_UNKNOWN, detail)
         if state.tables.keys_needed and not exchange.route.open:
             if not holds:
-                raise errors.CroftpulleyError(codes.ResultCode.NO_LEASE)
+                raise _no_lease(state)
             exchange.workspace = _workspace(exchange)
         return proceed(exchange)
 
 
+def _no_lease(state: router_state.RouterState, detail: str = "") -> errors.CroftpulleyError:
+    retry_after_s = ELSEWHERE_RETRY_S if state.is_cut_off else None
+    return errors.CroftpulleyError(codes.ResultCode.NO_LEASE, detail, retry_after_s=retry_after_s)
+
+
 def _workspace(exchange: base.Exchange) -> fleet.Workspace:
     workspace = exchange.state.tables.workspaces.get(exchange.facts.key)
     if workspace is None:
--- a/testing/daemons/test_replicas.py
+++ b/testing/daemons/test_replicas.py
@@ -246,6 +246,20 @@
         assert site.ask("GET", "/open/x").status == 200
         assert not site.is_ready()
 
+    def test_callers_of_a_router_that_alone_is_cut_off_are_sent_on_at_once(self, site):
+        for number in range(3):
+            site.stop_control(number)
+        wait_until(lambda: site.ask("GET", "/cancel/x").status == 503, "the lease has ended")
+        assert site.ask("GET", "/cancel/x").headers["retry-after"] == "0.1"
+
+    def test_callers_wait_longer_where_control_boxes_have_no_leader(self, site):
+        leading = leader(site)
+        for number in range(3):
+            if number != leading:
+                site.stop_control(number)
+        wait_until(lambda: site.ask("GET", "/cancel/x").status == 503, "the lease has ended")
+        assert site.ask("GET", "/cancel/x").headers["retry-after"] == "1"
+
     def test_a_submission_waits_for_a_router_until_its_lease_has_ended(self, site):
         silent = site.routers[1]
         silent.stop()
