Callers may keep an answer of the directory for 5 s instead of 1 s

Hypothesis: callers ask the directory anew when their answer has run out, near boxes first, and give each a second. With 1 s each caller of a hall whose box is down spends a second on that every second; a stale answer costs one such second for each dead box, since callers skip an address that failed them. Change: RouterSettings.entry_ttl_s 5 (was 1); a planned stop keeps serving min(3 x ttl, half of the grace), as before.

--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -144,7 +144,12 @@
     renew_timeout_s: float = attrs.field(default=0.4, validator=_between(0.05, 60))
     lease_margin_s: float = attrs.field(default=0.1, validator=_between(0.0, 60))
     list_fallback_s: float = attrs.field(default=2.5, validator=_between(0.1, 600))
-    entry_ttl_s: float = attrs.field(default=1.0, validator=_between(0.1, 600))
+    entry_ttl_s: float = attrs.field(default=5.0, validator=_between(0.1, 600))
+    """An answer kept for 1 s had callers ask anew each second, and wait a second where the box that
+    they asked was down: 5 s raised worth by 0.007 to 0.034 on four days with boxes down, cut off or
+    stopped in turn (single plays side by side; with the sooner return of `rules.ELSEWHERE_RETRY_S`
+    on two of them), 3 s by 0.005 to 0.012. The users' callers keep none for longer than 5 s, some
+    for three times as long."""
     grace_s: float = attrs.field(default=30.0, validator=_between(0.1, 3600))
     connect_timeout_s: float = attrs.field(default=0.5, validator=_between(0.05, 60))
     silence_s: float = attrs.field(default=20.0, validator=_between(0.1, 600))
