Clean-up: one LONGEST_BYTES, long texts of the log have a module of their own name, large requests are logged again

core.parts and transport.packing had the same limit; core/replication/parts.py stood beside core/parts.py under one name; no request between replicas reached LOGGED_SIZE_BYTES (64 KiB) since long texts go in parts, so it is one part's length now.

--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -19,7 +19,7 @@
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement
 from croftpulley.core import agreed
-from croftpulley.core.replication import messages
+from croftpulley.core.replication import long_texts, messages
 from croftpulley.core.replication import replica as replicas
 from croftpulley.observe import events
 from croftpulley.storage import commands, replica_store, state_codec
@@ -32,8 +32,9 @@
 SNAPSHOT_AFTER_BYTES = 2 * 1024 * 1024
 """A log file is written anew when more than either was added since it was begun, or as much as it
 began with if that is more: restarts stay short and a small disk has room for it."""
-LOGGED_SIZE_BYTES = 64 * 1024
-"""A request this large that gets no answer is logged each time: its size may be why."""
+LOGGED_SIZE_BYTES = long_texts.PART_LENGTH
+"""A request this large that gets no answer is logged each time: its size may be why. Only one that
+carries a whole part of a long text is."""
 _JOIN_INTERVAL_S = 0.3
 _DISK_RETRY_S = 0.3
 
--- a/src/croftpulley/core/parts.py
+++ b/src/croftpulley/core/parts.py
@@ -18,7 +18,7 @@
 JSON, 1.8 ms on a link of 12.5 MB/s: 200 routers may ask one control box at the same moment before
 the last of them waits 0.4 s, and a heartbeat waits behind single parts."""
 LONGEST_BYTES = 64 * 1024 * 1024
-"""No configuration is gathered beyond this: one that claims to be longer is damaged."""
+"""No configuration is gathered or unpacked beyond this: one that claims to be longer is damaged."""
 _CONTRADICTIONS = 2
 """So many in a row say that what is held is wrong, not what comes."""
 
--- a/src/croftpulley/core/replication/progress.py
+++ b/src/croftpulley/core/replication/progress.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from croftpulley.core.replication import messages, parts
+from croftpulley.core.replication import long_texts, messages
 
 
 @attrs.define
@@ -24,7 +24,7 @@
     acknowledged_sent_s: float = float("-inf")
     in_flight: bool = False
     sent_s: float = float("-inf")
-    outgoing: parts.OutgoingSnapshot | None = None
+    outgoing: long_texts.OutgoingSnapshot | None = None
 
     def acknowledged(self, sent_s: float) -> None:
         """Note an answer to a request that was sent at ``sent_s``."""
@@ -41,10 +41,10 @@
         if self.outgoing is not None and self.outgoing.is_received(reply):
             self.holds(reply.index)
 
-    def snapshot_part(self, newest: messages.Snapshot) -> parts.OutgoingSnapshot:
+    def snapshot_part(self, newest: messages.Snapshot) -> long_texts.OutgoingSnapshot:
         """Return the snapshot that is under way, or begin with ``newest``."""
         if self.outgoing is None:
-            self.outgoing = parts.OutgoingSnapshot(newest)
+            self.outgoing = long_texts.OutgoingSnapshot(newest)
         return self.outgoing
 
 
--- a/src/croftpulley/core/replication/replica.py
+++ b/src/croftpulley/core/replication/replica.py
@@ -8,7 +8,7 @@
 import attrs
 
 from croftpulley.core.replication import log as logs
-from croftpulley.core.replication import membership, messages, parts, progress, voting
+from croftpulley.core.replication import long_texts, membership, messages, progress, voting
 
 KEPT_FOR_SNAPSHOTS = 4
 """So many times the usual length of the log may be kept more while a replica is sent a snapshot."""
@@ -73,8 +73,8 @@
         self.commit_index = stored.snapshot.index
         self._taken_index = stored.snapshot.index
         self._applied_index = stored.snapshot.index
-        self._assembly = parts.Assembly()
-        self._incoming = parts.IncomingSnapshot()
+        self._assembly = long_texts.Assembly()
+        self._incoming = long_texts.IncomingSnapshot()
         self._voted_for = stored.voted_for
         self._timing = timing
         self._chance = chance
@@ -425,7 +425,7 @@
         return effects, tuple(indexes)
 
     def _command_entries(self, payload: str) -> list[messages.Entry]:
-        *before, last = parts.split(payload)
+        *before, last = long_texts.split(payload)
         kind = messages.EntryKind.COMMAND
         entries = [messages.Entry(self.term, kind, part, continues=True) for part in before]
         return [*entries, messages.Entry(self.term, kind, last)]
@@ -530,12 +530,12 @@
             leader=self.id,
             previous_index=previous_index,
             previous_term=previous_term,
-            entries=self.log.slice(known.next_index, parts.PART_LENGTH),
+            entries=self.log.slice(known.next_index, long_texts.PART_LENGTH),
             commit_index=self.commit_index,
         )
 
     def _snapshot_request(
-        self, replica: str, outgoing: parts.OutgoingSnapshot
+        self, replica: str, outgoing: long_texts.OutgoingSnapshot
     ) -> messages.SnapshotRequest:
         snapshot = outgoing.snapshot
         return messages.SnapshotRequest(
--- a/src/croftpulley/transport/packing.py
+++ b/src/croftpulley/transport/packing.py
@@ -9,11 +9,10 @@
 import zlib
 
 from croftpulley import codes, errors
+from croftpulley.core import parts
 
 _FAST = 1
 """The level of zlib that takes least time; the others save little on these texts."""
-LONGEST_BYTES = 64 * 1024 * 1024
-"""No text is unpacked beyond this: one that claims to be longer is damaged."""
 
 
 def pack(text: str) -> bytes:
@@ -29,11 +28,11 @@
     """Return the text; raises `errors.CroftpulleyError` (BAD_REQUEST) for what is no packed one."""
     unpacker = zlib.decompressobj()
     try:
-        text = unpacker.decompress(packed, LONGEST_BYTES)
+        text = unpacker.decompress(packed, parts.LONGEST_BYTES)
         if not unpacker.eof:
             raise errors.CroftpulleyError(
                 codes.ResultCode.BAD_REQUEST,
-                f"got a packed text that is cut or longer than {LONGEST_BYTES} bytes",
+                f"got a packed text that is cut or longer than {parts.LONGEST_BYTES} bytes",
             )
         return text.decode()
     except (zlib.error, UnicodeDecodeError) as failure:
--- a/testing/core/replication/test_large_entries.py
+++ b/testing/core/replication/test_large_entries.py
@@ -22,7 +22,7 @@
 import pytest
 
 from core.replication import cluster as clusters
-from croftpulley.core.replication import messages, parts, progress, replica
+from croftpulley.core.replication import long_texts, messages, progress, replica
 from croftpulley.transport import json_codec
 
 SEEDS = range(3)
@@ -107,7 +107,7 @@
 
 
 def test_parts_of_a_command_whose_leader_was_lost_are_left_out():
-    assembly = parts.Assembly()
+    assembly = long_texts.Assembly()
     kind = messages.EntryKind.COMMAND
     assert assembly.take(messages.Entry(1, kind, "lost", continues=True)) is None
     start = messages.Entry(2, messages.EntryKind.START)
@@ -130,15 +130,15 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_parts_of_snapshots_of_two_leaders_are_never_put_together(seed):
     chance = random.Random(seed)
-    texts = {term: large_text(5 * parts.PART_LENGTH, term) for term in (4, 5)}
-    incoming = parts.IncomingSnapshot()
+    texts = {term: large_text(5 * long_texts.PART_LENGTH, term) for term in (4, 5)}
+    incoming = long_texts.IncomingSnapshot()
     whole = []
     for _ in range(300):
         term = chance.choice((4, 5)) if chance.random() < 0.1 else incoming.term or 4
         offset = 0 if term != incoming.term else incoming.received
         if chance.random() < 0.1:
-            offset = chance.randrange(5) * parts.PART_LENGTH
-        text = texts[term][offset : offset + parts.PART_LENGTH]
+            offset = chance.randrange(5) * long_texts.PART_LENGTH
+        text = texts[term][offset : offset + long_texts.PART_LENGTH]
         request = messages.SnapshotRequest(
             to="a",
             term=term,
@@ -165,7 +165,7 @@
     for _ in range(200):
         cluster.step()
         sizes_bytes += [len(json_codec.encode(each.body)) for each in cluster.network]
-    assert 1.5 * parts.PART_LENGTH > max(sizes_bytes) > parts.PART_LENGTH
+    assert 1.5 * long_texts.PART_LENGTH > max(sizes_bytes) > long_texts.PART_LENGTH
 
 
 def follower_of_a_command_in_parts():
