--- a/src/croftpulley/controllers/inventory.py
+++ b/src/croftpulley/controllers/inventory.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import threading
 from typing import Any
@@ -68,8 +69,10 @@
             ).start()
 
     def _ask_each(self, engines: list[membership.Endpoint]) -> None:
-        for engine in engines:
-            self._ask(engine)
+        # A box that stops meanwhile has nobody left to tell.
+        with contextlib.suppress(pykka.ActorDeadError):
+            for engine in engines:
+                self._ask(engine)
 
     def _ask(self, engine: membership.Endpoint) -> None:
         try:
