--- a/src/croftpulley/cli/bench.py
+++ b/src/croftpulley/cli/bench.py
@@ -14,12 +14,13 @@
 from croftpulley.bench import fleet_files, scrape, table
 from croftpulley.bench import path as path_bench
 from croftpulley.cli import policy as policy_cli
-from croftpulley.emulator import choosers, traffic
+from croftpulley.emulator import choosers, drawn, traffic
 from croftpulley.emulator import run as emulation
 from croftpulley.policy import arms
 
 _READY_TIMEOUT_S = 20.0
 _POLL_INTERVAL_S = 0.1
+_DRAWN = "random"
 
 _EXAMPLES = click.option(
     "--examples",
@@ -122,10 +123,17 @@
 
 
 @bench.command("policy")
-@click.option("--deployment", type=click.Choice(sorted(traffic.DEPLOYMENTS)), required=True)
+@click.option(
+    "--deployment",
+    type=click.Choice([*sorted(traffic.DEPLOYMENTS), _DRAWN]),
+    required=True,
+    help=f"One of today's users, or {_DRAWN}: engines and requests drawn from the seed.",
+)
 @click.option("--program", type=click.Path(), help="A program for scores to compare as well.")
 @click.option("--seconds", default=120.0, show_default=True, help="Of virtual time.")
-@click.option("--seed", default=1, show_default=True, help="Seed of the traffic.")
+@click.option(
+    "--seed", default=1, show_default=True, help="Seed of the traffic, and of what is drawn."
+)
 @_JSON
 def policies(
     deployment: str, program: str | None, seconds: float, seed: int, as_json: bool
@@ -143,5 +151,6 @@
     if program is not None:
         score = policy_cli.read_program(program, arms.CANDIDATE_NAMES)
         ways["program"] = choosers.ByProgram(arms.Arm(name="program", score=score))
-    rows = emulation.compare(traffic.DEPLOYMENTS[deployment], ways, seconds, seed)
+    played = drawn.deployment(seed) if deployment == _DRAWN else traffic.DEPLOYMENTS[deployment]
+    rows = emulation.compare(played, ways, seconds, seed)
     click.echo(table.as_json(rows) if as_json else table.plain(rows))
--- a/src/croftpulley/emulator/engines.py
+++ b/src/croftpulley/emulator/engines.py
@@ -52,11 +52,15 @@
         self.running += 1
         held = self.held_tokens(prompt)
         total = sum(part.tokens for part in prompt)
-        wait_s = max(0.0, self.reads_until_s - now_s) + self._wait_for_slot_s(now_s)
+        # Prompts before it are read while it waits for a slot: one after the other would count the
+        # same time twice, and twice again with each request that waits.
+        wait_s = max(0.0, self.reads_until_s - now_s, self._wait_for_slot_s(now_s))
         first_s = now_s + wait_s + (total - held) / self.size.read_tokens_a_ms / 1000
         self.reads_until_s = first_s
         self._keep(prompt)
-        step_ms = self.size.step_ms + self.size.step_ms_per_request * self.running
+        # Those that wait for a slot slow nobody down.
+        batch = min(self.running, self.size.slots)
+        step_ms = self.size.step_ms + self.size.step_ms_per_request * batch
         end_s = first_s + out_tokens * step_ms / 1000
         self._waiting_until_s.append(end_s)
         return Begun(first_s, end_s, held)
--- a/src/croftpulley/emulator/run.py
+++ b/src/croftpulley/emulator/run.py
@@ -80,7 +80,7 @@
     def __init__(self, deployment: traffic.Deployment, chooser: choosers.Chooser) -> None:
         self._chooser = chooser
         self._engines = {
-            name: _Engine(engines.Engine(name, engines.EngineSize()))
+            name: _Engine(engines.Engine(name, deployment.engine))
             for name in (f"engine-{number}" for number in range(deployment.engines))
         }
         self._routers = [_Router() for _ in range(deployment.routers)]
--- a/src/croftpulley/emulator/traffic.py
+++ b/src/croftpulley/emulator/traffic.py
@@ -8,6 +8,7 @@
 import attrs
 
 from croftpulley.core import calls
+from croftpulley.emulator import engines as sizes
 
 
 @attrs.frozen(kw_only=True)
@@ -35,6 +36,7 @@
     routers: int
     engines: int
     kinds: tuple[RequestKind, ...]
+    engine: sizes.EngineSize = attrs.field(factory=sizes.EngineSize)
 
 
 def _kind(name: str, per_s: float, objective_s: float, sizes: tuple[int, ...]) -> RequestKind:
@@ -71,6 +73,22 @@
             _kind("quick-hint", 10.7, 0.4, (103, 8, 500, 48, 110, 279)),
         ),
     ),
+    "saltbush": Deployment(
+        routers=10,
+        engines=9,
+        engine=sizes.EngineSize(
+            slots=48,
+            cache_tokens=713_635,
+            step_ms=3.23,
+            step_ms_per_request=0.048,
+            read_tokens_a_ms=112.0,
+        ),
+        kinds=(
+            _kind("album-story", 20.9, 0.6, (512, 3, 10_000, 95, 1300, 385)),
+            _kind("photo-caption", 29.6, 0.3, (119, 8, 580, 89, 130, 294)),
+            _kind("face-tag", 35.8, 0.4, (341, 8, 1700, 162, 360, 22)),
+        ),
+    ),
 }
 """Rates, sizes, objectives, routers and engines from the users' sheets of today."""
 
--- a/testing/emulator/test_emulation.py
+++ b/testing/emulator/test_emulation.py
@@ -10,7 +10,7 @@
 
 from croftpulley.cli import main
 from croftpulley.core import calls
-from croftpulley.emulator import choosers, engines, run, traffic
+from croftpulley.emulator import choosers, drawn, engines, run, traffic
 
 SECONDS_S = 60.0
 SHIFA = traffic.DEPLOYMENTS["shifa"]
@@ -58,6 +58,30 @@
         assert made.begin(0.0, (part("a", 1),), 100).end_s == pytest.approx(1.0)
         assert made.begin(0.5, (part("b", 1),), 100).first_s == pytest.approx(1.0)
 
+    def test_those_that_wait_for_a_slot_do_not_slow_the_batch(self):
+        made = engine(slots=1, read_tokens_a_ms=1e9, step_ms=10.0, step_ms_per_request=10.0)
+        ends_s = [made.begin(0.0, (part("a", 1),), 10).end_s for _ in range(4)]
+        assert ends_s == pytest.approx([0.2, 0.4, 0.6, 0.8])
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_drawn_deployment_stays_within_its_bounds_and_is_the_same_for_its_seed(seed):
+    made = drawn.deployment(seed)
+    assert made == drawn.deployment(seed)
+    assert made != drawn.deployment(seed + 1)
+    assert drawn.ENGINES[0] <= made.engines <= drawn.ENGINES[1]
+    assert drawn.ROUTERS[0] <= made.routers <= drawn.ROUTERS[1]
+    assert drawn.READ_TOKENS_A_MS[0] <= made.engine.read_tokens_a_ms <= drawn.READ_TOKENS_A_MS[1]
+    assert drawn.KINDS[0] <= len(made.kinds) <= drawn.KINDS[1]
+    assert all(each.per_s > 0 for each in made.kinds)
+
+
+def test_a_drawn_deployment_is_played_by_the_command():
+    arguments = ["bench", "policy", "--deployment", "random", "--seed", "3", "--seconds", "5"]
+    result = click_testing.CliRunner().invoke(main.cli, [*arguments, "--json"])
+    assert result.exit_code == 0
+    assert orjson.loads(result.output)["built_in_cache_reuse_ratio"] > 0
+
 
 def test_the_same_seed_gives_the_same_traffic_and_figures():
     assert list(traffic.arrivals(SHIFA, 5.0, 1)) == list(traffic.arrivals(SHIFA, 5.0, 1))
