--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -37,11 +37,6 @@
     draining: bool = False
     heard_no_leader: bool = False
 
-    @property
-    def has_had_lease(self) -> bool:
-        """Tell whether this box has ever held a lease since it started."""
-        return self.lease_until_s > float("-inf")
-
     @property
     def is_cut_off(self) -> bool:
         """Tell whether it is likely this box alone that has lost touch with the control boxes.
@@ -49,7 +44,7 @@
         Where control boxes answer without a leader all boxes wait for one, and a box that has not
         had a lease yet has just started, perhaps with all others.
         """
-        return self.has_had_lease and not self.heard_no_leader
+        return self.lease_until_s > float("-inf") and not self.heard_no_leader
 
     @property
     def configuration(self) -> fleet.FleetConfiguration:
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -13,7 +13,7 @@
 from croftpulley.controllers import actors, listing, renewal, router_state, streams, traffic
 from croftpulley.core import membership, retry_budget, selection
 from croftpulley.daemons import entry_box
-from croftpulley.forwarding import chain, observe, place, relay, rules, sender, starting, steer
+from croftpulley.forwarding import chain, observe, place, relay, rules, sender, steer
 from croftpulley.http import forward_app, health_app, server, wsgi
 from croftpulley.interfaces import callers
 from croftpulley.observe import events, metrics
@@ -195,7 +195,6 @@
         )
         return chain.Steps(
             observe=observe.Observe(self._counters, self._clock),
-            await_start=starting.AwaitStart(self._view, self._clock),
             find_route=rules.FindRoute(self._closed, self._clock),
             limit_time=rules.LimitTime(self._streams),
             relay=relay.Relay(
--- a/src/croftpulley/forwarding/chain.py
+++ b/src/croftpulley/forwarding/chain.py
@@ -5,7 +5,7 @@
 import attrs
 
 from croftpulley.filters import steps as linking
-from croftpulley.forwarding import base, observe, relay, rules, starting
+from croftpulley.forwarding import base, observe, relay, rules
 
 
 @attrs.frozen(kw_only=True)
@@ -13,7 +13,6 @@
     """One of each step, set up by the daemon."""
 
     observe: observe.Observe
-    await_start: starting.AwaitStart
     find_route: rules.FindRoute
     limit_time: rules.LimitTime
     relay: relay.Relay
@@ -21,6 +20,4 @@
 
 def forward_chain(steps: Steps) -> base.Proceed:
     """Return the chain."""
-    return linking.link(
-        (steps.observe, steps.await_start, steps.find_route, steps.limit_time, steps.relay)
-    )
+    return linking.link((steps.observe, steps.find_route, steps.limit_time, steps.relay))
