--- a/src/croftpulley/cli/explain.py
+++ b/src/croftpulley/cli/explain.py
@@ -4,7 +4,7 @@
 
 import itertools
 import pathlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import click
 import orjson
@@ -18,16 +18,21 @@
         yield from log
 
 
+def logs_option(of: str) -> Callable[[Callable[..., None]], Callable[..., None]]:
+    """Return the option that names log files, those ``of`` a process or of a router."""
+    return click.option(
+        "--logs",
+        "files",
+        multiple=True,
+        required=True,
+        type=click.Path(exists=True, dir_okay=False),
+        help=f"What a {of} wrote to standard output; give those of all.",
+    )
+
+
 @click.command()
 @click.argument("request_id")
-@click.option(
-    "--logs",
-    "files",
-    multiple=True,
-    required=True,
-    type=click.Path(exists=True, dir_okay=False),
-    help="What a process wrote to standard output; give those of all processes.",
-)
+@logs_option("process")
 @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 def explain(request_id: str, files: tuple[str, ...], as_json: bool) -> None:
     """Put the lines of one request over all processes in order, and name the cause.
--- a/src/croftpulley/cli/losses.py
+++ b/src/croftpulley/cli/losses.py
@@ -13,14 +13,7 @@
 
 
 @click.command()
-@click.option(
-    "--logs",
-    "files",
-    multiple=True,
-    required=True,
-    type=click.Path(exists=True, dir_okay=False),
-    help="What a router wrote to standard output; give those of all routers.",
-)
+@explain.logs_option("router")
 @click.option(
     "--window-s",
     default=2.0,
