Settings that change while a program runs: one reader, new seeds used at once

Cause: SIGHUP had the log level of the command line's programs read again and nothing else; the platform's programs read nothing. Seeds were those of the start for ever, so that a box whose known control boxes were all exchanged never came back. A settings file that is no UTF-8 ended the reader.

Change: daemons/settings_watch reads the file when SIGHUP says so and when its time, size or number differs (a look each second, one call of the system). Log level, control_addresses, seeds and targets are used at once (settings/changes), all else is named in event 106 as waiting for a restart. A file that is half written or wrong is told once and changes nothing. A replica that has heard no other for 2 s asks at its seeds to be taken in, as one does that is in no set.

Ruled out: reading within the signal handler (it may run within itself and wait for a lock that it holds): the handler only puts to a queue that may be put to there.

Tests: testing/daemons/test_settings_watch.py, test_new_seeds.py (a router and two kinds of control box that lost every address). The two tests of test_signals.py that had the handler read are replaced by those of the watch, which ask for the same and for more.

--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -3,21 +3,24 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
-from typing import NoReturn
+from typing import Any, NoReturn, TypeVar
 
 import click
 
 from croftpulley.daemons import control as control_daemon
 from croftpulley.daemons import entry as entry_daemon
-from croftpulley.daemons import entry_box, signals
+from croftpulley.daemons import entry_box, settings_watch, signals
 from croftpulley.daemons import replica as replica_daemon
 from croftpulley.daemons import router as router_daemon
 from croftpulley.observe import logs
 from croftpulley.settings import loader, schema
 
-_Settings = (
-    schema.EntrySettings | schema.ControlSettings | schema.RouterSettings | schema.ReplicaSettings
+T = TypeVar(
+    "T",
+    schema.EntrySettings,
+    schema.ControlSettings,
+    schema.RouterSettings,
+    schema.ReplicaSettings,
 )
 _SETTINGS = click.option(
     "--settings", "path", required=True, type=click.Path(), help="JSON with comments."
@@ -34,10 +37,9 @@
 
     Example: croftpulley entry --settings entry-1.jsonc
     """
-    settings = loader.load(path, schema.EntrySettings)
-    logs.set_up(settings.box, settings.log_level)
-    sys.setswitchinterval(settings.thread_switch_ms / 1000)
-    _run_entry_box(entry_daemon.EntryDaemon(settings), _level_reader(path, settings))
+    watch = _watch(path, schema.EntrySettings)
+    sys.setswitchinterval(watch.in_use.thread_switch_ms / 1000)
+    _run_entry_box(entry_daemon.EntryDaemon(watch.in_use), watch)
 
 
 @click.command()
@@ -47,9 +49,8 @@
 
     Example: croftpulley control --settings control-1.jsonc
     """
-    settings = loader.load(path, schema.ControlSettings)
-    logs.set_up(settings.box, settings.log_level)
-    _run_control_box(control_daemon.ControlDaemon(settings), _level_reader(path, settings))
+    watch = _watch(path, schema.ControlSettings)
+    _run_control_box(control_daemon.ControlDaemon(watch.in_use), watch)
 
 
 @click.command()
@@ -62,9 +63,8 @@
 
     Example: croftpulley router --settings router-1.jsonc
     """
-    settings = loader.load(path, schema.RouterSettings)
-    logs.set_up(settings.box, settings.log_level)
-    _run_entry_box(router_daemon.RouterDaemon(settings), _level_reader(path, settings))
+    watch = _watch(path, schema.RouterSettings)
+    _run_entry_box(router_daemon.RouterDaemon(watch.in_use), watch)
 
 
 @click.command()
@@ -74,27 +74,33 @@
 
     Example: croftpulley replica --settings replica-1.jsonc
     """
-    settings = loader.load(path, schema.ReplicaSettings)
-    logs.set_up(settings.box, settings.log_level)
-    _run_control_box(replica_daemon.ReplicaDaemon(settings), _level_reader(path, settings))
+    watch = _watch(path, schema.ReplicaSettings)
+    _run_control_box(replica_daemon.ReplicaDaemon(watch.in_use), watch)
 
 
-def _level_reader(path: str, settings: _Settings) -> Callable[[], str]:
-    """Return what reads the log level anew from the file that ``settings`` came from."""
-    return lambda: loader.load(path, type(settings)).log_level
+def _watch(path: str, kind: type[T]) -> settings_watch.SettingsWatch[T]:
+    """Read the settings, and log as they say."""
+    watch = settings_watch.SettingsWatch(path, lambda: loader.load(path, kind))
+    logs.set_up(watch.in_use.box, watch.in_use.log_level)
+    return watch
 
 
-def _run_entry_box(daemon: entry_box.EntryBox, read_level: Callable[[], str]) -> NoReturn:
+def _run_entry_box(
+    daemon: entry_box.EntryBox, watch: settings_watch.SettingsWatch[Any]
+) -> NoReturn:
     """Serve until SIGTERM, then drain; the exit code tells whether every stream ended."""
-    sys.exit(daemon.run(signals.stop_signal(read_level)))
+    stopped = signals.stop_signal(watch.signalled)
+    watch.begin(daemon.use_settings)
+    sys.exit(daemon.run(stopped))
 
 
 def _run_control_box(
     daemon: control_daemon.ControlDaemon | replica_daemon.ReplicaDaemon,
-    read_level: Callable[[], str],
+    watch: settings_watch.SettingsWatch[Any],
 ) -> None:
     """Serve until SIGTERM."""
-    stopped = signals.stop_signal(read_level)
+    stopped = signals.stop_signal(watch.signalled)
+    watch.begin(daemon.use_settings)
     daemon.start()
     stopped.wait()
     daemon.stop()
--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -37,6 +37,9 @@
 carries a whole part of a long text is."""
 _JOIN_INTERVAL_S = 0.3
 _DISK_RETRY_S = 0.3
+LOST_AFTER_S = 2.0
+"""A replica that has heard no other for so long asks at the addresses that its settings name:
+those in its log may all have been exchanged. Elections settle within a second."""
 
 
 @attrs.frozen
@@ -92,6 +95,13 @@
     request: messages.JoinRequest
 
 
+@attrs.frozen
+class UseAddresses:
+    """Says where other control boxes are found."""
+
+    addresses: tuple[str, ...]
+
+
 @attrs.frozen
 class _Flush:
     """Propose what has gathered."""
@@ -141,6 +151,7 @@
         self._retry_at_s = float("-inf")
         self._join_at_s = float("-inf")
         self._join_address = ""
+        self._heard_at_s = clock.monotonic_s()
         self._silent: set[str] = set()
 
     def on_start(self) -> None:
@@ -159,11 +170,15 @@
                 self._gather(message)
             case _Flush():
                 self._flush()
+            case UseAddresses(addresses):
+                self._identity = attrs.evolve(self._identity, known_addresses=addresses)
             case Receive(request):
+                self._heard_at_s = self._clock.monotonic_s()
                 return self._receive(request)
             case Join(request):
                 return self._admit(request)
             case _Answered(reply, sent_s):
+                self._heard_at_s = self._clock.monotonic_s()
                 self._silent.discard(_sender(reply))
                 self._with_replica(lambda one, now_s: one.reply(reply, sent_s, now_s))
             case _Unanswered():
@@ -328,7 +343,10 @@
     def _join(self) -> None:
         """Ask to be taken in, at the leader if it is known and else at each known box in turn."""
         now_s = self._clock.monotonic_s()
-        if self._replica is None or not self._replica.must_join or now_s < self._join_at_s:
+        if self._replica is None or now_s < self._join_at_s:
+            return
+        is_lost = now_s - self._heard_at_s > LOST_AFTER_S
+        if not (self._replica.must_join or is_lost):
             return
         self._join_at_s = now_s + _JOIN_INTERVAL_S
         others = [each for each in self._identity.known_addresses if each != self._identity.address]
--- a/src/croftpulley/daemons/control.py
+++ b/src/croftpulley/daemons/control.py
@@ -61,6 +61,9 @@
         self._placement_interval_s = settings.placement_interval_s
         self._ticker: actors.Ticker | None = None
 
+    def use_settings(self, settings: schema.ControlSettings) -> None:
+        """Change nothing: beside the log level nothing is used before the next start."""
+
     def start(self) -> None:
         """Begin to serve."""
         self._grpc.start()
--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -87,6 +87,10 @@
         )
         self._start_tickers()
 
+    def use_settings(self, settings: schema.EntrySettings) -> None:
+        """Look for control boxes at other addresses from now on."""
+        self._control.use_addresses(settings.control_addresses)
+
     def _start_tickers(self) -> None:
         settings = self._settings
         intervals_s = (
--- a/src/croftpulley/daemons/entry_box.py
+++ b/src/croftpulley/daemons/entry_box.py
@@ -5,6 +5,7 @@
 import abc
 import logging
 import threading
+from typing import Any
 
 from croftpulley.controllers import streams
 from croftpulley.observe import events
@@ -19,6 +20,10 @@
     def start(self) -> None:
         """Begin to serve and to renew."""
 
+    @abc.abstractmethod
+    def use_settings(self, settings: Any) -> None:
+        """Use what settings that changed say, as far as it needs no restart."""
+
     @abc.abstractmethod
     def drain(self) -> bool:
         """Stop by plan; return whether every stream ended in time."""
--- a/src/croftpulley/daemons/redirector.py
+++ b/src/croftpulley/daemons/redirector.py
@@ -7,6 +7,7 @@
 
 import itertools
 import logging
+from collections.abc import Iterator
 
 from croftpulley import codes, errors
 from croftpulley.http import health_app, server, wsgi
@@ -21,9 +22,7 @@
     """Answers every call with a redirection to the next of the other control boxes."""
 
     def __init__(self, settings: schema.RedirectorSettings) -> None:
-        others = [each for each in settings.targets if each != settings.operator_address]
-        self._targets = itertools.cycle(others)
-        self._has_targets = bool(others)
+        self._targets = _targets(settings)
         health = health_app.HealthApp(metrics.Metrics(), lambda: "", dict)
         self._servers = [
             _make_http(self._redirect, settings.operator_address),
@@ -46,14 +45,25 @@
             each.stop()
         events.emit(_LOG, events.Event.DAEMON_STOPPED)
 
+    def use_settings(self, settings: schema.RedirectorSettings) -> None:
+        """Send on to other boxes from now on."""
+        self._targets = _targets(settings)
+
     def _redirect(self, request: wsgi.Request) -> wsgi.Response:
-        if not self._has_targets:
+        target = next(self._targets, "")
+        if not target:
             raise errors.CroftpulleyError(codes.ResultCode.NOT_LEADER)
         query = f"?{request.query}" if request.query else ""
-        location = f"http://{next(self._targets)}{request.path}{query}"
+        location = f"http://{target}{request.path}{query}"
         return wsgi.Response(307, wsgi.JSON, b"{}", (("Location", location),))
 
 
+def _targets(settings: schema.RedirectorSettings) -> Iterator[str]:
+    """Return the other boxes in turn, for ever; none where there is none."""
+    others = [each for each in settings.targets if each != settings.operator_address]
+    return itertools.cycle(others)
+
+
 def _make_http(handler: wsgi.Handler, address: str) -> server.HttpServer:
     limits = schema.HttpLimits(body_size_bytes=schema.OPERATOR_BODY_SIZE_BYTES)
     application = wsgi.Application(handler, limits.header_count)
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -132,6 +132,10 @@
             operator_address=self.operator_address,
         )
 
+    def use_settings(self, settings: schema.ReplicaSettings) -> None:
+        """Look for other control boxes at other addresses from now on."""
+        self._replica.tell(replica.UseAddresses(settings.seeds))
+
     def standing(self) -> replica.Standing:
         """Return what the replica is at the moment."""
         return self._standing.get()
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -116,6 +116,10 @@
             control_addresses=list(settings.control_addresses),
         )
 
+    def use_settings(self, settings: schema.RouterSettings) -> None:
+        """Look for control boxes at other addresses from now on."""
+        self._renewal.tell(renewal.UseAddresses(settings.control_addresses))
+
     def lease_left_s(self) -> float:
         """Return for how long this box may still act on its lease."""
         return self._view.get().lease_until_s - self._clock.monotonic_s()
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -29,13 +29,14 @@
 
 def _run_entry(path: str) -> int:
     # Each program imports only its own half: it starts sooner and takes less memory.
-    from croftpulley.daemons import router, signals
+    from croftpulley.daemons import router, settings_watch, signals
     from croftpulley.platform import boot, callers
 
-    settings = boot.router_settings(path)
-    logs.set_up(settings.box, settings.log_level)
-    stopped = signals.stop_signal()
-    daemon = router.RouterDaemon(settings, callers.PlatformCallers())
+    watch = settings_watch.SettingsWatch(path, lambda: boot.router_settings(path))
+    logs.set_up(watch.in_use.box, watch.in_use.log_level)
+    stopped = signals.stop_signal(watch.signalled)
+    daemon = router.RouterDaemon(watch.in_use, callers.PlatformCallers())
+    watch.begin(daemon.use_settings)
     return daemon.run(stopped)
 
 
@@ -44,13 +45,14 @@
 
     if not boot.read(path).has("dataDirectory"):
         return _run_redirector(path)
-    from croftpulley.daemons import replica, signals
+    from croftpulley.daemons import replica, settings_watch, signals
     from croftpulley.platform import operators
 
-    settings = boot.replica_settings(path)
-    logs.set_up(settings.box, settings.log_level)
-    stopped = signals.stop_signal()
-    daemon = replica.ReplicaDaemon(settings, operators.PlatformOperators())
+    watch = settings_watch.SettingsWatch(path, lambda: boot.replica_settings(path))
+    logs.set_up(watch.in_use.box, watch.in_use.log_level)
+    stopped = signals.stop_signal(watch.signalled)
+    daemon = replica.ReplicaDaemon(watch.in_use, operators.PlatformOperators())
+    watch.begin(daemon.use_settings)
     daemon.start()
     stopped.wait()
     daemon.stop()
@@ -58,13 +60,14 @@
 
 
 def _run_redirector(path: str) -> int:
-    from croftpulley.daemons import redirector, signals
+    from croftpulley.daemons import redirector, settings_watch, signals
     from croftpulley.platform import boot
 
-    settings = boot.redirector_settings(path)
-    logs.set_up(settings.box, settings.log_level)
-    stopped = signals.stop_signal()
-    daemon = redirector.RedirectorDaemon(settings)
+    watch = settings_watch.SettingsWatch(path, lambda: boot.redirector_settings(path))
+    logs.set_up(watch.in_use.box, watch.in_use.log_level)
+    stopped = signals.stop_signal(watch.signalled)
+    daemon = redirector.RedirectorDaemon(watch.in_use)
+    watch.begin(daemon.use_settings)
     daemon.start()
     stopped.wait()
     daemon.stop()
--- a/src/croftpulley/settings/loader.py
+++ b/src/croftpulley/settings/loader.py
@@ -80,6 +80,9 @@
     except OSError as failure:
         fault = errors.SettingsError(path, "(file)", f"cannot be read: {failure.strerror}")
         raise errors.SettingsErrorGroup("settings are not valid", [fault]) from failure
+    except UnicodeDecodeError as failure:
+        fault = errors.SettingsError(path, "(file)", f"is not UTF-8: {failure.reason}")
+        raise errors.SettingsErrorGroup("settings are not valid", [fault]) from failure
     return parse(text, kind, path)
 
 
--- a/src/croftpulley/transport/control_client.py
+++ b/src/croftpulley/transport/control_client.py
@@ -46,11 +46,16 @@
         pool: channels.Channels,
         counters: metrics.Metrics,
     ) -> None:
-        self._stubs = [services.ControlStub(pool.to(address)) for address in addresses]
+        self._pool = pool
         self._first = 0
+        self.use_addresses(addresses)
         self._timeout_s = timeout_s
         self._counters = counters
 
+    def use_addresses(self, addresses: tuple[str, ...]) -> None:
+        """Ask these control boxes from now on."""
+        self._stubs = [services.ControlStub(self._pool.to(address)) for address in addresses]
+
     def renew(self, renewal: messages.Renewal) -> messages.RenewalAnswer:
         """Renew the box's lease and learn what changed."""
         request = codec.renewal_to_wire(renewal)
@@ -73,9 +78,10 @@
 
     def _ask(self, method: str, request: message.Message) -> Any:
         """Call ``method`` at the first control box that answers."""
-        for step in range(len(self._stubs)):
-            position = (self._first + step) % len(self._stubs)
-            call = getattr(self._stubs[position], method)
+        stubs = self._stubs
+        for step in range(len(stubs)):
+            position = (self._first + step) % len(stubs)
+            call = getattr(stubs[position], method)
             try:
                 reply = call(request, timeout=self._timeout_s)
             except grpc.RpcError:
