--- a/testing/site_of_routers.py
+++ b/testing/site_of_routers.py
@@ -105,9 +105,13 @@
         routers: int = 1,
         engines: int = 2,
         workers: int = 2,
+        lease_s: float = 0.8,
+        election_s: float = 0.3,
         **changes: Any,
     ) -> None:
         self.folder = folder
+        self.lease_s = lease_s
+        self.election_s = election_s
         self.changes = changes
         self.instances = stand_ins.FakeInstances()
         self.instances.start()
@@ -165,8 +169,8 @@
             first_start=first_start,
             platform_address=self.instances.address,
             tick_s=0.01,
-            election_s=0.3,
-            lease_s=0.8,
+            election_s=self.election_s,
+            lease_s=self.lease_s,
             drift_margin_s=0.05,
             platform_interval_s=0.05,
         )
