--- a/src/croftpulley/controllers/inventory.py
+++ b/src/croftpulley/controllers/inventory.py
@@ -61,20 +61,17 @@
         listed = self._listed.get()
         if self._done or not self._standing.get().leads(now_s) or not listed.endpoints.value:
             return
+        pools = self._configured_pools()
+        if not pools:
+            return
         self._done = True
-        engines = self._engines(listed.endpoints.value)
+        engines = _engines(listed.endpoints.value, pools)
         for first in range(min(MOST_AT_ONCE, len(engines))):
             asked = engines[first::MOST_AT_ONCE]
             threading.Thread(
                 target=self._ask_each, args=(asked,), name="inventory", daemon=True
             ).start()
 
-    def _engines(self, endpoints: listing.Endpoints) -> list[membership.Endpoint]:
-        """Return the engines of pools that are configured: others may be no engines of ours."""
-        pools = self._configured_pools()
-        kind = membership.EndpointKind.ENGINE
-        return [each for each in endpoints if each.kind is kind and each.pool in pools]
-
     def _ask_each(self, engines: list[membership.Endpoint]) -> None:
         # A box that stops meanwhile has nobody left to tell.
         with contextlib.suppress(pykka.ActorDeadError):
@@ -101,3 +98,9 @@
         )
         if parts:
             self._sessions.tell(sessions.PostNotes({engine.key: parts}))
+
+
+def _engines(endpoints: listing.Endpoints, pools: frozenset[str]) -> list[membership.Endpoint]:
+    """Return the engines of pools that are configured: others may be no engines of ours."""
+    kind = membership.EndpointKind.ENGINE
+    return [each for each in endpoints if each.kind is kind and each.pool in pools]
