A box that is behind and holds no lease is granted none; operators' calls survive a moment without authority

Change: boxes say whether they hold a lease, and leader and box go by one rule (core.sessions.may_take_lease). Who waits goes on waiting while the leader leads its term; a call waits up to 0.3 s for authority. A box without a disk asks control boxes who leads when an operator calls (transport/leader_finder), and knows new seeds.

Ruled out: not renewing the lease of a box that stays behind (it would serve nobody while a configuration cannot be had, test_leases_are_renewed_while_a_configuration_is_not_to_be_had); dropping a lease at once when a box says that it holds none (a report of an earlier process may come late).

--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -12,11 +12,16 @@
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, replica, sessions
 from croftpulley.core import agreed, submissions
+from croftpulley.core.replication import replica as replicas
 from croftpulley.observe import events
 from croftpulley.settings import formats
 
 _LOG = logging.getLogger(__name__)
 _ASK_TIMEOUT_S = 1.0
+AUTHORITY_WAIT_S = 0.3
+"""A leader whose followers answer late has its authority again with the next heartbeat, each 0.1 s,
+or another box leads soon. An operator that is sent away pauses longer than this, and longer each
+time."""
 
 
 class NotLeaderError(errors.CroftpulleyError):
@@ -114,10 +119,16 @@
         }
 
     def _require_authority(self) -> None:
+        self._standing.wait_for(self._is_clear, AUTHORITY_WAIT_S)
         standing = self._standing.get()
         if not standing.leads(self._clock.monotonic_s()):
             led_elsewhere = standing.role.value != "leader"
             raise NotLeaderError(standing.leader_address if led_elsewhere else "")
 
+    def _is_clear(self, standing: replica.Standing) -> bool:
+        """Tell whether this box may answer, or another leads that can be named."""
+        is_led_elsewhere = standing.role is not replicas.Role.LEADER and standing.leader_address
+        return standing.leads(self._clock.monotonic_s()) or bool(is_led_elsewhere)
+
     def _log(self, event: events.Event, number: int, **fields: Any) -> None:
         events.emit(_LOG, event, number=number, term=self._standing.get().term, **fields)
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -190,6 +190,7 @@
         report = box_messages.BoxReport(
             box=self._box,
             configuration_version=known.configuration.version,
+            holds_lease=self._lease.holds(self._clock.monotonic_s()),
             boxes_version=known.boxes_version,
             endpoints_version=known.endpoints_version,
             in_flight=own_loads.in_flight,
@@ -219,8 +220,8 @@
 
     def _take_lease(self, answer: box_messages.BoxReportAnswer, sent_at_s: float) -> None:
         held = self._lease.holds(self._clock.monotonic_s())
-        behind = answer.configuration_version > self._view.get().configuration.version
-        if behind and not held:
+        version = self._view.get().configuration.version
+        if not sessions.may_take_lease(version, answer.configuration_version, holds_lease=held):
             # Guards against acting on an older configuration, or honouring a key that was taken
             # away, after the newer one was acknowledged: that waits only for boxes with a lease.
             return
--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -59,6 +59,11 @@
         """Tell whether this box alone may answer for the agreed state."""
         return now_s < self.authority_until_s
 
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Where all members are reached."""
+        return tuple(member.address for member in self.members.members)
+
 
 @attrs.frozen(kw_only=True)
 class Identity:
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -21,6 +21,7 @@
     sessions,
     versions,
 )
+from croftpulley.core.replication import replica as replicas
 from croftpulley.observe import events
 from croftpulley.transport import box_messages
 
@@ -125,6 +126,16 @@
             self._sessions.begin(tuple(self._agreement.read().boxes), now_s)
         return True
 
+    def _has_lost_the_lead(self) -> bool:
+        """Tell whether another may lead now.
+
+        A leader whose followers answer late has no authority for a moment, and then has it again.
+        Who waits for a configuration to be in force may go on waiting through that.
+        """
+        standing = self._standing.get()
+        leads = standing.role is replicas.Role.LEADER and standing.term == self._leads_term
+        return not leads
+
     def _renew(self, report: box_messages.BoxReport) -> box_messages.BoxReportAnswer:
         if not self._leads():
             return self._elsewhere()
@@ -135,14 +146,18 @@
             return attrs.evolve(self._answer(report, state), lease_s=0.0)
         self._forget_at_s.pop(report.box.name, None)
         now_s = self._clock.monotonic_s()
+        self._bulletin.post(places.each_note(report.notes))
+        self._outcomes.add(report.outcomes, now_s)
+        newest = state.submissions.held.version
+        known = report.configuration_version
+        if not sessions.may_take_lease(known, newest, holds_lease=report.holds_lease):
+            return attrs.evolve(self._answer(report, state), lease_s=0.0)
         changed = self._sessions.renew(
             report.box,
             report.configuration_version,
             sessions.Load(report.in_flight, report.reading_tokens),
             now_s,
         )
-        self._bulletin.post(places.each_note(report.notes))
-        self._outcomes.add(report.outcomes, now_s)
         if changed:
             # A box that has just come must find itself among the boxes that it names.
             self._boxes.set(self._sessions.boxes(now_s))
@@ -162,7 +177,7 @@
     def _elsewhere(self) -> box_messages.BoxReportAnswer:
         standing = self._standing.get()
         return box_messages.BoxReportAnswer(
-            leader_address=standing.leader_address, control_addresses=_addresses(standing)
+            leader_address=standing.leader_address, control_addresses=standing.addresses
         )
 
     def _answer(
@@ -176,7 +191,7 @@
         return box_messages.BoxReportAnswer(
             lease_s=self._lease_s,
             leader_address=standing.leader_address,
-            control_addresses=_addresses(standing),
+            control_addresses=standing.addresses,
             configuration_version=state.submissions.held.version,
             boxes_version=self._boxes.version,
             boxes=self._boxes.unless(report.boxes_version),
@@ -207,7 +222,8 @@
 
     def _tick(self) -> None:
         if not self._leads():
-            self._refuse_waiting()
+            if self._has_lost_the_lead():
+                self._refuse_waiting()
             return
         now_s = self._clock.monotonic_s()
         for box in self._sessions.expire(now_s):
@@ -267,7 +283,3 @@
         version = self._agreement.read().submissions.held.version
         late = self._sessions.waiting_for(version, now_s)
         return StatusAnswer(self._sessions.boxes(now_s), late)
-
-
-def _addresses(standing: replica.Standing) -> tuple[str, ...]:
-    return tuple(member.address for member in standing.members.members)
--- a/src/croftpulley/daemons/redirector.py
+++ b/src/croftpulley/daemons/redirector.py
@@ -7,23 +7,31 @@
 
 import itertools
 import logging
+import random
+import uuid
 from collections.abc import Iterator
 
 from croftpulley import codes, errors
 from croftpulley.http import health_app, server, wsgi
 from croftpulley.observe import events, metrics
 from croftpulley.settings import schema
+from croftpulley.transport import leader_finder
 
 _LOG = logging.getLogger(__name__)
 _THREADS = 4
 
 
 class RedirectorDaemon:
-    """Answers every call with a redirection to the next of the other control boxes."""
+    """Answers every call with a redirection to the leader, or to the next of the other boxes."""
 
     def __init__(self, settings: schema.RedirectorSettings) -> None:
+        counters = metrics.Metrics()
         self._targets = _targets(settings)
-        health = health_app.HealthApp(metrics.Metrics(), lambda: "", dict)
+        self._finder = leader_finder.LeaderFinder(
+            settings.control_addresses, counters, random.Random(uuid.uuid4().int)
+        )
+        self._port = settings.operator_address.rpartition(":")[2]
+        health = health_app.HealthApp(counters, lambda: "", dict)
         self._servers = [
             _make_http(self._redirect, settings.operator_address),
             _make_http(health.handle, settings.metrics_address),
@@ -48,15 +56,24 @@
     def use_settings(self, settings: schema.RedirectorSettings) -> None:
         """Send on to other boxes from now on."""
         self._targets = _targets(settings)
+        self._finder.use_addresses(settings.control_addresses)
 
     def _redirect(self, request: wsgi.Request) -> wsgi.Response:
-        target = next(self._targets, "")
+        target = self._leader() or next(self._targets, "")
         if not target:
             raise errors.CroftpulleyError(codes.ResultCode.NOT_LEADER)
         query = f"?{request.query}" if request.query else ""
         location = f"http://{target}{request.path}{query}"
         return wsgi.Response(307, wsgi.JSON, b"{}", (("Location", location),))
 
+    def _leader(self) -> str:
+        """Return where operators reach the leader, empty if none is known.
+
+        Sent to a box by chance instead, an operator waits a second for each that is down.
+        """
+        host = self._finder.find().rpartition(":")[0]
+        return f"{host}:{self._port}" if host else ""
+
 
 def _targets(settings: schema.RedirectorSettings) -> Iterator[str]:
     """Return the other boxes in turn, for ever; none where there is none."""
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -187,6 +187,7 @@
             self._replica,
             self._sessions,
             configuration_parts.ConfigurationParts(self._log),
+            self._standing,
             self._counters,
         )
         address = self._settings.peer_listen_address or self._settings.peer_address
--- a/src/croftpulley/http/replica_app.py
+++ b/src/croftpulley/http/replica_app.py
@@ -7,12 +7,18 @@
 import pykka
 
 from croftpulley import codes, errors
-from croftpulley.controllers import configuration_fetch, configuration_parts, renewal, replica
+from croftpulley.controllers import (
+    actors,
+    configuration_fetch,
+    configuration_parts,
+    renewal,
+    replica,
+)
 from croftpulley.core import parts
 from croftpulley.core.replication import messages as replication
 from croftpulley.http import wsgi
 from croftpulley.observe import metrics
-from croftpulley.transport import box_messages, json_codec, replica_codec
+from croftpulley.transport import box_messages, json_codec, leader_finder, replica_codec
 
 _ASK_TIMEOUT_S = 1.0
 """Longer than any link waits, so that no thread is held by a controller that waits for its disk."""
@@ -26,11 +32,13 @@
         replica_controller: pykka.ActorRef[Any],
         session_controller: pykka.ActorRef[Any],
         configuration: configuration_parts.ConfigurationParts,
+        standing: actors.View[replica.Standing],
         counters: metrics.Metrics,
     ) -> None:
         self._replica = replica_controller
         self._sessions = session_controller
         self._configuration = configuration
+        self._standing = standing
         self._counters = counters
 
     def handle(self, request: wsgi.Request) -> wsgi.Response:
@@ -43,6 +51,8 @@
                 body = self._join(request.body)
             case renewal.RENEW_PATH:
                 body = self._renew(request.body)
+            case leader_finder.LEADER_PATH:
+                body = self._leader()
             case configuration_fetch.PARTS_PATH:
                 body = self._part(request.body)
             case _:
@@ -73,6 +83,13 @@
         request = json_codec.decode(body, parts.ConfigurationRequest)
         return json_codec.encode(self._configuration.answer(request))
 
+    def _leader(self) -> bytes:
+        standing = self._standing.get()
+        answer = box_messages.LeaderAnswer(
+            leader_address=standing.leader_address, control_addresses=standing.addresses
+        )
+        return json_codec.encode(answer)
+
     @staticmethod
     def _ask(controller: pykka.ActorRef[Any], message: object) -> Any:
         try:
--- a/src/croftpulley/platform/boot.py
+++ b/src/croftpulley/platform/boot.py
@@ -82,6 +82,7 @@
             operator_address=boot.object("listenAddresses").text("controlPlane"),
             metrics_address=f"{boot.text('ipAddress')}:{CONTROL_METRICS_PORT}",
             targets=boot.texts("seedNodes"),
+            control_addresses=_control_addresses(boot),
         )
     except (ValueError, errors.CroftpulleyError) as failure:
         raise _invalid(path, failure) from failure
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -194,13 +194,16 @@
 class RedirectorSettings:
     """Settings of a control box without a disk, which sends operators on.
 
-    ``targets`` are the operator addresses of control boxes.
+    ``targets`` are the operator addresses of control boxes, ``control_addresses`` where they reach
+    each other: there it asks who leads, and sends operators to the leader's machine, at the port
+    that its own operator address has. Without an answer it sends them to each target in turn.
     """
 
     box: str = attrs.field(validator=_name)
     operator_address: str = attrs.field(validator=_address)
     metrics_address: str = attrs.field(validator=_address)
     targets: tuple[str, ...] = attrs.field(validator=_addresses)
+    control_addresses: tuple[str, ...] = ()
     log_level: str = attrs.field(default="INFO", validator=_level)
 
 
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -7,6 +7,14 @@
 from croftpulley.core import membership, outcomes, places
 
 
+@attrs.frozen(kw_only=True)
+class LeaderAnswer:
+    """Who leads, as a control box knows; empty where it knows of none."""
+
+    leader_address: str = ""
+    control_addresses: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class BoxReport:
     """What a router tells the leading control box at each renewal.
@@ -15,11 +23,12 @@
     many requests it has at each endpoint, ``reading_tokens`` how many prompt tokens those endpoints
     still have to read for them. ``notes`` say which parts were sent where, and ``next_note`` is the
     number of the first note of others that this router lacks. ``outcomes`` are how requests ended
-    at endpoints since the report before.
+    at endpoints since the report before. ``holds_lease`` tells whether it may still act on a lease.
     """
 
     box: membership.Box
     configuration_version: int
+    holds_lease: bool = False
     boxes_version: int
     endpoints_version: int
     in_flight: dict[str, int]
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import attrs
+import pykka
 import pytest
 
 from croftpulley import clock as clocks
+from croftpulley import errors
 from croftpulley.controllers import actors, agreement, listing, replica, sessions
 from croftpulley.core import agreed, membership, submissions, versions
 from croftpulley.core.replication import replica as replicas
@@ -15,14 +18,19 @@
     "e", membership.EndpointKind.ENGINE, "llm", "127.0.0.1:3", "hall-a", "e"
 )
 FAR_S = 1e9
+LEADS = replica.Standing(replicas.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=0.0)
 
 
 class Applied(agreement.Agreement):
     """A state that knows the router."""
 
-    def __init__(self):
+    def __init__(self, version):
         self._state = agreed.AgreedState(submissions=submissions.HighestNumber())
         self._state.apply(agreed.RegisterBox(BOX))
+        if version:
+            submitted = submissions.Submission("", version, "{}")
+            self._state.apply(agreed.SubmitConfiguration(submitted))
 
     def propose(self, command):
         raise NotImplementedError
@@ -31,10 +39,11 @@
         return self._state
 
 
-def report(known_version=0):
+def report(known_version=0, configuration_version=0, *, holds_lease=False):
     return box_messages.BoxReport(
         box=BOX,
-        configuration_version=0,
+        configuration_version=configuration_version,
+        holds_lease=holds_lease,
         boxes_version=0,
         endpoints_version=known_version,
         in_flight={},
@@ -45,12 +54,11 @@
 def make_leader():
     """Return a controller of a box that has just come to lead, and its clock."""
 
-    def make():
+    def make(version=0, view=None):
         clock = clocks.ManualClock()
-        standing = replica.Standing(replicas.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
         listed = listing.Listing(versions.Versioned((ENDPOINT,)), clock.monotonic_s())
         controller = sessions.SessionController(
-            Applied(), actors.View(standing), actors.View(listed), 3.0, 0.1, clock
+            Applied(version), view or actors.View(LEADS), actors.View(listed), 3.0, 0.1, clock
         )
         return controller, clock
 
@@ -94,3 +102,82 @@
     controller, _ = make_leader()
     controller.handle(sessions.PostNotes({"e": ("part",), "e@1": ("old",), "x": ("other",)}))
     assert controller.handle(report()).notes == {"e": ("part",)}
+
+
+def waits_for(controller, version):
+    done = pykka.ThreadingFuture()
+    controller.handle(sessions.WhenInForce(version, done))
+    return done
+
+
+def is_in_force(done):
+    try:
+        return done.get(timeout=0)
+    except pykka.Timeout:
+        return False
+
+
+def test_a_box_that_comes_back_behind_has_no_lease_and_holds_up_no_acknowledgement(make_leader):
+    controller, clock = make_leader(version=5)
+    answer = controller.handle(report())
+    assert (answer.lease_s, answer.configuration_version) == (0.0, 5)
+    assert controller.handle(sessions.Status()).boxes == ()
+    done = waits_for(controller, 5)
+    # A leader that has just come counts a lease from the one before; none is added to that.
+    assert not is_in_force(done)
+    for _ in range(4):
+        clock.advance(1.0)
+        assert controller.handle(report()).lease_s == 0.0
+    controller.handle(actors.Tick())
+    assert is_in_force(done)
+    assert controller.handle(report(configuration_version=5)).lease_s == 3.0
+
+
+def test_a_box_with_a_lease_keeps_it_while_it_fetches_a_newer_configuration(make_leader):
+    controller, clock = make_leader(version=5)
+    controller.handle(report(configuration_version=5))
+    newer = submissions.Submission("", 6, "{}")
+    controller._agreement.read().apply(agreed.SubmitConfiguration(newer))
+    done = waits_for(controller, 6)
+    for _ in range(10):
+        clock.advance(1.0)
+        answer = controller.handle(report(configuration_version=5, holds_lease=True))
+        assert answer.lease_s == 3.0
+    assert not is_in_force(done)
+    controller.handle(report(configuration_version=6))
+    assert is_in_force(done)
+
+
+def test_who_waits_goes_on_waiting_through_a_moment_without_authority(make_leader):
+    view = actors.View(LEADS)
+    controller, _ = make_leader(version=5, view=view)
+    controller.handle(report(configuration_version=5))
+    controller._agreement.read().apply(
+        agreed.SubmitConfiguration(submissions.Submission("", 6, "{}"))
+    )
+    done = waits_for(controller, 6)
+    view.publish(NO_AUTHORITY)
+    controller.handle(actors.Tick())
+    view.publish(LEADS)
+    controller.handle(actors.Tick())
+    assert not is_in_force(done)
+    controller.handle(report(configuration_version=6))
+    assert is_in_force(done)
+
+
+@pytest.mark.parametrize(
+    "standing",
+    [
+        attrs.evolve(NO_AUTHORITY, role=replicas.Role.FOLLOWER),
+        attrs.evolve(NO_AUTHORITY, term=2),
+    ],
+)
+def test_who_waits_is_told_when_another_may_lead(make_leader, standing):
+    view = actors.View(LEADS)
+    controller, _ = make_leader(version=5, view=view)
+    controller.handle(report(configuration_version=5))
+    done = waits_for(controller, 6)
+    view.publish(standing)
+    controller.handle(actors.Tick())
+    with pytest.raises(errors.CroftpulleyError, match="NOT_LEADER"):
+        done.get(timeout=0)
--- a/testing/daemons/test_redirector.py
+++ b/testing/daemons/test_redirector.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from conftest import wait_until
 from croftpulley.daemons import redirector
 from croftpulley.settings import schema
 
@@ -55,3 +56,26 @@
 def test_a_box_that_knows_only_itself_says_so(make_box):
     daemon = make_box("127.0.0.1:0")
     assert ask(daemon) == (503, None)
+
+
+def test_calls_go_to_the_leader_where_a_control_box_tells_it(make_site):
+    site = make_site(control=3, routers=1)
+    dead = "127.0.0.1:9"
+    settings = schema.RedirectorSettings(
+        box="control-9",
+        operator_address="127.0.0.1:0",
+        metrics_address="127.0.0.1:0",
+        targets=("10.0.0.1:8229",),
+        control_addresses=(dead, site.peers[1]),
+    )
+    daemon = redirector.RedirectorDaemon(settings)
+    daemon.start()
+    try:
+        # The leader stands on the same machine here, at the port of operators there.
+        expected = "http://127.0.0.1:0/v1/config/submissions?x=1"
+        assert [ask(daemon) for _ in range(3)] == [(307, expected)] * 3
+        # Boxes that are not in the settings were told by the one that answered.
+        site.stop_control(1)
+        wait_until(lambda: ask(daemon) == (307, expected), "another box tells it")
+    finally:
+        daemon.stop()
