Soak: endpoints start anew under their name, and another writer spoils the list

Two troubles from a chance of their own, so that the others of a seed stay what they are: an endpoint that ends in the middle of its work and starts again under its name (one in three with its clock set back by an hour), and a list with entries of five spoiled kinds.

--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import collections
+import enum
 import math
 import pathlib
 import random
 import shutil
+import time
+from typing import Any
 
 import attrs
 
@@ -92,6 +95,35 @@
     pool: str
     way: proxy.Proxy
     leaving: bool = False
+    born_ms: int = 0
+
+
+class Spoil(enum.Enum):
+    """Entries of another writer, which name no endpoint to use."""
+
+    NO_OBJECT = "no object"
+    NO_ADDRESS = "no address"
+    WRONG_HALL = "wrong hall"
+    WRONG_START = "wrong start"
+    NOBODY = "a sound endpoint's name at an address where nobody is"
+
+
+def _spoilt(spoil: Spoil, sound: dict[str, Any]) -> Any:
+    match spoil:
+        case Spoil.NO_OBJECT:
+            return 7
+        case Spoil.NO_ADDRESS:
+            return {**sound, "address": None}
+        case Spoil.WRONG_HALL:
+            return {**sound, "name": "other", "hall": 7}
+        case Spoil.WRONG_START:
+            return {**sound, "name": "other", "born_ms": "1"}
+        case Spoil.NOBODY:
+            return {**sound, "address": "127.0.0.1:9", "pool": 7}
+
+
+def _now_ms() -> int:
+    return int(time.time() * 1000)
 
 
 class Fleet:
@@ -108,6 +140,8 @@
             schema.FakeSettings(name="list", address=ANY_PORT)
         )
         self.listed.start()
+        self.spoils: tuple[Spoil, ...] = ()
+        """What another writer adds to the list."""
         self.served: list[Served] = []
         self.past: list[Served] = []
         self._made: collections.Counter[str] = collections.Counter()
@@ -158,24 +192,36 @@
     def add_endpoint(self, pool: str) -> None:
         """Start one more endpoint and list it."""
         self._made[pool] += 1
-        name = f"{pool}-{self._made[pool]}"
+        self._serve(f"{pool}-{self._made[pool]}", pool, _now_ms())
+        self.list_endpoints()
+
+    def _serve(self, name: str, pool: str, born_ms: int) -> None:
         made = forwarded.ForwardedEndpoint(schema.FakeSettings(name=name, address=ANY_PORT))
         made.pause_s = WORK_S
         made.start()
-        self.served.append(Served(made, pool, proxy.Proxy(self.loop, made.address)))
+        way = proxy.Proxy(self.loop, made.address)
+        self.served.append(Served(made, pool, way, born_ms=born_ms))
+
+    def restart_endpoint(self, served: Served, back_ms: int) -> None:
+        """End an endpoint and start it again under its name, its clock set back by so much."""
+        self._end(served)
+        self._serve(served.stand_in.settings.name, served.pool, _now_ms() - back_ms)
         self.list_endpoints()
 
     def remove_endpoint(self, served: Served) -> None:
         """End an endpoint; what it ran is still known."""
+        self._end(served)
+        self.list_endpoints()
+
+    def _end(self, served: Served) -> None:
         self.served.remove(served)
         self.past.append(served)
         served.stand_in.stop()
         served.way.reset()
-        self.list_endpoints()
 
     def list_endpoints(self) -> None:
         """Have the platform list what is in service."""
-        self.listed.endpoints = [
+        sound = [
             {
                 "name": each.stand_in.incarnation,
                 "kind": "engine" if each.pool == ENGINE_POOL else "worker",
@@ -184,9 +230,11 @@
                 "hall": "hall-a",
                 "incarnation": each.stand_in.incarnation,
                 "leaving": each.leaving,
+                "born_ms": each.born_ms,
             }
             for each in self.served
         ]
+        self.listed.endpoints = [*sound, *(_spoilt(each, sound[0]) for each in self.spoils)]
 
     def wipe(self, control: processes.Program) -> None:
         """Lose the disk of a control box that is down."""
--- a/testing/soak/troubles.py
+++ b/testing/soak/troubles.py
@@ -25,6 +25,10 @@
 """How long an endpoint serves on once it is listed as leaving."""
 _NARROW_GAP_S = 2.0
 """Mean time between two narrow links."""
+_LIST_GAP_S = 1.5
+"""Mean time between two troubles of the list."""
+_CLOCK_BACK_MS = 3_600_000
+"""An endpoint whose clock was set back starts before it did, by what it says."""
 _NARROW_SHARE = 0.4
 """Of its rate that is left to a narrow link."""
 _ENDPOINT_FAULTS = (
@@ -211,6 +215,41 @@
             self.site.remove_endpoint(self.served)
 
 
+@attrs.frozen
+class Reborn(Trouble):
+    """An endpoint ends in the middle of its work and starts again under its name."""
+
+    site: fleet.Fleet
+    served: fleet.Served
+    back_ms: int
+
+    def begin(self) -> None:
+        """End it and start it again, unless another trouble has ended it."""
+        if self.served in self.site.served and not self.served.leaving:
+            self.site.restart_endpoint(self.served, self.back_ms)
+
+    def end(self) -> None:
+        """Do nothing more."""
+
+
+@attrs.frozen
+class SpoiltList(Trouble):
+    """Another writer adds entries to the list."""
+
+    site: fleet.Fleet
+    spoils: tuple[fleet.Spoil, ...]
+
+    def begin(self) -> None:
+        """Add them."""
+        self.site.spoils = self.spoils
+        self.site.list_endpoints()
+
+    def end(self) -> None:
+        """Take them away."""
+        self.site.spoils = ()
+        self.site.list_endpoints()
+
+
 @attrs.frozen
 class Timed:
     """A trouble with its time."""
@@ -229,6 +268,7 @@
         self._chance = random.Random(seed)
         # Of its own: the other troubles of a seed stay what they are.
         self._narrow_chance = random.Random(f"{seed} narrow")
+        self._list_chance = random.Random(f"{seed} list")
         self._site = site
         self._book = book
         self._planned_only = planned_only
@@ -243,6 +283,21 @@
             at_s += self._chance.expovariate(1 / _GAP_S)
         if not math.isinf(self._site.link_bytes_per_s):
             drawn += self._narrow(seconds_s)
+        return drawn + self._listed(seconds_s)
+
+    def _listed(self, seconds_s: float) -> list[Timed]:
+        """Return what happens to the list, and restarts that only the list tells of."""
+        chance = self._list_chance
+        drawn = []
+        at_s = chance.expovariate(1 / _LIST_GAP_S)
+        while at_s < seconds_s:
+            spoils = tuple(chance.choices(list(fleet.Spoil), k=chance.randint(1, 4)))
+            trouble: Trouble = SpoiltList(self._site, spoils)
+            if not self._planned_only and chance.random() < 0.6:
+                back_ms = chance.choice((0, 0, _CLOCK_BACK_MS))
+                trouble = Reborn(self._site, chance.choice(self._site.served), back_ms)
+            drawn.append(Timed(at_s, chance.uniform(_RESTART_S, _LONGEST_S), trouble))
+            at_s += chance.expovariate(1 / _LIST_GAP_S)
         return drawn
 
     def _narrow(self, seconds_s: float) -> list[Timed]:
