Up sooner: a router loads what serves requests, the library of metrics at the first scrape

Hypothesis: a router's start is most of each outage on boxes with half a core; of its modules some serve no request. Ruled out: fewer attrs classes (110 ms of loading, 103 classes, a millisecond each: they are the messages and the decisions), another HTTP client (89 ms, the house's), splitting the settings' schema (10 ms). The test of the reader of comments names json5 itself now, since the loader holds it no more; it asks for the same.

--- a/src/croftpulley/controllers/streams.py
+++ b/src/croftpulley/controllers/streams.py
@@ -37,7 +37,7 @@
         """Count a request in; raises `errors.CroftpulleyError` where a limit is reached."""
         with self._lock:
             code = self._in_flight.enter(workspace, workspace_limit)
-            self._counters.streams_open.set(self._in_flight.total)
+            self._counters.streams_open(self._in_flight.total)
         if code is not None:
             raise errors.CroftpulleyError(code)
 
@@ -45,7 +45,7 @@
         """Count a request out."""
         with self._lock:
             self._in_flight.leave(workspace)
-            self._counters.streams_open.set(self._in_flight.total)
+            self._counters.streams_open(self._in_flight.total)
             self._lock.notify_all()
 
     def watch(self, watched: Watched) -> None:
--- a/src/croftpulley/observe/metrics.py
+++ b/src/croftpulley/observe/metrics.py
@@ -1,191 +1,115 @@
-"""Prometheus metrics of a daemon, with histograms per workspace and class.
+"""What a daemon counts and times, whether or not anybody asks for it yet.
 
-The number of label values is bounded: the first ``workspace_limit`` workspaces seen get a label
-of their own and the rest share ``other``, so that a box that meets 2,800 workspaces cannot
-outgrow its memory.
+The library that exposes it is loaded at the first scrape, or once much has been recorded: a router
+that has just started serves requests first (``deploy/run.py`` has what that gains).
 """
 
 from __future__ import annotations
 
 import threading
+from typing import TYPE_CHECKING, Any
 
-import prometheus_client as prometheus
+if TYPE_CHECKING:
+    from croftpulley.observe import series
 
-OTHER = "other"
 DIRECT = "direct"
 FORWARDED = "forwarded"
 RELAY_PATHS = (DIRECT, FORWARDED)
-_LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0)
+MOST_PUT_OFF = 4096
+"""Records that are kept until the library is loaded, about 0.5 MB."""
 
 
-class BoundedLabel:
-    """Maps names to label values, no more than ``limit`` of them.
-
-    >>> label = BoundedLabel(1)
-    >>> label.of("clinic"), label.of("farm"), label.of("clinic")
-    ('clinic', 'other', 'clinic')
-    """
+class Metrics:
+    """The metrics of one daemon; every method may be called by any thread."""
 
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._known: set[str] = set()
+    def __init__(self, workspace_limit: int = 200) -> None:
+        self._workspace_limit = workspace_limit
         self._lock = threading.Lock()
+        self._put_off: list[tuple[str, tuple[Any, ...]]] = []
+        self._series: series.Series | None = None
+
+    def _record(self, name: str, *values: Any) -> None:
+        """Record by the method of `series.Series` that has this name, now or once it is loaded."""
+        if self._series is None and self._puts_off(name, values):
+            return
+        getattr(self._loaded(), name)(*values)
 
-    def of(self, name: str) -> str:
-        """Return the label value for ``name``."""
-        if name in self._known:
-            return name
+    def _puts_off(self, name: str, values: tuple[Any, ...]) -> bool:
         with self._lock:
-            if len(self._known) >= self._limit:
-                return OTHER
-            self._known.add(name)
-        return name
+            if self._series is not None or len(self._put_off) >= MOST_PUT_OFF:
+                return False
+            self._put_off.append((name, values))
+            return True
 
+    def _loaded(self) -> series.Series:
+        with self._lock:
+            if self._series is None:
+                self._series = self._load()
+            return self._series
 
-class Metrics:
-    """The metrics of one daemon, in a registry of its own."""
+    def _load(self) -> series.Series:
+        from croftpulley.observe import series
 
-    def __init__(self, workspace_limit: int = 200) -> None:
-        self.registry = prometheus.CollectorRegistry()
-        self._workspace = BoundedLabel(workspace_limit)
-        prometheus.ProcessCollector(registry=self.registry)
-        per_class = ["workspace", "request_class"]
-        self._first_token = prometheus.Histogram(
-            "croftpulley_first_token_seconds",
-            "From the request's arrival to its first text.",
-            per_class,
-            buckets=_LATENCY_BUCKETS_S,
-            registry=self.registry,
-        )
-        self._request = prometheus.Histogram(
-            "croftpulley_request_seconds",
-            "From the request's arrival to its end.",
-            per_class,
-            buckets=_LATENCY_BUCKETS_S,
-            registry=self.registry,
-        )
-        self._results = prometheus.Counter(
-            "croftpulley_results",
-            "Requests ended, by result code.",
-            [*per_class, "code"],
-            registry=self.registry,
-        )
-        self._prompt_tokens = prometheus.Counter(
-            "croftpulley_prompt_tokens",
-            "Prompt tokens as engines counted them, by whether their cache held them.",
-            ["workspace", "cached"],
-            registry=self.registry,
-        )
-        self._control_bytes = prometheus.Counter(
-            "croftpulley_control_bytes",
-            "Bytes of messages between our processes, by kind and direction.",
-            ["kind", "direction"],
-            registry=self.registry,
-        )
-        self._control_failures = prometheus.Counter(
-            "croftpulley_control_failures",
-            "Messages to another of our processes that got no answer, by kind.",
-            ["kind"],
-            registry=self.registry,
-        )
-        self._entries_spoiled = prometheus.Counter(
-            "croftpulley_list_entries_spoiled",
-            "Entries of the platform's list that name no endpoint to use, counted at each reading.",
-            ["defect"],
-            registry=self.registry,
-        )
-        self._chunks = prometheus.Counter(
-            "croftpulley_relayed_chunks",
-            "Engine chunks relayed, by path (direct or forwarded).",
-            ["path"],
-            registry=self.registry,
-        )
-        # Looked up once: this is counted for every chunk.
-        self._chunks_by_path = {path: self._chunks.labels(path) for path in RELAY_PATHS}
-        self.streams_open = prometheus.Gauge(
-            "croftpulley_streams_open", "Requests in flight at this box.", registry=self.registry
-        )
-        self._arm_requests = prometheus.Counter(
-            "croftpulley_arm_requests",
-            "Requests of an operators' arm, by what came of them (in_time, late, refused, failed).",
-            ["arm", "result"],
-            registry=self.registry,
-        )
-        self._arm_tokens = prometheus.Counter(
-            "croftpulley_arm_prompt_tokens",
-            "Prompt tokens of an operators' arm, by whether the endpoint likely held them.",
-            ["arm", "held"],
-            registry=self.registry,
-        )
-        self._arm_decisions = prometheus.Counter(
-            "croftpulley_arm_decisions",
-            "Decisions of an arm's programs (alike: as the built-in rule; other; failed).",
-            ["arm", "decision"],
-            registry=self.registry,
-        )
-        self._outstanding = prometheus.Gauge(
-            "croftpulley_engine_outstanding",
-            "Requests outstanding at an engine that this box owns.",
-            ["engine"],
-            registry=self.registry,
-        )
+        loaded = series.Series(self._workspace_limit)
+        for name, values in self._put_off:
+            getattr(loaded, name)(*values)
+        self._put_off.clear()
+        return loaded
+
+    def streams_open(self, count: int) -> None:
+        """Record how many requests are in flight."""
+        self._record("streams_open", count)
 
     def first_token(self, workspace: str, request_class: str, seconds_s: float) -> None:
         """Record how long the first text took."""
-        self._first_token.labels(self._workspace.of(workspace), request_class).observe(seconds_s)
+        self._record("first_token", workspace, request_class, seconds_s)
 
     def request_ended(
         self, workspace: str, request_class: str, code: str, seconds_s: float
     ) -> None:
         """Record the end of a request."""
-        label = self._workspace.of(workspace)
-        self._request.labels(label, request_class).observe(seconds_s)
-        self._results.labels(label, request_class, code).inc()
+        self._record("request_ended", workspace, request_class, code, seconds_s)
 
     def prompt_tokens(self, workspace: str, prompt: int, cached: int) -> None:
         """Record how many prompt tokens an engine had to read and how many it had cached."""
-        label = self._workspace.of(workspace)
-        self._prompt_tokens.labels(label, "yes").inc(cached)
-        self._prompt_tokens.labels(label, "no").inc(prompt - cached)
+        self._record("prompt_tokens", workspace, prompt, cached)
 
     def control_bytes(self, kind: str, sent: int, received: int) -> None:
         """Record the payload bytes of one exchange between our processes."""
-        self._control_bytes.labels(kind, "sent").inc(sent)
-        self._control_bytes.labels(kind, "received").inc(received)
+        self._record("control_bytes", kind, sent, received)
 
     def control_failed(self, kind: str) -> None:
         """Record a message to another of our processes that got no answer."""
-        self._control_failures.labels(kind).inc()
+        self._record("control_failed", kind)
 
     def entries_spoiled(self, defect: str, count: int) -> None:
         """Record entries of one reading of the platform's list that name no endpoint."""
-        self._entries_spoiled.labels(defect).inc(count)
+        self._record("entries_spoiled", defect, count)
 
     def chunks_relayed(self, path: str, count: int) -> None:
         """Record engine chunks passed on."""
-        self._chunks_by_path[path].inc(count)
+        self._record("chunks_relayed", path, count)
 
     def arm_request(self, arm: str, result: str) -> None:
         """Record the end of a request that falls to an operators' arm."""
-        self._arm_requests.labels(arm, result).inc()
+        self._record("arm_request", arm, result)
 
     def arm_tokens(self, arm: str, held: int, read: int) -> None:
         """Record how much of a prompt the chosen endpoint holds and how much it must read."""
-        self._arm_tokens.labels(arm, "yes").inc(held)
-        self._arm_tokens.labels(arm, "no").inc(read)
+        self._record("arm_tokens", arm, held, read)
 
     def arm_decision(self, arm: str, decision: str) -> None:
         """Record what an arm's program decided."""
-        self._arm_decisions.labels(arm, decision).inc()
+        self._record("arm_decision", arm, decision)
 
     def engine_outstanding(self, engine: str, outstanding: int) -> None:
         """Record the outstanding count of an engine that this box owns."""
-        self._outstanding.labels(engine).set(outstanding)
+        self._record("engine_outstanding", engine, outstanding)
 
     def engine_forgotten(self, engine: str) -> None:
         """Drop the series of an engine that this box no longer owns."""
-        self._outstanding.remove(engine)
+        self._record("engine_forgotten", engine)
 
     def render(self) -> bytes:
         """Return the text that a Prometheus server scrapes."""
-        return prometheus.generate_latest(self.registry)
+        return self._loaded().render()
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 
@@ -27,6 +28,12 @@
     return codes.ResultCode.SETTINGS_INVALID.value
 
 
+def _collect_from_now_on() -> None:
+    """Have garbage looked for again, but not among what was loaded (``deploy/run.py``)."""
+    gc.freeze()
+    gc.enable()
+
+
 def _run_entry(path: str) -> int:
     # Each program imports only its own half: it starts sooner and takes less memory.
     from croftpulley.daemons import router, settings_watch, signals
@@ -37,6 +44,7 @@
     stopped = signals.stop_signal(watch.signalled)
     daemon = router.RouterDaemon(watch.in_use, callers.PlatformCallers())
     watch.begin(daemon.use_settings)
+    _collect_from_now_on()
     return daemon.run(stopped)
 
 
@@ -53,6 +61,7 @@
     stopped = signals.stop_signal(watch.signalled)
     daemon = replica.ReplicaDaemon(watch.in_use, operators.PlatformOperators())
     watch.begin(daemon.use_settings)
+    _collect_from_now_on()
     daemon.start()
     stopped.wait()
     daemon.stop()
@@ -68,6 +77,7 @@
     stopped = signals.stop_signal(watch.signalled)
     daemon = redirector.RedirectorDaemon(watch.in_use)
     watch.begin(daemon.use_settings)
+    _collect_from_now_on()
     daemon.start()
     stopped.wait()
     daemon.stop()
--- a/src/croftpulley/settings/loader.py
+++ b/src/croftpulley/settings/loader.py
@@ -8,7 +8,6 @@
 
 import attrs
 import cattrs
-import json5
 from cattrs import errors as cattrs_errors
 from cattrs import gen
 
@@ -105,6 +104,9 @@
     try:
         return json.loads(text, object_pairs_hook=_unique_keys)
     except ValueError:
+        # Not loaded where no text has comments: routers start sooner (deploy/run.py).
+        import json5
+
         return json5.loads(text, allow_duplicate_keys=False)
 
 
--- a/testing/settings/test_loader.py
+++ b/testing/settings/test_loader.py
@@ -4,6 +4,7 @@
 import pathlib
 
 import hypothesis
+import json5
 import pytest
 from hypothesis import strategies as st
 
@@ -60,7 +61,7 @@
 
 
 def test_a_large_text_without_comments_never_comes_to_the_slow_reader(monkeypatch):
-    monkeypatch.setattr(loader.json5, "loads", lambda *_, **__: pytest.fail("it was called"))
+    monkeypatch.setattr(json5, "loads", lambda *_, **__: pytest.fail("it was called"))
     document = {"routes": [{"name": f"route-{number}"} for number in range(3000)]}
     assert loader.read(json.dumps(document)) == document
 
