--- a/src/croftpulley/bench/agreement.py
+++ b/src/croftpulley/bench/agreement.py
@@ -26,7 +26,7 @@
 )
 from croftpulley.core import agreed, membership, parts, submissions, versions
 from croftpulley.core.replication import messages
-from croftpulley.core.replication import replica as replicas
+from croftpulley.core.replication import state as states
 from croftpulley.storage import commands, replica_store
 from croftpulley.transport import box_messages, json_codec
 
@@ -85,7 +85,7 @@
         step = max(1, endpoints // _LOADED_ENDPOINTS)
         self._load = {each.name: 2 for each in listed[::step]}
         standing = replica.Standing(
-            replicas.Role.LEADER, term=1, leader_address=_ADDRESS, authority_until_s=_FAR_S
+            states.Role.LEADER, term=1, leader_address=_ADDRESS, authority_until_s=_FAR_S
         )
         self._controller = sessions.SessionController(
             _Applied(routes),
--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -12,7 +12,7 @@
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, replica, sessions
 from croftpulley.core import agreed, submissions
-from croftpulley.core.replication import replica as replicas
+from croftpulley.core.replication import state as states
 from croftpulley.observe import events
 from croftpulley.settings import formats
 
@@ -127,7 +127,7 @@
 
     def _is_clear(self, standing: replica.Standing) -> bool:
         """Tell whether this box may answer, or another leads that can be named."""
-        is_led_elsewhere = standing.role is not replicas.Role.LEADER and standing.leader_address
+        is_led_elsewhere = standing.role is not states.Role.LEADER and standing.leader_address
         return standing.leads(self._clock.monotonic_s()) or bool(is_led_elsewhere)
 
     def _log(self, event: events.Event, number: int, **fields: Any) -> None:
--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -21,6 +21,7 @@
 from croftpulley.core import agreed
 from croftpulley.core.replication import long_texts, messages
 from croftpulley.core.replication import replica as replicas
+from croftpulley.core.replication import state as states
 from croftpulley.observe import events
 from croftpulley.storage import commands, replica_store, state_codec
 from croftpulley.transport import json_codec, replica_codec, senders
@@ -49,7 +50,7 @@
     ``authority_until_s`` is on this box's steady clock; until then no other box can lead.
     """
 
-    role: replicas.Role = replicas.Role.FOLLOWER
+    role: states.Role = states.Role.FOLLOWER
     term: int = 0
     leader_address: str = ""
     authority_until_s: float = float("-inf")
@@ -134,7 +135,7 @@
         self,
         identity: Identity,
         store: replica_store.ReplicaStore,
-        timing: replicas.Timing,
+        timing: states.Timing,
         outgoing: senders.Senders,
         state: agreed.AgreedState,
         view: actors.View[Standing],
@@ -236,16 +237,16 @@
         self._join()
 
     def _with_replica(
-        self, act: Callable[[replicas.Replica, float], replicas.Effects]
-    ) -> replicas.Effects:
+        self, act: Callable[[replicas.Replica, float], states.Effects]
+    ) -> states.Effects:
         """Have the replica act and carry out what it asks for."""
         if self._replica is None:
-            return replicas.Effects()
+            return states.Effects()
         effects = act(self._replica, self._clock.monotonic_s())
         self._carry_out(self._replica, effects)
         return effects
 
-    def _carry_out(self, replica: replicas.Replica, effects: replicas.Effects) -> None:
+    def _carry_out(self, replica: replicas.Replica, effects: states.Effects) -> None:
         """Write, then send, then apply; raises nothing for a disk that refuses."""
         try:
             self._write(replica, effects)
@@ -259,7 +260,7 @@
         self._apply(replica)
         self._publish(replica)
 
-    def _write(self, replica: replicas.Replica, effects: replicas.Effects) -> None:
+    def _write(self, replica: replicas.Replica, effects: states.Effects) -> None:
         installed = replica.take_installed()
         if installed is not None:
             self._store.rewrite(replica.stored())
@@ -333,7 +334,7 @@
                 last_index=replica.log.last_index,
                 commit_index=replica.commit_index,
             )
-        if standing.role is not replicas.Role.LEADER:
+        if standing.role is not states.Role.LEADER:
             self._fail_pending()
 
     # --- joining ------------------------------------------------------------------------------
@@ -381,7 +382,7 @@
 
     def _flush(self) -> None:
         batch, self._gathered = self._gathered, []
-        if self._replica is None or self._replica.role is not replicas.Role.LEADER:
+        if self._replica is None or self._replica.role is not states.Role.LEADER:
             for proposal in batch:
                 _fail(proposal, codes.RunState.NOT_RUN)
             return
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -21,7 +21,7 @@
     sessions,
     versions,
 )
-from croftpulley.core.replication import replica as replicas
+from croftpulley.core.replication import state as states
 from croftpulley.observe import events
 from croftpulley.transport import box_messages
 
@@ -133,7 +133,7 @@
         Who waits for a configuration to be in force may go on waiting through that.
         """
         standing = self._standing.get()
-        leads = standing.role is replicas.Role.LEADER and standing.term == self._leads_term
+        leads = standing.role is states.Role.LEADER and standing.term == self._leads_term
         return not leads
 
     def _renew(self, report: box_messages.BoxReport) -> box_messages.BoxReportAnswer:
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -22,7 +22,7 @@
 )
 from croftpulley.core import agreed, submissions
 from croftpulley.core.replication import messages
-from croftpulley.core.replication import replica as replicas
+from croftpulley.core.replication import state as states
 from croftpulley.http import health_app, replica_app, server, wsgi
 from croftpulley.interfaces import operators
 from croftpulley.observe import events, metrics
@@ -166,7 +166,7 @@
         return replica.ReplicaController.start(
             _identity(settings, folder),
             replica_store.ReplicaStore(folder),
-            replicas.Timing(election_s=settings.election_s),
+            states.Timing(election_s=settings.election_s),
             senders.Senders(settings.peer_timeout_s, self._counters),
             self._state,
             self._standing,
--- a/testing/controllers/test_inventory.py
+++ b/testing/controllers/test_inventory.py
@@ -11,7 +11,7 @@
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, inventory, listing, replica, sessions
 from croftpulley.core import membership, versions
-from croftpulley.core.replication import replica as replicas
+from croftpulley.core.replication import state as states
 from croftpulley.endpoints import caches
 
 FAR_S = 1e9
@@ -69,7 +69,7 @@
 def told(reader):
     """Return what reached the sessions once all engines that answer were heard."""
     clock = clocks.ManualClock()
-    standing = replica.Standing(replicas.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+    standing = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
     engines = (*(engine(number) for number in range(1, 41)), engine(99, "of another writer"))
     listed = listing.Listing(versions.Versioned(engines), clock.monotonic_s())
     kept = Sessions()
--- a/testing/controllers/test_replica_sight.py
+++ b/testing/controllers/test_replica_sight.py
@@ -12,7 +12,7 @@
 from croftpulley.controllers import actors, replica
 from croftpulley.core import agreed, submissions
 from croftpulley.core.replication import messages
-from croftpulley.core.replication import replica as replicas
+from croftpulley.core.replication import state as states
 from croftpulley.observe import events, metrics
 from croftpulley.storage import replica_store
 from croftpulley.transport import senders
@@ -34,7 +34,7 @@
                 replica="a", address=NOBODY, known_addresses=(), first_members=members
             ),
             replica_store.ReplicaStore(tmp_path),
-            replicas.Timing(election_s=0.05),
+            states.Timing(election_s=0.05),
             senders.Senders(LIMIT_S, counters or metrics.Metrics()),
             state,
             view,
@@ -70,7 +70,7 @@
 def test_a_compaction_is_logged_with_what_it_wrote(start, caplog):
     caplog.set_level("INFO")
     _, view, log = start()
-    wait_until(lambda: view.get().role is replicas.Role.LEADER, "it leads")
+    wait_until(lambda: view.get().role is states.Role.LEADER, "it leads")
     for number in range(replica.SNAPSHOT_AFTER_ENTRIES + 1):
         log.propose(agreed.GrantOwnership(f"engine-{number}", "a")).get(timeout=5)
     wait_until(lambda: logged(caplog, events.Event.LOG_COMPACTED), "the log was compacted")
@@ -82,7 +82,7 @@
 def test_a_state_beyond_the_limit_is_not_written_anew_at_each_further_entry(start, caplog):
     caplog.set_level("INFO")
     _, view, log = start()
-    wait_until(lambda: view.get().role is replicas.Role.LEADER, "it leads")
+    wait_until(lambda: view.get().role is states.Role.LEADER, "it leads")
     # Random digits, which packing does not make shorter than the limit.
     document = json.dumps(random.Random(1).randbytes(replica.SNAPSHOT_AFTER_BYTES).hex())
     submission = submissions.Submission("operator", 1, document)
@@ -97,6 +97,6 @@
 def test_a_new_role_is_logged_with_how_far_the_log_goes_and_is_committed(start, caplog):
     caplog.set_level("INFO")
     _, view, _ = start()
-    wait_until(lambda: view.get().role is replicas.Role.LEADER, "it leads")
+    wait_until(lambda: view.get().role is states.Role.LEADER, "it leads")
     line = logged(caplog, events.Event.REPLICA_ROLE)[-1]
     assert (line.role, line.last_index, line.commit_index) == ("leader", 1, 1)
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -10,7 +10,7 @@
 from croftpulley import errors
 from croftpulley.controllers import actors, agreement, listing, replica, sessions
 from croftpulley.core import agreed, membership, submissions, versions
-from croftpulley.core.replication import replica as replicas
+from croftpulley.core.replication import state as states
 from croftpulley.transport import box_messages
 
 BOX = membership.Box("router", "hall-a", "127.0.0.1:1", "127.0.0.1:2")
@@ -18,7 +18,7 @@
     "e", membership.EndpointKind.ENGINE, "llm", "127.0.0.1:3", "hall-a", "e"
 )
 FAR_S = 1e9
-LEADS = replica.Standing(replicas.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+LEADS = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
 NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=0.0)
 
 
@@ -168,7 +168,7 @@
 @pytest.mark.parametrize(
     "standing",
     [
-        attrs.evolve(NO_AUTHORITY, role=replicas.Role.FOLLOWER),
+        attrs.evolve(NO_AUTHORITY, role=states.Role.FOLLOWER),
         attrs.evolve(NO_AUTHORITY, term=2),
     ],
 )
--- a/testing/core/replication/cluster.py
+++ b/testing/core/replication/cluster.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from croftpulley.core.replication import messages, replica
+from croftpulley.core.replication import messages, replica, state
 from croftpulley.transport import json_codec, replica_codec
 
 TICK_S = 0.05
@@ -79,7 +79,7 @@
         self.failures: list[Failed] = []
         self.cut: set[frozenset[str]] = set()
         self.network: list[InFlight] = []
-        self.timing = replica.Timing()
+        self.timing = state.Timing()
         members = messages.Members(
             tuple(messages.Member(f"{address}#0", address) for address in addresses)
         )
@@ -163,7 +163,7 @@
                 effects, _ = other.running.admit(request, self.now_s)
                 self.carry_out(other, effects)
 
-    def carry_out(self, machine: Machine, effects: replica.Effects) -> None:
+    def carry_out(self, machine: Machine, effects: state.Effects) -> None:
         """Write, then send and apply, as the driver does."""
         if effects.write is not None:
             machine.disk = machine.running.stored()
--- a/testing/core/replication/test_large_entries.py
+++ b/testing/core/replication/test_large_entries.py
@@ -22,7 +22,7 @@
 import pytest
 
 from core.replication import cluster as clusters
-from croftpulley.core.replication import long_texts, messages, progress, replica
+from croftpulley.core.replication import long_texts, messages, progress, replica, state
 from croftpulley.transport import json_codec
 
 SEEDS = range(3)
@@ -102,7 +102,7 @@
         cluster.step()
         quorum_s = leader.running.authority_until_s(cluster.now_s)
         assert quorum_s > cluster.now_s, "a quorum follows all the while"
-    assert leader.running.role is replica.Role.LEADER
+    assert leader.running.role is state.Role.LEADER
     assert len(cluster.acknowledged) == 1
 
 
@@ -172,7 +172,7 @@
     """Return a replica that has committed the first part of a command and not the second."""
     members = messages.Members(tuple(messages.Member(name, "") for name in "abc"))
     stored = messages.Stored(snapshot=messages.Snapshot(members=members))
-    made = replica.Replica("b", stored, replica.Timing(), random.Random(1), 0.0)
+    made = replica.Replica("b", stored, state.Timing(), random.Random(1), 0.0)
     entries = (
         messages.Entry(1, messages.EntryKind.START),
         messages.Entry(1, messages.EntryKind.COMMAND, "x", continues=True),
--- a/testing/core/replication/test_replica.py
+++ b/testing/core/replication/test_replica.py
@@ -5,7 +5,7 @@
 import pytest
 
 from core.replication import cluster as clusters
-from croftpulley.core.replication import membership, messages, replica
+from croftpulley.core.replication import membership, messages, replica, state
 
 SEEDS = range(12)
 SETTLE_S = 6.0
@@ -158,7 +158,7 @@
     cluster.run(4.0)
     (other,) = cluster.leaders()
     assert other.address != leader.address
-    assert leader.running.role is not replica.Role.LEADER
+    assert leader.running.role is not state.Role.LEADER
 
 
 def test_no_vote_is_given_right_after_a_start():
@@ -168,7 +168,7 @@
             members=messages.Members((messages.Member("a", "a:1"), messages.Member("b", "b:1")))
         )
     )
-    made = replica.Replica("a", stored, replica.Timing(), random.Random(1), now_s=5.0)
+    made = replica.Replica("a", stored, state.Timing(), random.Random(1), now_s=5.0)
     request = messages.VoteRequest(
         to="a", term=9, candidate="b", last_index=0, last_term=0, trial=False
     )
@@ -180,17 +180,17 @@
 
 
 def test_a_message_for_the_id_of_a_lost_disk_gets_no_answer():
-    made = replica.Replica("new", messages.Stored(), replica.Timing(), random.Random(1), 0.0)
+    made = replica.Replica("new", messages.Stored(), state.Timing(), random.Random(1), 0.0)
     request = messages.AppendRequest(
         to="old", term=3, leader="x", previous_index=0, previous_term=0, entries=(), commit_index=0
     )
-    assert made.receive(request, 1.0) == replica.Effects()
+    assert made.receive(request, 1.0) == state.Effects()
 
 
 def test_a_vote_is_kept_over_a_restart():
     members = messages.Members(tuple(messages.Member(name, name) for name in "abc"))
     stored = messages.Stored(term=4, voted_for="b", snapshot=messages.Snapshot(members=members))
-    made = replica.Replica("a", stored, replica.Timing(), random.Random(1), 0.0)
+    made = replica.Replica("a", stored, state.Timing(), random.Random(1), 0.0)
     request = messages.VoteRequest(
         to="a", term=4, candidate="c", last_index=0, last_term=0, trial=False
     )
--- a/testing/core/replication/test_voting.py
+++ b/testing/core/replication/test_voting.py
@@ -5,7 +5,7 @@
 import pytest
 
 from core.replication import cluster as clusters
-from croftpulley.core.replication import messages, replica, voting
+from croftpulley.core.replication import messages, replica, state, voting
 
 SEEDS = range(8)
 MEMBERS = messages.Members(tuple(messages.Member(name, name) for name in "abc"))
@@ -13,7 +13,7 @@
 
 def make_replica(name="a", now_s=0.0, **stored):
     kept = messages.Stored(snapshot=messages.Snapshot(members=MEMBERS), **stored)
-    return replica.Replica(name, kept, replica.Timing(), random.Random(1), now_s)
+    return replica.Replica(name, kept, state.Timing(), random.Random(1), now_s)
 
 
 def vote_request(term=9, candidate="b", trial=False):
@@ -31,7 +31,7 @@
     made.reply(
         messages.VoteReply(voter="c", term=made.term, granted=True, trial=True), now_s, now_s
     )
-    assert made.role is replica.Role.CANDIDATE
+    assert made.role is state.Role.CANDIDATE
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -93,7 +93,7 @@
     candidacy(made, 3.0)
     granted = messages.VoteReply(voter="b", term=made.term, granted=True, trial=False)
     made.reply(granted, 3.0, 3.0)
-    assert made.role is replica.Role.LEADER
+    assert made.role is state.Role.LEADER
     reply = made.receive(vote_request(), 3.1).reply
     assert isinstance(reply, messages.VoteReply)
     assert (reply.granted, reply.if_all) == (False, False)
@@ -117,4 +117,4 @@
     late = messages.VoteReply(voter="b", term=first_term, granted=True, trial=False)
     made.reply(late, 3.0, 6.0)
     assert made.term == first_term + 1
-    assert made.role is replica.Role.CANDIDATE
+    assert made.role is state.Role.CANDIDATE
--- a/testing/daemons/test_replicas.py
+++ b/testing/daemons/test_replicas.py
@@ -11,7 +11,7 @@
 import pytest
 
 from conftest import wait_until
-from croftpulley.core.replication import replica
+from croftpulley.core.replication import state
 from croftpulley.platform import names
 from croftpulley.transport import links
 from site_of_routers import DOCUMENT
@@ -295,6 +295,6 @@
 
 
 def test_timing_lets_authority_end_before_another_can_be_elected():
-    timing = replica.Timing()
+    timing = state.Timing()
     assert timing.drift < 1
     assert timing.heartbeat_s < timing.election_s * timing.drift
