A read of the configuration waits for authority before it reads, not after

Cause: let a call wait up to 0.3 s for authority; ControlPlane.read took the held version first and waited then, so that a box that had just started and came to lead meanwhile answered with version 0 after 3 had been accepted. Change: wait, then read, then look at authority without waiting, as before.

--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -60,6 +60,7 @@
         """
         ends_at_s = self._clock.monotonic_s() + self._acknowledge_s
         # A box that only sends the operator on need not read the document: 50 ms for 2,800 routes.
+        self._await_authority()
         self._require_authority()
         try:
             self._format.parse(document_json)
@@ -99,8 +100,10 @@
 
     def read(self) -> submissions.Held:
         """Return the newest committed configuration; raises `NotLeaderError`."""
+        self._await_authority()
         held = self._agreement.read().submissions.held
-        # Looked at after the reading: what was read is no older than what this moment allows.
+        # Looked at after the reading, and not waited for: what was read is then no older than what
+        # this moment allows. A box that comes to lead after the reading may have read nothing yet.
         self._require_authority()
         return held
 
@@ -118,8 +121,12 @@
             "waiting_for": list(answer.waiting_for),
         }
 
-    def _require_authority(self) -> None:
+    def _await_authority(self) -> None:
+        """Wait a moment for authority, or for another leader to be known."""
         self._standing.wait_for(self._is_clear, AUTHORITY_WAIT_S)
+
+    def _require_authority(self) -> None:
+        """Raise `NotLeaderError` unless this box alone may answer at this moment."""
         standing = self._standing.get()
         if not standing.leads(self._clock.monotonic_s()):
             led_elsewhere = standing.role.value != "leader"
--- /dev/null
+++ b/testing/controllers/test_control_plane.py
@@ -0,0 +1,96 @@
+"""What a control box answers operators around a moment without authority."""
+
+from __future__ import annotations
+
+import threading
+
+import attrs
+import pytest
+
+from croftpulley import clock as clocks
+from croftpulley.controllers import actors, agreement, control_plane, replica
+from croftpulley.core import agreed, submissions
+from croftpulley.core.replication import state as states
+from croftpulley.settings import formats
+
+FAR_S = 1e9
+LEADS = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=float("-inf"))
+FOLLOWS = replica.Standing(states.Role.FOLLOWER, 1, "127.0.0.1:7")
+
+
+class Applied(agreement.Agreement):
+    """A state that this box has applied so far."""
+
+    def __init__(self):
+        self.state = agreed.AgreedState(submissions=submissions.HighestNumber())
+        self.reads = threading.Event()
+
+    def apply(self, version):
+        submitted = submissions.Submission("", version, "{}")
+        self.state.apply(agreed.SubmitConfiguration(submitted))
+
+    def propose(self, command):
+        raise NotImplementedError
+
+    def read(self):
+        self.reads.set()
+        return self.state
+
+
+@pytest.fixture
+def applied():
+    return Applied()
+
+
+@pytest.fixture
+def view():
+    return actors.View(NO_AUTHORITY)
+
+
+@pytest.fixture
+def plane(applied, view):
+    return control_plane.ControlPlane(
+        applied, view, None, formats.OwnFormat(), 1.0, clocks.SystemClock()
+    )
+
+
+@pytest.fixture
+def waits(monkeypatch):
+    """Have a call wait for authority until the test gives it."""
+    monkeypatch.setattr(control_plane, "AUTHORITY_WAIT_S", 20.0)
+    began = threading.Event()
+    wait_for = actors.View.wait_for
+
+    def watched(view, holds, timeout_s):
+        began.set()
+        return wait_for(view, holds, timeout_s)
+
+    monkeypatch.setattr(actors.View, "wait_for", watched)
+    return began
+
+
+def test_a_configuration_is_read_after_authority_came_and_not_before(plane, applied, view, waits):
+    # A box that has just started, and then leads, has applied nothing yet when the call comes.
+    answers = []
+    call = threading.Thread(target=lambda: answers.append(plane.read().version))
+    call.start()
+    assert waits.wait(20.0)
+    applied.apply(3)
+    view.publish(LEADS)
+    call.join(20.0)
+    assert answers == [3]
+
+
+def test_a_box_that_does_not_lead_names_who_does_at_once(plane, view):
+    view.publish(FOLLOWS)
+    with pytest.raises(control_plane.NotLeaderError) as failure:
+        plane.read()
+    assert failure.value.leader_address == "127.0.0.1:7"
+
+
+def test_a_leader_that_stays_without_authority_names_nobody(plane, monkeypatch):
+    monkeypatch.setattr(control_plane, "AUTHORITY_WAIT_S", 0.0)
+    with pytest.raises(control_plane.NotLeaderError) as failure:
+        plane.read()
+    assert failure.value.leader_address == ""
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -9,11 +9,12 @@
 SECONDS_S = 6.0
 SEEDS = (3, 7)
 """One with planned work only, one with all troubles."""
-REGRESSIONS = {24: 15.0, 36: 12.0, 2: 6.0}
+REGRESSIONS = {24: 15.0, 36: 12.0, 2: 6.0, 14: 10.0}
 """Seeds that broke a promise, with the seconds of the run that did. 24: a second SIGTERM, while
 Python ended after a planned stop, ended the process as killed. 36: the same by a SIGHUP. 2: an
 entry of the log with a large configuration took longer on the leader's link than a request between
-control boxes may, so each submission ended in a new leader that did not have it."""
+control boxes may, so each submission ended in a new leader that did not have it. 14: a box that
+came to lead while a call waited for its authority answered with what it had read before."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
