Loads go to routers as numbers in the order of the list, and messages leave defaults out

Change: core/listed_counts writes counts in the order of the list that endpoints_version names, a row of zeros as one number; a router that holds another list takes none. Fields at their default are left out of messages between boxes. Ruled out: sending only loads that changed: nearly every engine's changes within 0.25 s.

--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -10,7 +10,15 @@
 from croftpulley import clock as clocks
 from croftpulley import errors
 from croftpulley.controllers import actors, configuration_fetch, listing, router_state, traffic
-from croftpulley.core import leases, membership, places, sessions, tables
+from croftpulley.core import (
+    leases,
+    listed_counts,
+    membership,
+    places,
+    sessions,
+    tables,
+    versions,
+)
 from croftpulley.core import listed as listed_endpoints
 from croftpulley.observe import events, metrics
 from croftpulley.settings import formats
@@ -81,7 +89,7 @@
         self._fetch = configuration_fetch.ConfigurationFetch(self._links, clock, chance)
         self._fetches = False
         self._believed = listed_endpoints.Listed()
-        self._stated: listing.Endpoints = ()
+        self._stated: versions.Versioned[listing.Endpoints] = versions.Versioned(())
         self._leader = ""
         self._next_note = 0
         self._more_notes = False
@@ -155,9 +163,8 @@
         listed = self._listed.get()
         if listed.read_at_s <= known.heard_at_s or not listed.endpoints.value:
             return
-        self._stated = listed.endpoints.value
-        changed = attrs.evolve(known, endpoints_version=listed.endpoints.version)
-        self._view.publish(self._with_endpoints(changed, self._stated))
+        self._stated = listed.endpoints
+        self._view.publish(self._with_endpoints(known, self._stated))
 
     def _renew_once(self) -> None:
         address = self._leader or self._chance.choice(self._addresses)
@@ -258,6 +265,10 @@
         self, answer: box_messages.BoxReportAnswer, sent_at_s: float, own_loads: sessions.Load
     ) -> None:
         known = self._view.get()
+        if answer.endpoints:
+            # An empty list is not taken: a fleet without an endpoint serves nobody, and one that is
+            # gone shows itself by failing.
+            self._stated = versions.Versioned(answer.endpoints)
         self._next_note = answer.next_note
         # A box that has just started gets its notes page by page; until it has them all it sends
         # prompts to engines that do not hold them.
@@ -267,9 +278,9 @@
         changed = attrs.evolve(
             known,
             lease_until_s=self._lease.until_s,
-            loads=answer.loads,
+            loads=self._by_key(answer.loads, answer),
             own_loads=own_loads.in_flight,
-            reading_tokens=answer.reading_tokens,
+            reading_tokens=self._by_key(answer.reading_tokens, answer),
             own_reading_tokens=own_loads.reading_tokens,
             loads_at_s=sent_at_s,
             heard_at_s=sent_at_s,
@@ -278,23 +289,26 @@
         if answer.boxes is not None:
             changed = attrs.evolve(changed, boxes=answer.boxes, boxes_version=answer.boxes_version)
             events.emit(_LOG, events.Event.BOXES_CHANGED, boxes=[box.name for box in answer.boxes])
-        if answer.endpoints:
-            # An empty list is not taken: a fleet without an endpoint serves nobody, and one that is
-            # gone shows itself by failing.
-            self._stated = answer.endpoints
-            changed = attrs.evolve(changed, endpoints_version=answer.endpoints_version)
         if answer.endpoints or self._believed.has_doubts:
             changed = self._with_endpoints(changed, self._stated)
         self._counts.learn_notes(answer.notes)
         self._view.publish(changed)
 
+    def _by_key(
+        self, numbers: tuple[int, ...], answer: box_messages.BoxReportAnswer
+    ) -> dict[str, int]:
+        """Return counts by endpoint; none where this box holds another list than they go by."""
+        if answer.endpoints_version != self._stated.version:
+            return {}
+        return listed_counts.by_key(numbers, [each.key for each in self._stated.value])
+
     def _with_endpoints(
-        self, state: router_state.RouterState, stated: listing.Endpoints
+        self, state: router_state.RouterState, stated: versions.Versioned[listing.Endpoints]
     ) -> router_state.RouterState:
         """Return the state with what is believed of a list; lives that ended are forgotten."""
-        endpoints = self._believed.take(stated, self._clock.monotonic_s())
+        endpoints = self._believed.take(stated.value, self._clock.monotonic_s())
         self._counts.keep(endpoints)
-        return attrs.evolve(state, endpoints=endpoints)
+        return attrs.evolve(state, endpoints=endpoints, endpoints_version=stated.version)
 
     def _failed(self, address: str, failure: errors.CroftpulleyError) -> None:
         """Log the first failed renewal of a row, and the loss of the lease once."""
--- a/src/croftpulley/transport/json_codec.py
+++ b/src/croftpulley/transport/json_codec.py
@@ -12,8 +12,9 @@
 from croftpulley import codes, errors
 
 T = TypeVar("T")
-CONVERTER = orjson_converter.make_converter()
-"""Knows how to write and read every message; unions are registered where they are defined."""
+CONVERTER = orjson_converter.make_converter(omit_if_default=True)
+"""Knows how to write and read every message; unions are registered where they are defined. A field
+that has its default is left out: most of a renewal's are so, four times a second."""
 # The library's own way (base 85, in Python) takes 3.2 ms to write 16 KiB and 4.7 ms to read it; the
 # one below takes 0.05 ms to write (processor time, mean of 50) for a text longer by 7%.
 CONVERTER.register_unstructure_hook(bytes, lambda data: base64.b64encode(data).decode())
--- a/testing/core/test_listed.py
+++ b/testing/core/test_listed.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from croftpulley.core import listed, membership, places, records
+from croftpulley.core import listed, listed_counts, membership, places, records
 
 PAGE_LAG_S = 1.2
 
@@ -163,3 +163,11 @@
     known.change("e@1", enter)
     known.change("e@1", leave)
     assert known.keys() == set()
+
+
+@given(st.dictionaries(st.sampled_from("abcdefgh"), st.integers(0, 9)), st.permutations("abcdef"))
+def test_counts_in_the_order_of_a_list_are_the_same_counts(counts, keys):
+    numbers = listed_counts.in_order(counts, keys)
+    expected = {key: count for key, count in counts.items() if count and key in keys}
+    assert listed_counts.by_key(numbers, keys) == expected
+    assert len(numbers) <= len(keys)
