Loads are summed for each answer again: a sum from before a router's report left it loads of its own

A router takes what it has just reported off the sum; in a sum from before it stood with its report before that, so that it saw loads and prompts to be read that nobody had, and sent prompts elsewhere. A unit test of the answers stands beside it.

--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -31,9 +31,6 @@
 LIST_FRESH_S = 2.0
 """A list read longer ago may be from a former leadership of this box, or from its start: boxes that
 have one keep theirs until it is read anew, which the leader does each 0.5 s."""
-LOADS_FRESH_S = 0.02
-"""Loads are summed for all answers within this time at once: renewals of 200 boxes come each 1.3
-ms, and what they tell is up to 0.25 s old."""
 FORGET_AFTER_S = 5.0
 """How long after the end of its lease a box leaves the agreed state; one that only restarted does
 not write to the log again."""
@@ -82,16 +79,6 @@
         return self._keys
 
 
-@attrs.frozen(kw_only=True)
-class _Summed:
-    """What all boxes have at the endpoints of one version of the list, and since when."""
-
-    at_s: float = float("-inf")
-    version: int = 0
-    loads: tuple[int, ...] = ()
-    reading_tokens: tuple[int, ...] = ()
-
-
 class SessionController(actors.Controller):
     """Grants leases while this box leads."""
 
@@ -118,7 +105,6 @@
         self._bulletin = places.Bulletin()
         self._outcomes = outcomes.Outcomes()
         self._order = _Order()
-        self._summed = _Summed()
         self._boxes: versions.Versioned[tuple[membership.Box, ...]] = versions.Versioned(())
 
     def handle(self, message: object) -> object:
@@ -214,11 +200,10 @@
     ) -> box_messages.BoxReportAnswer:
         standing = self._standing.get()
         listed = self._endpoints.get()
-        now_s = self._clock.monotonic_s()
-        if now_s - self._summed.at_s > LOADS_FRESH_S or self._summed.version != (
-            listed.endpoints.version
-        ):
-            self._sum_loads(listed, now_s)
+        order = self._order.keys(listed)
+        # Summed for each answer: the router takes off what it has just reported, so that must be in
+        # the sum, and nothing that it reported before.
+        loads = self._sessions.loads()
         page = self._bulletin.since(report.next_note)
         notes = [note for note in page.notes if self._is_life(note.engine, listed)]
         return box_messages.BoxReportAnswer(
@@ -231,24 +216,13 @@
             boxes=self._boxes.unless(report.boxes_version),
             endpoints_version=listed.endpoints.version,
             endpoints=self._newer_endpoints(listed, report.endpoints_version),
-            loads=self._summed.loads,
-            reading_tokens=self._summed.reading_tokens,
+            loads=listed_counts.in_order(loads.in_flight, order),
+            reading_tokens=listed_counts.in_order(loads.reading_tokens, order),
             notes=places.by_engine(notes),
             next_note=page.next_number,
             held_off=self._outcomes.held(self._clock.monotonic_s()),
         )
 
-    def _sum_loads(self, listed: listing.Listing, now_s: float) -> None:
-        """Put the loads of all boxes in the order of the list."""
-        order = self._order.keys(listed)
-        loads = self._sessions.loads()
-        self._summed = _Summed(
-            at_s=now_s,
-            version=listed.endpoints.version,
-            loads=listed_counts.in_order(loads.in_flight, order),
-            reading_tokens=listed_counts.in_order(loads.reading_tokens, order),
-        )
-
     def _is_life(self, key: str, listed: listing.Listing) -> bool:
         """Tell whether a note is of a life that is listed; without a list none is left out."""
         known = self._order.keys(listed)
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -187,3 +187,12 @@
     silent = attrs.evolve(LEADS, silent_addresses=("127.0.0.1:8",))
     controller, _ = make_leader(view=actors.View(silent))
     assert controller.handle(report()).silent_addresses == ("127.0.0.1:8",)
+
+
+def test_the_loads_told_hold_what_the_router_has_just_reported(make_leader):
+    # It takes its own part off them: a sum from before would leave it loads that nobody has.
+    controller, clock = make_leader()
+    for in_flight in ({"e": 2}, {}, {"e": 1}):
+        clock.advance(0.001)
+        answer = controller.handle(attrs.evolve(report(), in_flight=in_flight))
+        assert answer.loads == tuple(in_flight.values())
