--- a/testing/daemons/test_settings_watch.py
+++ b/testing/daemons/test_settings_watch.py
@@ -135,6 +135,7 @@
         "nodeName": "a",
         "ipAddress": "127.0.0.1",
         "listenAddresses": {"controlPlane": "127.0.0.1:8229"},
+        "internalPortRange": [7340, 7355],
         "seedNodes": ["127.0.0.2:8229"],
     }
     path.write_bytes(orjson.dumps(document))
