--- a/testing/site_of_routers.py
+++ b/testing/site_of_routers.py
@@ -85,6 +85,12 @@
 }
 
 
+def default_terms() -> dict[str, float]:
+    """Return how long leases and elections last by the default settings, for `Site`."""
+    fields = attrs.fields_dict(schema.ReplicaSettings)
+    return {name: fields[name].default for name in ("lease_s", "election_s")}
+
+
 @attrs.frozen
 class Answer:
     """What a caller got; ``whole`` is false if the answer broke off."""
