--- a/testing/daemons/test_own_interface.py
+++ b/testing/daemons/test_own_interface.py
@@ -219,6 +219,8 @@
     def test_a_configuration_is_submitted_and_shown(self, boxes, tmp_path):
         control, entry, _ = boxes
         wait_until(control.leads, "it leads")
+        # One without a lease would not be waited for, and would refuse until it has fetched it.
+        wait_until(lambda: entry.lease_left_s() > 0, "the router has a lease")
         file = tmp_path / "fleet.jsonc"
         file.write_text(f"// the fleet\n{json.dumps(CONFIGURATION)}")
         words = ("config", "submit", str(file), "--operator", "aigerim", "--number", "4")
