Clean-up: the reader of rows that nobody calls any more; cuts are a list; a comment gives the list's lag as the settings do

platform/fields lost Row and rows, whose one caller reads entries now. entries._cuts gave iterators that were made lists at once.

--- a/src/croftpulley/core/listed.py
+++ b/src/croftpulley/core/listed.py
@@ -14,8 +14,8 @@
 
 OLDER_DOUBTED_S = 5.0
 """How long after a life was last listed an older one is taken for a page that lags. Lists lag by
-1.2 s at most, by the users' settings; an endpoint whose clock was set back before its restart is
-out of use for this long."""
+0.8 s by the users' settings, several times less; an endpoint whose clock was set back before its
+restart is out of use for this long."""
 
 
 @attrs.define
--- a/src/croftpulley/platform/entries.py
+++ b/src/croftpulley/platform/entries.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -58,7 +57,7 @@
     key = re.search(rb'"' + re.escape(name.encode()) + rb'"\s*:\s*\[', body)
     if key is None:
         raise _broken(f"got neither JSON nor a list {name!r} to take out of it")
-    cuts = list(_cuts(body, key.end()))
+    cuts = _cuts(body, key.end())
     if not cuts:
         raise _broken(f"the list {name!r} has no end")
     begin, end = key.end(), cuts[-1]
@@ -72,9 +71,12 @@
     return Entries([_read(piece) for piece in pieces], rest)
 
 
-def _cuts(body: bytes, begin: int) -> Iterator[int]:
-    """Yield where the entries of the list that begins at ``begin`` end; the last ends the list."""
-    found = []
+def _cuts(body: bytes, begin: int) -> list[int]:
+    """Return where the entries of the list that begins at ``begin`` end; the last ends the list.
+
+    Nothing is returned for a list that has no end, or whose entries are nested too deeply.
+    """
+    found: list[int] = []
     depth = 0
     for match in _SIGNIFICANT.finditer(body, begin):
         sign = match.group()
@@ -85,10 +87,10 @@
         elif sign in _CLOSING:
             depth -= 1
         if depth < 0:
-            return iter([*found, match.start()])
+            return [*found, match.start()]
         if depth > _DEEPEST:
             break
-    return iter(())
+    return []
 
 
 def _read(piece: bytes) -> Any:
--- a/src/croftpulley/platform/fields.py
+++ b/src/croftpulley/platform/fields.py
@@ -77,13 +77,6 @@
             for index, value in enumerate(self._list(name))
         ]
 
-    def rows(self, name: str) -> list[Row]:
-        """Return a list of lists; an absent one is empty."""
-        return [
-            Row(value, f"{self._place}.{name}[{index}]")
-            for index, value in enumerate(self._list(name))
-        ]
-
     def object(self, name: str) -> Fields:
         """Return an object; an absent one is empty."""
         return Fields(self._value.get(name) or {}, f"{self._place}.{name}")
@@ -100,35 +93,6 @@
         return _fault(f"{self._place}.{name}", value, expected)
 
 
-class Row:
-    """A list whose places have fixed meanings; readings raise as those of `Fields` do."""
-
-    def __init__(self, value: Any, place: str) -> None:
-        if not isinstance(value, list):
-            raise _fault(place, value, "a list")
-        self._value = value
-        self._place = place
-
-    def text(self, position: int) -> str:
-        """Return the string at a place."""
-        value = self._at(position)
-        if not isinstance(value, str):
-            raise _fault(f"{self._place}[{position}]", value, "a string")
-        return value
-
-    def whole(self, position: int) -> int:
-        """Return the whole number at a place."""
-        value = self._at(position)
-        if type(value) is not int:
-            raise _fault(f"{self._place}[{position}]", value, "a whole number")
-        return value
-
-    def _at(self, position: int) -> Any:
-        if position >= len(self._value):
-            raise _fault(self._place, self._value, f"more than {position} entries")
-        return self._value[position]
-
-
 def parse(body: bytes | str) -> Fields:
     """Parse a JSON object."""
     try:
