--- a/testing/core/test_forwarded.py
+++ b/testing/core/test_forwarded.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+import shared_budget
 from croftpulley.core import (
     calls,
     event_cut,
@@ -67,13 +68,14 @@
 class TestRetryBudget:
     """The shared budget, earned by each box alone."""
 
+    ALLOWANCE = retry_budget.Allowance(ratio=0.2, extra=8, window_s=2.0)
+
     @given(
         st.lists(st.tuples(st.floats(0, 0.2), st.integers(0, 3), st.booleans()), max_size=300),
         st.integers(1, 4),
     )
     def test_all_boxes_together_never_exceed_it_in_any_window(self, steps, boxes):
-        allowance = retry_budget.Allowance(ratio=0.2, extra=8, window_s=2.0)
-        budgets = [retry_budget.RetryBudget(allowance) for _ in range(boxes)]
+        budgets = [retry_budget.RetryBudget(self.ALLOWANCE) for _ in range(boxes)]
         now_s = 0.0
         requests, repeats = [], []
         for wait_s, box, is_request in steps:
@@ -84,11 +86,27 @@
                 requests.append(now_s)
             elif budget.take(now_s, boxes).is_granted:
                 repeats.append(now_s)
-            inside = [each for each in requests if each > now_s - 2.0]
-            used = [each for each in repeats if each > now_s - 2.0]
-            # A repeat may rest on requests of its own window, whose first half may since be gone.
-            earlier = [each for each in requests if each > now_s - 4.0]
-            assert len(used) <= 0.2 * max(len(inside), len(earlier)) + 8
+        assert shared_budget.worst_excess(self.ALLOWANCE, requests, repeats) is None
+
+    def test_callers_that_move_to_another_box_are_not_spent_on_by_both(self):
+        """Each box sends what it earned by the same traffic: before the move, and after it."""
+        before, after = (retry_budget.RetryBudget(self.ALLOWANCE) for _ in range(2))
+        requests, repeats = [], []
+
+        def come_to(budget, from_s):
+            for n in range(200):
+                requests.append(from_s + n / 100)
+                budget.request(requests[-1])
+
+        def spend(budget, at_s):
+            while budget.take(at_s, boxes=2).is_granted:
+                repeats.append(at_s)
+
+        come_to(before, 0.0)
+        spend(before, 2.0)
+        come_to(after, 2.0)
+        spend(after, 3.99)
+        assert shared_budget.worst_excess(self.ALLOWANCE, requests, repeats) is None
 
 
 class TestSelection:
