Repeats of all routers stay within the shared budget over restarts, new leaders and callers that move

Cause: a router's part of the extra, and the number that it was divided by, were kept in one process's memory: a router that started again had its part whole, and divided by the boxes that a leader had heard of in the last second, one for the first that a new leader heard of, all of it for one that had been told nothing. Besides, two boxes earned by the same callers when these moved, and repeats counted when decided on, not when they arrive. Change: the extra is divided by the boxes registered in the replicated log, which keeps them until their repeats count no more; used under a lease only, after a wait in which all others come to know of the box. A repeat counts from when its bytes leave, and its connection ends if they do not arrive; a request without an answer is not delivered after its connection was closed. A box that is about to be forgotten is granted no lease before it is registered again (no next leader would have waited for that lease). Tests' site: routers earn 10 repeats a request, so that tests of failover need not wait for the share.

--- a/src/croftpulley/bench/agreement.py
+++ b/src/croftpulley/bench/agreement.py
@@ -24,7 +24,7 @@
     replica,
     sessions,
 )
-from croftpulley.core import agreed, membership, parts, submissions, versions
+from croftpulley.core import agreed, membership, parts, retry_budget, submissions, versions
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import state as states
 from croftpulley.storage import commands, replica_store
@@ -93,6 +93,7 @@
             actors.View(listing.Listing(versions.Versioned(listed), 0.0)),
             _LEASE_S,
             _MARGIN_S,
+            retry_budget.Allowance().counted_s,
             self._clock,
         )
         self._known = {
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -15,6 +15,7 @@
     listed_counts,
     membership,
     places,
+    retry_budget,
     sessions,
     tables,
     versions,
@@ -234,6 +235,14 @@
             # away, after the newer one was acknowledged: that waits only for boxes with a lease.
             return
         self._lease.renewed(sent_at_s, answer.lease_s)
+        self._counts.renew_extra_share(
+            retry_budget.Grant(
+                lease_s=answer.lease_s,
+                until_s=self._lease.until_s,
+                boxes=answer.registered_boxes,
+                kept_s=answer.kept_s,
+            )
+        )
         if not held:
             events.emit(
                 _LOG,
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -31,9 +31,10 @@
 LIST_FRESH_S = 2.0
 """A list read longer ago may be from a former leadership of this box, or from its start: boxes that
 have one keep theirs until it is read anew, which the leader does each 0.5 s."""
-FORGET_AFTER_S = 5.0
-"""How long after the end of its lease a box leaves the agreed state; one that only restarted does
-not write to the log again."""
+LEAST_KEPT_S = 5.0
+"""How long after the end of its lease a box leaves the agreed state at least; one that only
+restarted does not write to the log again. It stays for longer where repeats count for longer: its
+part of the extra is nobody else's before (`core.retry_budget`)."""
 
 
 @attrs.frozen
@@ -89,9 +90,11 @@
         endpoints: actors.View[listing.Listing],
         lease_s: float,
         margin_s: float,
+        repeats_counted_s: float,
         clock: clocks.Clock,
     ) -> None:
         super().__init__()
+        self._kept_s = max(LEAST_KEPT_S, repeats_counted_s)
         self._agreement = log
         self._standing = standing
         self._endpoints = endpoints
@@ -101,6 +104,7 @@
         self._leads_term = 0
         self._waiting: list[WhenInForce] = []
         self._registering: set[str] = set()
+        self._forgetting: set[str] = set()
         self._forget_at_s: dict[str, float] = {}
         self._bulletin = places.Bulletin()
         self._outcomes = outcomes.Outcomes()
@@ -135,6 +139,7 @@
         if standing.term != self._leads_term:
             self._leads_term = standing.term
             self._registering.clear()
+            self._forgetting.clear()
             self._forget_at_s.clear()
             # Another leader's numbers must not be taken for these.
             self._bulletin = places.Bulletin(standing.term * _NOTES_A_TERM)
@@ -180,6 +185,11 @@
         return self._answer(report, state)
 
     def _is_registered(self, box: membership.Box, state: agreed.AgreedState) -> bool:
+        if box.name in self._forgetting and box.name in state.boxes:
+            # What is about to leave the state must not be granted a lease meanwhile: no next
+            # leader would know of it.
+            return False
+        self._forgetting.discard(box.name)
         registered = attrs.evolve(box, draining=False)
         if state.boxes.get(box.name) == registered:
             self._registering.discard(box.name)
@@ -208,6 +218,8 @@
         notes = [note for note in page.notes if self._is_life(note.engine, listed)]
         return box_messages.BoxReportAnswer(
             lease_s=self._lease_s,
+            registered_boxes=len(state.boxes),
+            kept_s=self._kept_s,
             leader_address=standing.leader_address,
             control_addresses=standing.addresses,
             silent_addresses=standing.silent_addresses,
@@ -245,7 +257,7 @@
         now_s = self._clock.monotonic_s()
         for box in self._sessions.expire(now_s):
             events.emit(_LOG, events.Event.BOX_EXPIRED, expired_box=box)
-            self._forget_at_s[box] = now_s + FORGET_AFTER_S
+            self._forget_at_s[box] = now_s + self._kept_s
         # Not at each renewal: that would cost all boxes' work for each of them.
         self._boxes.set(self._sessions.boxes(now_s))
         self._forget(now_s)
@@ -275,6 +287,7 @@
         for box, at_s in list(self._forget_at_s.items()):
             if now_s >= at_s:
                 del self._forget_at_s[box]
+                self._forgetting.add(box)
                 self._agreement.propose(agreed.ForgetBox(box))
 
     def _settle(self) -> None:
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -44,6 +44,7 @@
         self._lock = threading.Lock()
         self._records = records.Records()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
+        self._extra_share = retry_budget.ExtraShare()
 
     def enter(self, endpoint: str) -> None:
         """Count a request in."""
@@ -212,10 +213,32 @@
         with self._lock:
             self._budget(pool).request(self._clock.monotonic_s())
 
-    def take_repeat(self, pool: str, boxes: int) -> retry_budget.Decision:
+    def renew_extra_share(self, grant: retry_budget.Grant) -> None:
+        """Take what a lease that has just been granted says of the extra of all budgets."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            self._extra_share = self._extra_share.renewed(grant, now_s, self._allowance.counted_s)
+
+    def take_repeat(self, pool: str) -> retry_budget.Decision:
         """Take one repeat from the pool's retry budget, if there is one."""
         with self._lock:
-            return self._budget(pool).take(self._clock.monotonic_s(), boxes)
+            now_s = self._clock.monotonic_s()
+            return self._budget(pool).take(now_s, self._extra_share.fraction(now_s))
+
+    def retry_share(self) -> float:
+        """Return the share of the extra of all budgets that this box may use."""
+        with self._lock:
+            return self._extra_share.fraction(self._clock.monotonic_s())
+
+    def repeat_leaves(self, repeat: retry_budget.Repeat) -> None:
+        """Have a repeat count from now on: its bytes leave."""
+        with self._lock:
+            repeat.at_s = self._clock.monotonic_s()
+
+    @property
+    def arrival_s(self) -> float:
+        """How long a repeat may be on its way to its endpoint."""
+        return self._allowance.arrival_s
 
     def _budget(self, pool: str) -> retry_budget.RetryBudget:
         return self._budgets.setdefault(pool, retry_budget.RetryBudget(self._allowance))
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -20,7 +20,7 @@
     replica,
     sessions,
 )
-from croftpulley.core import agreed, submissions
+from croftpulley.core import agreed, retry_budget, submissions
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import state as states
 from croftpulley.http import health_app, replica_app, server, wsgi
@@ -89,6 +89,7 @@
             self._endpoints,
             settings.lease_s,
             settings.drift_margin_s,
+            retry_budget.Allowance(window_s=settings.retry_window_s).counted_s,
             self._clock,
         )
         self._listing = listing.ListingController.start(
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -254,6 +254,7 @@
             "streams": self._streams.open_count(),
             "in_flight": self._traffic.load().in_flight,
             "held_off": sorted(known.held_off),
+            "retry_share": self._traffic.retry_share(),
         }
 
 
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -11,7 +11,7 @@
 import select
 import socket
 import struct
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 import urllib3
@@ -31,6 +31,10 @@
 """What can go wrong on a connection, a malformed answer among it."""
 
 
+_DROP_AT_CLOSE = struct.pack("ii", 1, 0)
+"""Lingering for no time: a close resets the connection, and what was not received is dropped."""
+_DELIVER_AFTER_CLOSE = struct.pack("ii", 0, 0)
+"""As sockets begin: a close lets the system deliver the rest."""
 _BLOCK_SIZE_BYTES = 8192
 """A longer body is sent in blocks of this size, between which an early answer is noticed."""
 
@@ -41,22 +45,34 @@
 
 @attrs.frozen
 class Target:
-    """Where to connect, and how long to wait for the connection and between bytes."""
+    """Where to connect, and how long to wait for the connection and between bytes.
+
+    With an ``arrival_limit_s`` the connection ends if what was sent is not received within that.
+    """
 
     address: str
     connect_timeout_s: float
     silence_timeout_s: float
+    arrival_limit_s: float | None = None
+
+
+def do_nothing() -> None:
+    """Stand where nobody wants to know when a request leaves."""
 
 
 @attrs.frozen
 class HttpRequest:
-    """What to send; a ``content_type`` of ``None`` adds no header at all to ``extra_headers``."""
+    """What to send; a ``content_type`` of ``None`` adds no header at all to ``extra_headers``.
+
+    ``on_leaving`` is called just before the first byte leaves and again when all have left.
+    """
 
     method: str
     path: str
     body: bytes | None = None
     content_type: str | None = "application/json"
     extra_headers: dict[str, str] = attrs.field(factory=dict)
+    on_leaving: Callable[[], None] = do_nothing
 
     def headers(self) -> dict[str, str]:
         """Return all headers but those of the transfer itself."""
@@ -126,11 +142,21 @@
 
     def _send(self, request: HttpRequest) -> urllib3.HTTPResponse:
         _limit_silence(self._connection.sock, self._target.silence_timeout_s)
+        if self._target.arrival_limit_s is not None:
+            _limit_arrival(self._connection.sock, self._target.arrival_limit_s)
+        # Without an answer the request may be sent elsewhere. After an ordinary close the system
+        # would go on delivering it here as well, for minutes where a link is cut.
+        _linger(self._connection.sock, _DROP_AT_CLOSE)
         # The library sets this on the socket once more before it reads.
         self._connection.timeout = None
         self._attempt.enter(attempts.Phase.SENT)
+        # Twice: the process may stand still in between, and the bytes leave after that.
+        request.on_leaving()
         self._send_request(request)
+        request.on_leaving()
+        sock = self._connection.sock
         response = self._connection.getresponse()
+        _linger(sock, _DELIVER_AFTER_CLOSE)
         self.response = response
         return response
 
@@ -219,6 +245,16 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
 
 
+def _linger(sock: socket.socket, option: bytes) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
+
+def _limit_arrival(sock: socket.socket, limit_s: float) -> None:
+    """Have the system end the connection if what was sent is not acknowledged in time."""
+    limit_ms = max(1, int(limit_s * 1000))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_ms)
+
+
 def whole(
     target: Target,
     request: HttpRequest,
--- a/src/croftpulley/forwarding/attempt.py
+++ b/src/croftpulley/forwarding/attempt.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import functools
+
 import attrs
 
 from croftpulley import clock as clocks
@@ -86,10 +88,19 @@
         return OpenAttempt(endpoint, attempt, answer, self._counts, placed.reading_tokens)
 
     def _order(self, exchange: base.Exchange, outgoing: headers.Outgoing) -> sender.Order:
-        return sender.Order(
+        order = sender.Order(
             endpoint=outgoing.endpoint,
             method=exchange.request.method,
             target=exchange.request.target,
             headers=headers.to_endpoint(exchange, outgoing, self._names),
             body=exchange.request.body,
         )
+        repeat = exchange.repeat.repeat if exchange.repeat else None
+        if repeat is None:
+            return order
+        # The shared budget counts a repeat for so long as it may still arrive.
+        return attrs.evolve(
+            order,
+            arrival_limit_s=self._counts.arrival_s,
+            on_leaving=functools.partial(self._counts.repeat_leaves, repeat),
+        )
--- a/src/croftpulley/forwarding/retry.py
+++ b/src/croftpulley/forwarding/retry.py
@@ -41,7 +41,7 @@
             return False
         if log and log[-1].phase is attempts.Phase.UNSENT:
             return True
-        exchange.repeat = self._counts.take_repeat(exchange.pool, len(exchange.state.boxes))
+        exchange.repeat = self._counts.take_repeat(exchange.pool)
         if not exchange.repeat.is_granted:
             failures.log_held_back(exchange)
         self._counters.repeat(exchange.repeat.is_granted)
--- a/src/croftpulley/forwarding/sender.py
+++ b/src/croftpulley/forwarding/sender.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import attrs
 
@@ -17,13 +17,20 @@
 
 @attrs.frozen(kw_only=True)
 class Order:
-    """One attempt as it is sent."""
+    """One attempt as it is sent.
+
+    With an ``arrival_limit_s`` the connection ends if the endpoint does not receive the request
+    within that time; ``on_leaving`` is called just before its first byte leaves and once more when
+    the last one has left.
+    """
 
     endpoint: membership.Endpoint
     method: str
     target: str
     headers: dict[str, str]
     body: bytes
+    arrival_limit_s: float | None = None
+    on_leaving: Callable[[], None] = connection.do_nothing
 
 
 class Answer(abc.ABC):
@@ -71,11 +78,19 @@
     def send(self, order: Order, attempt: attempts.Attempt, token: cancel.CancelToken) -> Answer:
         """Send an attempt."""
         target = connection.Target(
-            order.endpoint.address, self._connect_timeout_s, self._silence_timeout_s
+            order.endpoint.address,
+            self._connect_timeout_s,
+            self._silence_timeout_s,
+            order.arrival_limit_s,
         )
         exchange = connection.Exchange(target, attempt, token, connection.WORKER_FAILURES)
         request = connection.HttpRequest(
-            order.method, order.target, order.body or None, None, order.headers
+            order.method,
+            order.target,
+            order.body or None,
+            None,
+            order.headers,
+            on_leaving=order.on_leaving,
         )
         try:
             response = exchange.begin(request)
--- a/src/croftpulley/platform/boot.py
+++ b/src/croftpulley/platform/boot.py
@@ -59,6 +59,7 @@
 
 def _replica_settings(boot: fields.Fields) -> schema.ReplicaSettings:
     host = boot.text("ipAddress")
+    bounds = boot.object("bounds")
     return schema.ReplicaSettings(
         box=boot.text("nodeName"),
         hall=boot.text("zone"),
@@ -70,6 +71,7 @@
         # Not that this process starts for the first time: that the whole fleet does.
         first_start=boot.flag("bootstrap"),
         platform_address=boot.object("cloudApi").text("address"),
+        retry_window_s=bounds.number("budgetWindowS", 10.0),
     )
 
 
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -186,6 +186,7 @@
     lease_s: float = attrs.field(default=2.8, validator=_between(0.2, 600))
     drift_margin_s: float = attrs.field(default=0.1, validator=_between(0.0, 60))
     acknowledge_s: float = attrs.field(default=3.6, validator=_between(0.1, 600))
+    retry_window_s: float = attrs.field(default=10.0, validator=_between(0.1, 3600))
     platform_interval_s: float = attrs.field(default=0.5, validator=_between(0.05, 60))
     log_level: str = attrs.field(default="INFO", validator=_level)
 
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -50,9 +50,13 @@
     their peers. ``configuration_version`` is the newest, which a router fetches in parts
     (`core.parts`): its length must not bear on the lease. ``silent_addresses`` are those of the
     ``control_addresses`` that lately answered the leader nothing: it is not fetched from there.
+    ``registered_boxes`` share the extra of retry budgets; each stays registered for ``kept_s``
+    after the end of its lease.
     """
 
     lease_s: float = 0.0
+    registered_boxes: int = 0
+    kept_s: float = 0.0
     leader_address: str = ""
     control_addresses: tuple[str, ...] = ()
     silent_addresses: tuple[str, ...] = ()
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -18,6 +18,9 @@
     "e", membership.EndpointKind.ENGINE, "llm", "127.0.0.1:3", "hall-a", "e"
 )
 FAR_S = 1e9
+LEASE_S = 3.0
+MARGIN_S = 0.1
+KEPT_S = 12.0
 LEADS = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
 NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=0.0)
 
@@ -26,6 +29,7 @@
     """A state that knows the router."""
 
     def __init__(self, version):
+        self.proposed = []
         self._state = agreed.AgreedState(submissions=submissions.HighestNumber())
         self._state.apply(agreed.RegisterBox(BOX))
         if version:
@@ -33,7 +37,13 @@
             self._state.apply(agreed.SubmitConfiguration(submitted))
 
     def propose(self, command):
-        raise NotImplementedError
+        """Keep what is proposed; a test commits it."""
+        self.proposed.append(command)
+
+    def commit(self):
+        """Commit what was proposed."""
+        while self.proposed:
+            self._state.apply(self.proposed.pop(0))
 
     def read(self):
         return self._state
@@ -58,7 +68,13 @@
         clock = clocks.ManualClock()
         listed = listing.Listing(versions.Versioned((ENDPOINT,)), clock.monotonic_s())
         controller = sessions.SessionController(
-            Applied(version), view or actors.View(LEADS), actors.View(listed), 3.0, 0.1, clock
+            Applied(version),
+            view or actors.View(LEADS),
+            actors.View(listed),
+            LEASE_S,
+            MARGIN_S,
+            KEPT_S,
+            clock,
         )
         return controller, clock
 
@@ -196,3 +212,44 @@
         clock.advance(0.001)
         answer = controller.handle(attrs.evolve(report(), in_flight=in_flight))
         assert answer.loads == tuple(in_flight.values())
+
+
+OTHER = attrs.evolve(BOX, name="other")
+
+
+def test_a_new_leader_tells_of_every_registered_box_though_it_has_heard_of_one(make_leader):
+    controller, _ = make_leader()
+    controller._agreement.read().apply(agreed.RegisterBox(OTHER))
+    answer = controller.handle(report())
+    assert (len(answer.boxes), answer.registered_boxes, answer.kept_s) == (1, 2, KEPT_S)
+
+
+def after_silence(controller, clock, silent_s):
+    """Let the time pass in which no box renews."""
+    clock.advance(LEASE_S + MARGIN_S)
+    controller.handle(actors.Tick())
+    clock.advance(silent_s)
+    controller.handle(actors.Tick())
+
+
+def test_a_box_stays_registered_while_its_repeats_count(make_leader):
+    controller, clock = make_leader()
+    controller.handle(report())
+    after_silence(controller, clock, KEPT_S - 0.1)
+    assert controller._agreement.proposed == []
+    clock.advance(0.1)
+    controller.handle(actors.Tick())
+    assert controller._agreement.proposed == [agreed.ForgetBox(BOX.name)]
+
+
+def test_a_box_that_comes_back_as_it_is_forgotten_has_a_lease_once_it_is_registered(make_leader):
+    # Granted before the log forgets the box, no next leader would wait for that lease to end.
+    controller, clock = make_leader()
+    controller.handle(report())
+    after_silence(controller, clock, KEPT_S)
+    assert controller.handle(report()).lease_s == 0.0
+    controller._agreement.commit()
+    assert controller.handle(report()).lease_s == 0.0
+    controller._agreement.commit()
+    answer = controller.handle(report())
+    assert (answer.lease_s, answer.registered_boxes) == (LEASE_S, 1)
--- a/testing/core/test_forwarded.py
+++ b/testing/core/test_forwarded.py
@@ -84,7 +84,7 @@
             if is_request:
                 budget.request(now_s)
                 requests.append(now_s)
-            elif budget.take(now_s, boxes).is_granted:
+            elif budget.take(now_s, 1 / boxes).is_granted:
                 repeats.append(now_s)
         assert shared_budget.worst_excess(self.ALLOWANCE, requests, repeats) is None
 
@@ -99,7 +99,7 @@
                 budget.request(requests[-1])
 
         def spend(budget, at_s):
-            while budget.take(at_s, boxes=2).is_granted:
+            while budget.take(at_s, fraction=0.5).is_granted:
                 repeats.append(at_s)
 
         come_to(before, 0.0)
@@ -108,6 +108,40 @@
         spend(after, 3.99)
         assert shared_budget.worst_excess(self.ALLOWANCE, requests, repeats) is None
 
+    def test_a_repeat_that_leaves_late_counts_from_then(self):
+        """Its box stood still between the decision and the first byte."""
+        budget = retry_budget.RetryBudget(self.ALLOWANCE)
+        one = 1 / self.ALLOWANCE.extra
+        late = budget.take(0.0, one).repeat
+        late.at_s = 5.0
+        assert not budget.take(5.0, one).is_granted
+        assert not budget.take(5.0 + self.ALLOWANCE.window_s, one).is_granted
+        assert budget.take(5.0 + self.ALLOWANCE.counted_s, one).is_granted
+
+
+class TestExtraShare:
+    """When a box may use its share of the extra."""
+
+    GRANT = retry_budget.Grant(lease_s=3.0, until_s=12.5, boxes=4, kept_s=12.0)
+
+    def renewed(self, share, now_s, **changes):
+        grant = attrs.evolve(self.GRANT, until_s=now_s + 2.5, **changes)
+        return share.renewed(grant, now_s, counted_s=12.0)
+
+    def test_a_lease_regained_while_the_box_is_registered_goes_on_where_it_was(self):
+        share = self.renewed(self.renewed(retry_budget.ExtraShare(), 0.0), 14.0)
+        assert share.from_s == 15.0
+        assert self.renewed(share, 28.4).fraction(28.5) == 0.25
+
+    def test_a_box_that_may_have_been_forgotten_waits_again(self):
+        share = self.renewed(self.renewed(retry_budget.ExtraShare(), 0.0), 14.5)
+        assert share.from_s == 29.5
+
+    def test_a_leader_that_keeps_boxes_for_less_than_repeats_count_grants_no_share(self):
+        share = self.renewed(retry_budget.ExtraShare(), 0.0, kept_s=11.0)
+        share = self.renewed(share, 12.0, kept_s=11.0)
+        assert self.renewed(share, 15.5, kept_s=11.0).fraction(16.0) == 0.0
+
 
 class TestSelection:
     """Which endpoint."""
--- a/testing/daemons/test_shared_retries.py
+++ b/testing/daemons/test_shared_retries.py
@@ -16,6 +16,7 @@
 
 import orjson
 import pytest
+import urllib3
 
 from conftest import wait_until
 from croftpulley.fakes import faults
@@ -62,6 +63,11 @@
     return len(arrived) - len(set(arrived))
 
 
+def status(router):
+    """Return what a router tells of itself."""
+    return urllib3.request("GET", f"http://{router.metrics_address}/v1/status").json()
+
+
 def named_addresses(site, router):
     """Return the boxes that a router tells callers of."""
     answer = site.ask("GET", "/resolution?name=x", address=router.directory_address)
@@ -93,3 +99,20 @@
     wait_until(site.is_ready, "the last router has a lease")
     send_requests(site, last)
     assert repeats(site) <= EXTRA
+
+
+def test_routers_come_to_use_their_share_of_the_extra(make_failing_site):
+    site = make_failing_site(retry_extra=float(EXTRA), retry_window_s=0.5)
+    shares = {0.0}
+
+    def is_shared():
+        shares.update(status(each)["retry_share"] for each in site.routers)
+        return shares == {0.0, 1 / ROUTERS}
+
+    wait_until(is_shared, "every router has its share")
+
+    def is_repeated():
+        send_requests(site, site.routers[0], 1)
+        return repeats(site) > 0
+
+    wait_until(is_repeated, "a request is repeated")
--- /dev/null
+++ b/testing/endpoints/test_connection.py
@@ -0,0 +1,71 @@
+"""When what is sent to an endpoint may still arrive."""
+
+from __future__ import annotations
+
+import socket
+
+import pytest
+
+from croftpulley import cancel, errors
+from croftpulley.core import attempts, membership
+from croftpulley.endpoints import connection
+from croftpulley.forwarding import sender
+
+SILENCE_S = 0.2
+
+
+@pytest.fixture
+def listener():
+    """Listen at an address whose endpoint never answers."""
+    with socket.create_server(("127.0.0.1", 0)) as made:
+        yield made
+
+
+def address_of(listener):
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+def exchange_with(listener, arrival_limit_s=None):
+    target = connection.Target(address_of(listener), 1.0, SILENCE_S, arrival_limit_s)
+    attempt = attempts.Attempt(1, "e")
+    return connection.Exchange(target, attempt, cancel.CancelToken(), connection.WORKER_FAILURES)
+
+
+def read_to_the_end(sock):
+    while sock.recv(4096):
+        pass
+
+
+def test_a_limit_of_arrival_is_set_before_the_first_byte_leaves(listener):
+    exchange = exchange_with(listener, arrival_limit_s=1.5)
+    seen_ms = []
+
+    def on_leaving():
+        sock = exchange._connection.sock
+        seen_ms.append(sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT))
+
+    request = connection.HttpRequest("GET", "/x", on_leaving=on_leaving)
+    with pytest.raises(errors.CroftpulleyError):
+        exchange.begin(request)
+    exchange.close()
+    # Just before the first byte, and once more when the last has left.
+    assert seen_ms == [1500, 1500]
+
+
+def test_an_attempt_without_an_answer_leaves_nothing_that_arrives_later(listener):
+    order = sender.Order(
+        endpoint=membership.Endpoint(
+            "e", membership.EndpointKind.WORKER, "desk", address_of(listener), "hall-a", "e"
+        ),
+        method="GET",
+        target="/x",
+        headers={},
+        body=b"",
+    )
+    with pytest.raises(errors.CroftpulleyError):
+        sender.DirectSender(1.0, SILENCE_S).send(
+            order, attempts.Attempt(1, "e"), cancel.CancelToken()
+        )
+    taken, _ = listener.accept()
+    with taken, pytest.raises(ConnectionResetError):
+        read_to_the_end(taken)
--- a/testing/site_of_routers.py
+++ b/testing/site_of_routers.py
@@ -207,6 +207,8 @@
             "entry_ttl_s": 0.1,
             "grace_s": 5.0,
             "silence_s": 5.0,
+            # So that the first request of a router that has just started may be repeated.
+            "retry_ratio": 10.0,
         }
         daemon = router.RouterDaemon(
             schema.RouterSettings(**(wanted | self.changes)), callers.PlatformCallers()
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from croftpulley.core import retry_budget
 from croftpulley.fakes import forwarded, platform_list
 from croftpulley.settings import schema
 from site_of_routers import ANY_PORT, ReservedPort
@@ -40,6 +41,15 @@
 """
 
 
+TIGHT = retry_budget.Allowance(ratio=0.1, extra=9.0, window_s=3.0)
+"""The budget of repeats in a storm: endpoints that turn requests away use up more than this."""
+
+
+def pool_of(kind: str) -> str:
+    """Return the pool that serves a kind of request."""
+    return ENGINE_POOL if kind in STREAMS else WORKER_POOL
+
+
 def key_of(version: int) -> str:
     """Return the key that comes with a version; it goes with the second version after it."""
     return f"key-{version}"
@@ -81,7 +91,7 @@
         "path_prefix": f"/v{version}/{kind}/",
         "kind": "stream" if is_stream else "repeatable" if kind == "repeat" else "once",
         "resumable": kind == "note",
-        "shares": [{"pool": ENGINE_POOL if is_stream else WORKER_POOL}],
+        "shares": [{"pool": pool_of(kind)}],
         "time_limit_ms": 4000,
         "attempts": 2,
     }
@@ -129,11 +139,18 @@
 class Fleet:
     """Three control boxes, three routers, and what they serve.
 
-    Each control box sends over a link of ``link_bytes_per_s``.
+    Each control box sends over a link of ``link_bytes_per_s``; ``allowance`` is the budget of
+    repeats that routers share.
     """
 
-    def __init__(self, folder: pathlib.Path, link_bytes_per_s: float = math.inf) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        link_bytes_per_s: float = math.inf,
+        allowance: retry_budget.Allowance | None = None,
+    ) -> None:
         self.folder = folder
+        self.allowance = allowance or retry_budget.Allowance()
         self.link_bytes_per_s = link_bytes_per_s
         self.loop = proxy.Loop()
         self.listed = platform_list.FakePlatformList(
@@ -255,6 +272,13 @@
                 found[run.headers["x-request-id"]].append(each.stand_in.incarnation)
         return found
 
+    def arrivals(self) -> dict[str, list[forwarded.Arrival]]:
+        """Return what reached the endpoints of each pool."""
+        found = collections.defaultdict(list)
+        for each in (*self.served, *self.past):
+            found[each.pool] += list(each.stand_in.arrivals)
+        return found
+
     def _lane_of(self, port: int, listening_port: int) -> proxy.Lane | None:
         """Return the lane of the control box that connects, if it is one."""
         name = processes.socket_between(port, listening_port)
@@ -296,5 +320,8 @@
             "control_addresses": [each.address for each in self.control_ways],
             "platform_address": self.listed.address,
             "grace_s": 8.0,
+            "retry_ratio": self.allowance.ratio,
+            "retry_extra": self.allowance.extra,
+            "retry_window_s": self.allowance.window_s,
         }
         return processes.Program("router", settings, self.folder)
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Iterator, Mapping, Sequence
 
+import shared_budget
+from croftpulley.core import retry_budget
 from croftpulley.fakes import forwarded
 from soak import fleet, records
 
@@ -115,6 +117,38 @@
             yield f"{program} ended a planned stop with {code}"
 
 
+def repeats_beyond_the_budget(
+    book: records.Book,
+    arrivals: Mapping[str, Sequence[forwarded.Arrival]],
+    allowance: retry_budget.Allowance,
+) -> list[str]:
+    """Return the worst window of each pool whose endpoints got more repeats than all may send.
+
+    ``arrivals`` are those at all endpoints of each pool, whether or not they ran the request.
+    """
+    found = []
+    for pool, arrived in sorted(arrivals.items()):
+        requests_s = [each.sent_s for each in book.asked if fleet.pool_of(each.kind) == pool]
+        excess = shared_budget.worst_excess(allowance, requests_s, beyond_the_first(arrived))
+        if excess is not None:
+            found.append(
+                f"{pool} got {excess.repeats} repeats within {allowance.window_s} s "
+                f"from {excess.from_s:.3f}, {excess.allowed:.1f} are allowed"
+            )
+    return found
+
+
+def beyond_the_first(arrived: Sequence[forwarded.Arrival]) -> list[float]:
+    """Return the times of all arrivals but the first of each request."""
+    seen = set()
+    repeats_s = []
+    for each in sorted(arrived, key=lambda one: one.at_s):
+        if each.request_id in seen:
+            repeats_s.append(each.at_s)
+        seen.add(each.request_id)
+    return repeats_s
+
+
 def lost(book: records.Book, runs: Runs) -> list[str]:
     """Return the requests that ran and whose answer did not come whole.
 
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -35,6 +35,8 @@
     seed: int
     broken: list[str]
     requests: int
+    repeats: dict[str, int]
+    """Arrivals beyond the first of their request, by pool."""
     ends: dict[str, int]
     """How many requests ended how, by the status or by what the caller met instead."""
     accepted_version: int
@@ -43,22 +45,30 @@
     """How long the configuration took that was submitted last; ``None`` if it was given up."""
 
 
-def run_seed(seed: int, seconds_s: float, folder: pathlib.Path) -> Outcome:
+def run_seed(
+    seed: int, seconds_s: float, folder: pathlib.Path, *, is_storm: bool = False
+) -> Outcome:
     """Run one seed.
 
     A third of them has planned work only; in another third the links of control boxes have a rate,
-    and configurations may be large.
+    and configurations may be large. In a storm, endpoints go on failing as well while routers and
+    leaders are killed in series, and few repeats are allowed; every other one has all else too.
     """
     has_rate = seed % 3 == 2
-    site = fleet.Fleet(folder, fleet.LINK_BYTES_PER_S if has_rate else math.inf)
+    link_bytes_per_s = fleet.LINK_BYTES_PER_S if has_rate else math.inf
+    site = fleet.Fleet(folder, link_bytes_per_s, fleet.TIGHT if is_storm else None)
     book = records.Book()
-    planned_only = seed % 3 == 0
+    planned_only = seed % 3 == 0 and not is_storm
     try:
         site.start()
         until_served(site, book, seed)
         crowd = callers.Crowd(site, book, seed)
         crowd.start()
-        drawn = troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
+        drawn = []
+        if not is_storm or seed % 2:
+            drawn += troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
+        if is_storm:
+            drawn += troubles.Storm(seed, site).all(seconds_s)
         troubles.play(drawn, seconds_s)
         recovery_s = _recover(site, book, seed)
         crowd.stop()
@@ -68,9 +78,11 @@
         book.acceptances.append(accepted)
         until_served(site, book, seed)
         runs = site.runs()
+        arrivals = site.arrivals()
     finally:
         site.stop()
     broken = promises.broken(book, runs)
+    broken += promises.repeats_beyond_the_budget(book, arrivals, site.allowance)
     if planned_only:
         broken += promises.lost(book, runs)
     if recovery_s > RECOVERY_LIMIT_S:
@@ -79,6 +91,9 @@
         seed=seed,
         broken=broken,
         requests=len(book.asked),
+        repeats={
+            pool: len(promises.beyond_the_first(each)) for pool, each in sorted(arrivals.items())
+        },
         ends=dict(collections.Counter(_end(each) for each in book.asked).most_common()),
         accepted_version=book.accepted_version,
         recovery_s=recovery_s,
@@ -160,19 +175,20 @@
 @click.command()
 @click.option("--seeds", default="1-50", show_default=True, help="A seed, or the first and last.")
 @click.option("--seconds", default=20.0, show_default=True, help="How long each has troubles.")
+@click.option("--storm", is_flag=True, help="Endpoints fail on, and kills come in series.")
 @click.option("--keep", type=click.Path(), help="Folder for settings and logs; else a new one.")
-def main(seeds: str, seconds: float, keep: str | None) -> None:
+def main(seeds: str, seconds: float, storm: bool, keep: str | None) -> None:
     """Run seeds one after the other; the logs of one that broke a promise stay."""
     root = pathlib.Path(keep or tempfile.mkdtemp(prefix="soak-"))
     failed = 0
     for seed in parse_seeds(seeds):
         folder = root / f"seed-{seed}"
         folder.mkdir(parents=True)
-        outcome = run_seed(seed, seconds, folder)
+        outcome = run_seed(seed, seconds, folder, is_storm=storm)
         failed += bool(outcome.broken)
         click.echo(
             f"seed {seed}: {len(outcome.broken)} broken, {outcome.requests} requests "
-            f"{outcome.ends}, version {outcome.accepted_version}, "
+            f"{outcome.ends}, repeats {outcome.repeats}, version {outcome.accepted_version}, "
             f"recovered in {outcome.recovery_s:.1f} s, accepted in {_seconds(outcome.accepted_s)}"
         )
         for line in outcome.broken[:10]:
