--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -78,6 +78,9 @@
         )
     around = _Around(own, ordered)
     cause, because = _cause(around)
+    held_back, since = _held_back(around)
+    cause += held_back
+    because += since
     lines = sorted({id(line): line for line in (*own, *because)}.values(), key=lambda x: x.time)
     return Story(tuple(lines), cause)
 
@@ -124,6 +127,25 @@
     return _no_end(around)
 
 
+def _held_back(around: _Around) -> _Cause:
+    """Say that it went nowhere else for want of a repeat; nothing if it was not held back."""
+    held_back = around.of(events.Event.REPEAT_HELD_BACK)
+    if not held_back:
+        return "", []
+    fields = held_back[-1].fields
+    told = (
+        f" It was sent nowhere else: {fields.get('repeats_spent')} repeats of this box count, its "
+        f"requests earned {fields.get('repeats_earned')} and its share of the extra is "
+        f"{fields.get('repeats_extra')}."
+    )
+    if fields.get("repeats_extra"):
+        return told, []
+    # A box uses its share only under a lease, and some time after its first one.
+    return told, around.before(
+        events.Event.DAEMON_STARTED, events.Event.LEASE_GAINED, events.Event.LEASE_LOST
+    )
+
+
 def _no_lease(around: _Around) -> _Cause:
     because = around.before(events.Event.RENEW_FAILED, events.Event.LEASE_LOST)
     because += around.before(events.Event.REPLICA_ROLE, anywhere=True)
--- a/testing/observe/test_explain.py
+++ b/testing/observe/test_explain.py
@@ -34,6 +34,11 @@
     return text(time, Event.REQUEST_ANSWERED, request_id=ID, **given | fields)
 
 
+def held_back(extra):
+    fields = {"repeats_spent": 4, "repeats_earned": 4.2, "repeats_extra": extra}
+    return text("10:00:08", Event.REPEAT_HELD_BACK, request_id=ID, **fields)
+
+
 def story(*lines):
     return explain.explain(ID, explain.read(lines))
 
@@ -106,6 +111,16 @@
             ["endpoint_chosen", "daemon_started"],
         ),
         ([chosen()], "has no end in these logs", ["endpoint_chosen"]),
+        (
+            [text("10:00:05", Event.LEASE_GAINED), held_back(0.0), refused("DECLINED")],
+            "It was sent nowhere else: 4 repeats of this box count, its requests earned 4.2",
+            ["lease_gained", "repeat_held_back", "request_refused"],
+        ),
+        (
+            [text("10:00:05", Event.LEASE_GAINED), held_back(6.44), refused("WORKER_BROKE")],
+            "and its share of the extra is 6.44",
+            ["repeat_held_back", "request_refused"],
+        ),
     ],
 )
 def test_the_cause_is_named_with_the_lines_that_show_it(lines, cause, because):
