--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -18,7 +18,7 @@
 import attrs
 import click
 
-from soak import callers, fleet, promises, proxy, records, troubles
+from soak import callers, fleet, promises, proxy, records, storms, troubles
 
 RECOVERY_LIMIT_S = 60.0
 """After the last trouble. Far more than is promised: the time it took is printed, not judged."""
@@ -68,7 +68,7 @@
         if not is_storm or seed % 2:
             drawn += troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
         if is_storm:
-            drawn += troubles.Storm(seed, site).all(seconds_s)
+            drawn += storms.Storm(seed, site).all(seconds_s)
         troubles.play(drawn, seconds_s)
         recovery_s = _recover(site, book, seed)
         crowd.stop()
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -5,7 +5,9 @@
 import attrs
 import pytest
 
-from soak import promises, records
+from croftpulley.core import retry_budget
+from croftpulley.fakes import forwarded
+from soak import fleet, promises, records
 
 End = records.End
 WELL = records.Asked(
@@ -100,3 +102,24 @@
     book = records.Book(asked=[attrs.evolve(WELL, end=End.NOTHING)])
     assert promises.lost(book, {}) == []
     assert promises.lost(book, ONE_RUN) == ["r (once) at router-0 ran and ended as nothing"]
+
+
+TWO = retry_budget.Allowance(ratio=0.5, extra=1.0, window_s=2.0)
+"""Two requests earn one repeat, and one more is free: two in a window."""
+
+
+@pytest.mark.parametrize(
+    ("arrived_s", "lines"),
+    [
+        # The first arrival of a request is no repeat, however late.
+        ([0.0, 9.0], []),
+        ([0.0, 0.1, 0.1], []),
+        ([0.0, 0.1, 0.2, 2.3], []),
+        ([0.0, 0.1, 0.2, 2.1], ["desk got 3 repeats within 2.0 s from 0.100, 2.0 are allowed"]),
+    ],
+)
+def test_more_repeats_than_all_may_send_are_reported(arrived_s, lines):
+    asked = [attrs.evolve(WELL, request_id=each, sent_s=0.0) for each in ("r", "s")]
+    book = records.Book(asked=[*asked, attrs.evolve(WELL, kind="note", sent_s=0.1)])
+    arrivals = {fleet.WORKER_POOL: [forwarded.Arrival("r", at_s) for at_s in arrived_s]}
+    assert promises.repeats_beyond_the_budget(book, arrivals, TWO) == lines
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -16,6 +16,11 @@
 control boxes may, so each submission ended in a new leader that did not have it. 14: a box that
 came to lead while a call waited for its authority answered with what it had read before."""
 
+STORMS = {4: 14.0, 6: 14.0}
+"""Storms that brought more repeats to endpoints than all routers may send: routers that started
+again had their share of the extra whole, and new leaders told of few boxes. 8, 11 and 12 did so
+too and are among those that are run by hand."""
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_in_a_short_soak(seed, tmp_path):
@@ -25,3 +30,8 @@
 @pytest.mark.parametrize("seed", REGRESSIONS)
 def test_a_promise_that_was_broken_holds_now(seed, tmp_path):
     assert run.run_seed(seed, REGRESSIONS[seed], tmp_path).broken == []
+
+
+@pytest.mark.parametrize("seed", STORMS)
+def test_a_promise_that_was_broken_in_a_storm_holds_now(seed, tmp_path):
+    assert run.run_seed(seed, STORMS[seed], tmp_path, is_storm=True).broken == []
--- a/testing/soak/troubles.py
+++ b/testing/soak/troubles.py
@@ -12,12 +12,12 @@
 import attrs
 
 from croftpulley.fakes import faults
-from soak import callers, fleet, processes, proxy, records
+from soak import fleet, processes, proxy, records
 
 _GAP_S = 0.6
 """Mean time between two troubles; most last longer."""
 _LONGEST_S = 3.0
-_RESTART_S = 0.3
+RESTART_S = 0.3
 """How soon the platform starts a program again that ended."""
 _DISK_GAP_S = 8.0
 """After the loss of a disk, before the next: one may be lost at a time."""
@@ -31,23 +31,6 @@
 """An endpoint whose clock was set back starts before it did, by what it says."""
 _NARROW_SHARE = 0.4
 """Of its rate that is left to a narrow link."""
-_CALM_S = 9.0
-"""Before half of the storms: longer than a router waits before it uses its part of the extra."""
-_STORM_GAP_S = 1.2
-"""Mean time between two kills: a router serves again about 0.8 s after one."""
-_LONGEST_FAILING_S = 1.0
-"""Short, since the end of any other trouble of an endpoint drops its faults."""
-_PLAY_SLACK_S = 0.05
-"""How late a trouble may begin or end."""
-_STORM_FAULTS = (
-    faults.Fault.DECLINE,
-    faults.Fault.RESET_BEFORE_ANSWER,
-    faults.Fault.RESET_MID_STREAM,
-    faults.Fault.ERROR,
-)
-_STORM_WEIGHTS = (6, 1, 1, 1)
-_STORM_QUEUE = 300
-"""More requests than come to an endpoint meanwhile."""
 _ENDPOINT_FAULTS = (
     faults.Fault.RESET_BEFORE_ANSWER,
     faults.Fault.RESET_AFTER_RUN,
@@ -276,93 +259,6 @@
     trouble: Trouble
 
 
-@attrs.define
-class Failing(Trouble):
-    """Endpoints of those in service spoil all their answers."""
-
-    site: fleet.Fleet
-    picks: tuple[int, ...]
-    """Their places among those in service when it begins."""
-    queue: tuple[faults.Fault, ...]
-    _failing: list[fleet.Served] = attrs.field(factory=list)
-
-    def begin(self) -> None:
-        """Queue the faults."""
-        served = list(self.site.served)
-        self._failing = [served[pick % len(served)] for pick in self.picks]
-        for each in self._failing:
-            each.stand_in.faults.add(*self.queue)
-
-    def end(self) -> None:
-        """Drop those that have not come."""
-        for each in self._failing:
-            each.stand_in.faults.clear()
-
-
-@attrs.define
-class LeaderKilled(Trouble):
-    """The control box that leads is killed."""
-
-    site: fleet.Fleet
-    _killed: list[processes.Program] = attrs.field(factory=list)
-
-    def begin(self) -> None:
-        """Kill whoever leads, if anybody says so."""
-        found = callers.leader(self.site)
-        if found is not None:
-            found.kill()
-            self._killed.append(found)
-
-    def end(self) -> None:
-        """Start it again."""
-        for each in self._killed:
-            if not each.runs:
-                self.site.start_again(each)
-
-
-class Storm:
-    """Draws a storm: endpoints go on failing while routers and leaders are killed in series."""
-
-    def __init__(self, seed: int, site: fleet.Fleet) -> None:
-        # Of its own: the other troubles of a seed stay what they are.
-        self._chance = random.Random(f"{seed} storm")
-        self._site = site
-
-    def all(self, seconds_s: float) -> list[Timed]:
-        """Return what goes wrong, after a calm in which routers come to use their part."""
-        calm_s = self._chance.choice((0.5, _CALM_S))
-        return self._failing(calm_s, seconds_s) + self._kills(calm_s, seconds_s)
-
-    def _failing(self, calm_s: float, seconds_s: float) -> list[Timed]:
-        chance = self._chance
-        drawn = []
-        at_s = calm_s
-        while at_s < seconds_s:
-            for_s = chance.uniform(_RESTART_S, _LONGEST_FAILING_S)
-            served = 2 * fleet.ENDPOINTS
-            picks = tuple(chance.sample(range(served), chance.randint(served // 2, served)))
-            queue = tuple(chance.choices(_STORM_FAULTS, weights=_STORM_WEIGHTS, k=_STORM_QUEUE))
-            drawn.append(Timed(at_s, for_s, Failing(self._site, picks, queue)))
-            # The end of one drops the faults of the next if that has begun.
-            at_s += for_s + _PLAY_SLACK_S
-        return drawn
-
-    def _kills(self, calm_s: float, seconds_s: float) -> list[Timed]:
-        chance = self._chance
-        drawn = []
-        at_s = calm_s + chance.expovariate(1 / _STORM_GAP_S)
-        while at_s < seconds_s:
-            router = chance.choice(self._site.routers)
-            trouble: Trouble = Killed(self._site, (router,))
-            if chance.random() < 0.2:
-                trouble = LeaderKilled(self._site)
-            elif chance.random() < 0.2:
-                trouble = Killed(self._site, tuple(self._site.routers))
-            drawn.append(Timed(at_s, _RESTART_S, trouble))
-            at_s += chance.expovariate(1 / _STORM_GAP_S)
-        return drawn
-
-
 class Draw:
     """Draws the troubles of one run; the same seed gives the same ones."""
 
@@ -400,7 +296,7 @@
             if not self._planned_only and chance.random() < 0.6:
                 back_ms = chance.choice((0, 0, _CLOCK_BACK_MS))
                 trouble = Reborn(self._site, chance.choice(self._site.served), back_ms)
-            drawn.append(Timed(at_s, chance.uniform(_RESTART_S, _LONGEST_S), trouble))
+            drawn.append(Timed(at_s, chance.uniform(RESTART_S, _LONGEST_S), trouble))
             at_s += chance.expovariate(1 / _LIST_GAP_S)
         return drawn
 
@@ -410,7 +306,7 @@
         at_s = chance.expovariate(1 / _NARROW_GAP_S)
         while at_s < seconds_s:
             trouble = Narrow(chance.choice(self._site.lanes), self._site.link_bytes_per_s)
-            drawn.append(Timed(at_s, chance.uniform(_RESTART_S, _LONGEST_S), trouble))
+            drawn.append(Timed(at_s, chance.uniform(RESTART_S, _LONGEST_S), trouble))
             at_s += chance.expovariate(1 / _NARROW_GAP_S)
         return drawn
 
@@ -421,7 +317,7 @@
             kinds += [self._killed, self._paused, self._harmed, self._faulty] * 2
             kinds += [self._many_killed]
         trouble = chance.choice(kinds)(at_s)
-        for_s = chance.uniform(_RESTART_S, _LONGEST_S)
+        for_s = chance.uniform(RESTART_S, _LONGEST_S)
         return Timed(at_s, _LEAVING_S if isinstance(trouble, Replaced) else for_s, trouble)
 
     def _stopped(self, _at_s: float) -> Trouble:
