--- /dev/null
+++ b/testing/core/test_verdicts.py
@@ -0,0 +1,32 @@
+"""What becomes of a request after an answer."""
+
+from __future__ import annotations
+
+import pytest
+
+from croftpulley.core import verdicts
+
+
+class TestVerdicts:
+    """What an answer's head means."""
+
+    @pytest.mark.parametrize(
+        ("status", "declined", "proof", "matches", "verdict"),
+        [
+            (200, False, True, True, verdicts.Verdict.PASS_ON),
+            (404, False, True, True, verdicts.Verdict.PASS_ON),
+            (200, False, False, True, verdicts.Verdict.MISLEADING),
+            (200, False, True, False, verdicts.Verdict.MISLEADING),
+            (503, False, True, True, verdicts.Verdict.MISLEADING),
+            (429, False, True, True, verdicts.Verdict.MISLEADING),
+            (503, True, False, True, verdicts.Verdict.NOT_RUN),
+            (400, True, False, False, verdicts.Verdict.NOT_RUN),
+            (421, False, False, True, verdicts.Verdict.NOT_RUN),
+            (500, False, True, True, verdicts.Verdict.FAILED),
+        ],
+    )
+    def test_each_head(self, status, declined, proof, matches, verdict):
+        facts = verdicts.AnswerFacts(
+            status=status, declined=declined, has_proof=proof, id_matches=matches
+        )
+        assert verdicts.judge(facts) is verdict
