--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -34,7 +34,7 @@
 LEAST_KEPT_S = 5.0
 """How long after the end of its lease a box leaves the agreed state at least; one that only
 restarted does not write to the log again. It stays for longer where repeats count for longer: its
-part of the extra is nobody else's before (`core.retry_budget`)."""
+share of the extra is nobody else's before (`core.retry_budget`)."""
 
 
 @attrs.frozen
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -145,7 +145,7 @@
         if self._target.arrival_limit_s is not None:
             _limit_arrival(self._connection.sock, self._target.arrival_limit_s)
         # Without an answer the request may be sent elsewhere. After an ordinary close the system
-        # would go on delivering it here as well, for minutes where a link is cut.
+        # would go on trying to deliver it here as well, and succeed once a cut link is back.
         _linger(self._connection.sock, _DROP_AT_CLOSE)
         # The library sets this on the socket once more before it reads.
         self._connection.timeout = None
--- a/testing/soak/storms.py
+++ b/testing/soak/storms.py
@@ -10,7 +10,7 @@
 from soak import callers, fleet, processes, troubles
 
 _CALM_S = 9.0
-"""Before half of the storms: longer than a router waits before it uses its part of the extra."""
+"""Before half of the storms: longer than a router waits before it uses its share of the extra."""
 _KILL_GAP_S = 1.2
 """Mean time between two kills: a router serves again about 0.8 s after one."""
 _LONGEST_FAILING_S = 1.0
@@ -80,7 +80,7 @@
         self._site = site
 
     def all(self, seconds_s: float) -> list[troubles.Timed]:
-        """Return what goes wrong, after a calm in which routers come to use their part."""
+        """Return what goes wrong, after a calm in which routers come to use their share."""
         calm_s = self._chance.choice((0.5, _CALM_S))
         return self._failing(calm_s, seconds_s) + self._kills(calm_s, seconds_s)
 
