Sight: lines of attempts carry a fingerprint of the request; stand-ins that end under a request

A fingerprint of workspace, method, host, path and body (128 bits, each part with its length) is now in events 300 and 320. Stand-ins end with all they run when a request with a mark in its body begins, and keep what stays the same of each arrival.

No decision of a router changes.

--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -14,6 +14,10 @@
 STREAM_MARK = "/stream/"
 """Paths that hold this are answered with an event stream."""
 EVENTS = 5
+CRASH_MARK = b"this ends you"
+"""A request with this in its body ends the endpoint that begins to run it, with all it runs."""
+CRASH_AFTER_S = 0.005
+"""How long such a request has run by then: what came at the same moment runs beside it."""
 PROOF = "a-proof"
 
 
@@ -23,6 +27,8 @@
 
     request_id: str
     at_s: float
+    content: bytes = b""
+    """What stays the same when the request comes again: method, path and body."""
 
 
 class ForwardedEndpoint(stub.Stub):
@@ -59,7 +65,7 @@
     async def answer(self, request: stub.StubRequest, connection: stub.StubConnection) -> None:
         """Answer one request."""
         request_id = request.headers.get(self.names.request_id, "")
-        self.arrivals.append(Arrival(request_id, time.monotonic()))
+        self.arrivals.append(Arrival(request_id, time.monotonic(), content_of(request)))
         if request.headers.get(self.names.expected_incarnation) != self.incarnation:
             await self._decline(request, connection, 421)
             return
@@ -84,6 +90,9 @@
         fault: faults.Fault | None,
     ) -> None:
         self.runs.append(request)
+        if CRASH_MARK in request.body:
+            await asyncio.sleep(CRASH_AFTER_S)
+            self.crash()
         await asyncio.sleep(self.pause_s)
         if fault is faults.Fault.RESET_AFTER_RUN:
             connection.reset()
@@ -171,6 +180,11 @@
         await connection.send(b"0\r\n\r\n")
 
 
+def content_of(request: stub.StubRequest) -> bytes:
+    """Return what stays the same when a request comes again under another id."""
+    return b" ".join((request.method.encode(), request.path.encode(), request.body))
+
+
 def body_of(request: stub.StubRequest) -> bytes:
     """Return the answer to a request that is no stream."""
     return b"ran " + request.method.encode() + b" " + request.path.encode() + b" " + request.body
--- a/src/croftpulley/fakes/stub.py
+++ b/src/croftpulley/fakes/stub.py
@@ -85,6 +85,7 @@
         self._thread = threading.Thread(target=self._run, name="stub", daemon=True)
         self._server: asyncio.Server | None = None
         self.address = ""
+        self.has_crashed = False
         self.resets_connections = False
         """Every connection is reset once the first byte of its request has come.
 
@@ -104,11 +105,15 @@
 
     def stop(self) -> None:
         """Stop listening and end every connection; a second call does nothing."""
-        if self._loop.is_closed():
-            return
-        self._loop.call_soon_threadsafe(self._loop.stop)
+        if not self.has_crashed and not self._loop.is_closed():
+            self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    def crash(self) -> None:
+        """End from within a handler, as a process does that crashes: all connections end."""
+        self.has_crashed = True
+        self._loop.stop()
+
     def _run(self) -> None:
         try:
             self._loop.run_until_complete(self._listen())
@@ -135,6 +140,8 @@
             task.cancel()
         if tasks:
             self._loop.run_until_complete(asyncio.wait(tasks))
+            # Their sockets are closed in the next round.
+            self._loop.run_until_complete(asyncio.sleep(0))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if self.resets_connections:
--- a/src/croftpulley/forwarding/base.py
+++ b/src/croftpulley/forwarding/base.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 
 from croftpulley import cancel, errors
 from croftpulley.controllers import router_state
-from croftpulley.core import attempts, calls, retry_budget, tables
+from croftpulley.core import attempts, calls, fingerprints, retry_budget, tables
 from croftpulley.filters import steps
 from croftpulley.settings import fleet
 
@@ -41,7 +42,7 @@
         return self.target.partition("?")[0]
 
 
-@attrs.define(kw_only=True)
+@attrs.define(kw_only=True, slots=False)
 class Exchange:
     """One request on its way; the steps fill it in.
 
@@ -84,6 +85,16 @@
         """The route's name, empty before it is known."""
         return self.route.name if self.route else ""
 
+    @functools.cached_property
+    def fingerprint(self) -> str:
+        """What names the request when it comes again; for the steps after the one that finds whose
+        it is.
+        """
+        request = self.request
+        return fingerprints.fingerprint(
+            self.workspace_name, request.method, request.host, request.target, request.body
+        )
+
     def end_if_over(self, failure: errors.CroftpulleyError) -> None:
         """Raise ``failure`` if no further attempt can help."""
         if self.token.reason is not None:
--- a/src/croftpulley/forwarding/failures.py
+++ b/src/croftpulley/forwarding/failures.py
@@ -43,6 +43,7 @@
         events.Event.ENGINE_ATTEMPT_FAILED,
         level=logging.WARNING,
         request_id=exchange.facts.request_id,
+        fingerprint=exchange.fingerprint,
         engine=endpoint.key,
         address=endpoint.address,
         code=failure.code.name,
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -136,6 +136,7 @@
             _LOG,
             events.Event.ENDPOINT_CHOSEN,
             request_id=exchange.facts.request_id,
+            fingerprint=exchange.fingerprint,
             route=exchange.route_name,
             endpoint=chosen.name,
             load=chosen.load,
--- a/testing/site_of_routers.py
+++ b/testing/site_of_routers.py
@@ -121,6 +121,7 @@
         self.changes = changes
         self.instances = stand_ins.FakeInstances()
         self.instances.start()
+        self.crashed: list[forwarded.ForwardedEndpoint] = []
         self.engines = [self.start_engine(f"engine-{n}") for n in range(engines)]
         self.workers = [self.start_endpoint(f"worker-{n}") for n in range(workers)]
         self.list_endpoints()
@@ -162,6 +163,22 @@
             for kind, pool, each in stand_ins_of
         )
 
+    def replace_crashed(self) -> None:
+        """Start another endpoint for each that has crashed, and list it in its place."""
+        self.crashed += [each for each in (*self.engines, *self.workers) if each.has_crashed]
+        self.engines = [
+            self.start_engine(self._next_name(each)) if each.has_crashed else each
+            for each in self.engines
+        ]
+        self.workers = [
+            self.start_endpoint(self._next_name(each)) if each.has_crashed else each
+            for each in self.workers
+        ]
+        self.list_endpoints()
+
+    def _next_name(self, ended: forwarded.ForwardedEndpoint) -> str:
+        return f"{ended.settings.name}."
+
     def start_control(self, number: int, *, first_start: bool = False) -> None:
         """Start a control box over the data that an earlier one left."""
         settings = schema.ReplicaSettings(
@@ -271,10 +288,14 @@
         }
         return {name: value for name, value in wanted.items() if value}
 
+    @property
+    def endpoints(self) -> tuple[forwarded.ForwardedEndpoint, ...]:
+        """All that is or was listed, but for what a test replaced by hand."""
+        return (*self.engines, *self.workers, *self.crashed)
+
     def runs(self) -> list[tuple[str, Any]]:
         """Return what ran, with the endpoint's name."""
-        endpoints = (*self.engines, *self.workers)
-        return [(each.settings.name, run) for each in endpoints for run in each.runs]
+        return [(each.settings.name, run) for each in self.endpoints for run in each.runs]
 
     def stop(self) -> None:
         """Stop all that was started."""
@@ -282,7 +303,7 @@
             each.stop()
         for number in range(len(self.control)):
             self.stop_control(number)
-        for stand_in in (*self.engines, *self.workers, self.instances):
+        for stand_in in (*self.endpoints, self.instances):
             stand_in.stop()
         for reserved in self.reserved:
             reserved.close()
