Failing tests: a request that ends endpoints once its answer has begun is sent on and on

Looked for in our own runs: an endpoint that ends after the head of its answer leaves no trace at its router.

--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -16,6 +16,10 @@
 EVENTS = 5
 CRASH_MARK = b"this ends you"
 """A request with this in its body ends the endpoint that begins to run it, with all it runs."""
+CRASH_AFTER_HEAD_MARK = b"after the head"
+"""With this as well it ends only once the head of its answer has gone out."""
+CRASH_UNFRAMED_MARK = b"of no length"
+"""And with this the head says no length: the answer's end is that of its connection."""
 CRASH_AFTER_S = 0.005
 """How long such a request has run by then: what came at the same moment runs beside it."""
 PROOF = "a-proof"
@@ -91,8 +95,7 @@
     ) -> None:
         self.runs.append(request)
         if CRASH_MARK in request.body:
-            await asyncio.sleep(CRASH_AFTER_S)
-            self.crash()
+            await self._crash_under(request, connection)
         await asyncio.sleep(self.pause_s)
         if fault is faults.Fault.RESET_AFTER_RUN:
             connection.reset()
@@ -109,6 +112,15 @@
         else:
             await self._whole(request, connection, 200, body_of(request), fault)
 
+    async def _crash_under(
+        self, request: stub.StubRequest, connection: stub.StubConnection
+    ) -> None:
+        if CRASH_AFTER_HEAD_MARK in request.body:
+            framing = b"" if CRASH_UNFRAMED_MARK in request.body else b"Content-Length: 9\r\n"
+            await connection.send(self._head(request, 200, None) + framing + b"\r\n")
+        await asyncio.sleep(CRASH_AFTER_S)
+        self.crash()
+
     async def _wait_for_caller(
         self, request: stub.StubRequest, connection: stub.StubConnection
     ) -> None:
--- a/testing/daemons/test_crashing_requests.py
+++ b/testing/daemons/test_crashing_requests.py
@@ -34,6 +34,8 @@
 """What users allow after that, for as long as the request comes again."""
 ROUNDS = 10
 CRASHING = forwarded.CRASH_MARK
+AFTER_HEAD = CRASHING + forwarded.CRASH_AFTER_HEAD_MARK
+UNFRAMED = AFTER_HEAD + forwarded.CRASH_UNFRAMED_MARK
 _NUMBERS = itertools.count()
 
 
@@ -112,6 +114,13 @@
     assert most_sends(site) <= CRASHES + MOST_SENDS_AFTER
 
 
+@pytest.mark.parametrize("path", ["/stream/chat/x", "/stream/note/x", "/confirm/x", "/cancel/x"])
+@pytest.mark.parametrize("ends", [AFTER_HEAD, UNFRAMED], ids=["framed", "unframed"])
+def test_nor_one_that_ends_them_once_its_answer_has_begun(site, path, ends):
+    send_in_turn(site, path=path, body=ends)
+    assert most_sends(site) <= CRASHES + MOST_SENDS_AFTER
+
+
 def test_it_is_not_sent_on_after_all_processes_have_started_again(site):
     send_in_turn(site, rounds=4)
     site.stop_all_processes()
