Whether an attempt's end leaves its endpoint in doubt is noted where the connection breaks off

Ruled out: the look at the address (it refuses in the same millisecond), reports and the log (other requests at the same endpoint were reported).

Change: the attempt itself carries in_doubt, set by the connection that fails or by a head that says no length.

--- a/src/croftpulley/core/attempts.py
+++ b/src/croftpulley/core/attempts.py
@@ -61,6 +61,10 @@
     number: int
     endpoint: str
     phase: Phase = Phase.UNSENT
+    in_doubt: bool = False
+    """Whether its end leaves open if the endpoint lived on: the connection broke off, or the answer
+    says no length and ended with its connection. Noted where it is met: whoever closes the attempt
+    may do so before the failure has been handled."""
 
     def enter(self, phase: Phase) -> None:
         """Move on to ``phase``; raises `ValueError` for a step that cannot happen."""
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -136,6 +136,7 @@
             response = self._send(request)
             if on_headers is not self._attempt.phase:
                 self._attempt.enter(on_headers)
+            self._attempt.in_doubt = _ends_with_connection(response)
             return response
         except TRANSPORT_ERRORS as failure:
             raise self.failed(failure) from failure
@@ -204,6 +205,7 @@
 
     def failed(self, failure: Exception) -> errors.CroftpulleyError:
         """Make the error for a failed exchange from the attempt's phase, or a cancel's reason."""
+        self._attempt.in_doubt = True
         unsent = self._attempt.phase is attempts.Phase.UNSENT
         code = self._failures.unreachable if unsent else self._failures.broke
         return errors.CroftpulleyError(
@@ -232,6 +234,11 @@
         self._connection.close()
 
 
+def _ends_with_connection(response: urllib3.HTTPResponse) -> bool:
+    """Tell whether nothing but the connection's end says that an answer is whole."""
+    return not response.chunked and response.length_remaining is None
+
+
 def _limit_silence(sock: socket.socket, silence_s: float) -> None:
     """Have the system end a read or write that waits too long; the read then gives nothing.
 
--- a/src/croftpulley/forwarding/attempt.py
+++ b/src/croftpulley/forwarding/attempt.py
@@ -21,17 +21,16 @@
 class OpenAttempt:
     """An attempt whose answer has begun: counted at its endpoint until it is closed.
 
-    ``broke_off`` tells whether its answer did; ``on_close`` is called with it, once.
+    ``on_close`` is called then, once.
     """
 
     endpoint: membership.Endpoint
     attempt: attempts.Attempt
     answer: sender.Answer
     counts: traffic.Traffic
-    on_close: Callable[[bool], None]
+    on_close: Callable[[], None]
     reading_tokens: int = 0
     closed: bool = False
-    broke_off: bool = False
 
     def prompt_is_read(self) -> None:
         """Note that the first event came: the prompt holds nobody up any more."""
@@ -46,7 +45,7 @@
             self.answer.close()
             self.prompt_is_read()
             self.counts.leave(self.endpoint.key)
-            self.on_close(self.broke_off)
+            self.on_close()
 
 
 class Opener:
@@ -95,7 +94,7 @@
         except BaseException:
             self._counts.end_reading(endpoint.key, placed.reading_tokens)
             self._counts.leave(endpoint.key)
-            on_close(True)
+            on_close()
             raise
         return OpenAttempt(endpoint, attempt, answer, self._counts, on_close, placed.reading_tokens)
 
--- a/src/croftpulley/forwarding/event_stream.py
+++ b/src/croftpulley/forwarding/event_stream.py
@@ -66,6 +66,7 @@
         if whole:
             yield whole
     if not cutter.is_between_events:
+        current.attempt.in_doubt = True
         raise errors.CroftpulleyError(
             codes.ResultCode.WORKER_BROKE,
             f"{current.endpoint.address}: the stream ended within an event",
--- a/src/croftpulley/forwarding/failover.py
+++ b/src/croftpulley/forwarding/failover.py
@@ -49,7 +49,6 @@
         failure: errors.CroftpulleyError,
     ) -> None:
         """Close an attempt whose answer broke off, and note that unless we ended it ourselves."""
-        current.broke_off = True
         current.close()
         if exchange.token.reason is None:
             self._counts.failed(current.endpoint.key)
--- a/src/croftpulley/forwarding/suspects.py
+++ b/src/croftpulley/forwarding/suspects.py
@@ -66,19 +66,15 @@
         self._known.begin(endpoint, _named(exchange))
 
     def ended(
-        self,
-        exchange: base.Exchange,
-        endpoint: membership.Endpoint,
-        attempt: attempts.Attempt,
-        broke_off: bool,
+        self, exchange: base.Exchange, endpoint: membership.Endpoint, attempt: attempts.Attempt
     ) -> None:
-        """Note how an attempt ended; ``broke_off`` tells whether it failed before its end."""
+        """Note how an attempt ended."""
         ending = doubts.Ending.GIVEN_UP
         if attempt.run_state is codes.RunState.NOT_RUN:
             ending = doubts.Ending.NOT_RUN
-        elif broke_off and exchange.token.reason is None:
+        elif attempt.in_doubt and exchange.token.reason is None:
             ending = doubts.Ending.BROKE
-        elif not broke_off and attempt.phase is attempts.Phase.DONE:
+        elif not attempt.in_doubt and attempt.phase is attempts.Phase.DONE:
             ending = doubts.Ending.SURVIVED
         self._known.end(endpoint, _named(exchange), ending)
 
