Soak: requests that end endpoints, judged by what endpoints see

Callers send up to four such requests again and again at any router, under other ids, while routers and leaders are killed in series and, with odd seeds, all other troubles happen. Judged: what reached endpoints later than 3 s after the third end. Kinds of runs are an enum.

--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -52,6 +52,8 @@
         self.runs: list[stub.StubRequest] = []
         self.arrivals: list[Arrival] = []
         """Every request that reached it, whether or not it ran it."""
+        self.crashes: list[Arrival] = []
+        """The requests under which it ended, with the times of its end."""
         self.cancelled: list[str] = []
         self.may_go_on = asyncio.Event()
         self.may_go_on.set()
@@ -119,6 +121,8 @@
             framing = b"" if CRASH_UNFRAMED_MARK in request.body else b"Content-Length: 9\r\n"
             await connection.send(self._head(request, 200, None) + framing + b"\r\n")
         await asyncio.sleep(CRASH_AFTER_S)
+        request_id = request.headers.get(self.names.request_id, "")
+        self.crashes.append(Arrival(request_id, time.monotonic(), content_of(request)))
         self.crash()
 
     async def _wait_for_caller(
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -33,9 +33,12 @@
 
 
 class Crowd:
-    """Starts all threads and stops them."""
+    """Starts all threads and stops them; without ``changes`` the operator only reads."""
 
-    def __init__(self, site: fleet.Fleet, book: records.Book, seed: int) -> None:
+    def __init__(
+        self, site: fleet.Fleet, book: records.Book, seed: int, *, changes: bool = True
+    ) -> None:
+        self._changes = changes
         self._site = site
         self._book = book
         self._stopped = threading.Event()
@@ -98,7 +101,7 @@
 
     def _operate(self, chance: random.Random) -> None:
         while not self._stopped.wait(_OPERATOR_PAUSE_S):
-            if chance.random() < _CHANGE_SHARE:
+            if self._changes and chance.random() < _CHANGE_SHARE:
                 spare_routes = self._spare_routes()
                 submit(self._site, self._book, chance, self._stopped, spare_routes)
             else:
@@ -115,8 +118,13 @@
     router: int,
     route_version: int,
     key_version: int,
+    path: str = "",
+    body: bytes = b"body",
 ) -> records.Asked:
-    """Send one request, on the kept connection to this router if there is one."""
+    """Send one request, on the kept connection to this router if there is one.
+
+    Without a ``path`` it has one of its own.
+    """
     accepted_version = book.accepted_version
     sent_s = time.monotonic()
     fields = {}
@@ -129,8 +137,8 @@
             connection.connect()
             kept[router] = connection
         sent = True
-        path = fleet.path_of(route_version, kind, request_id)
-        connection.request("POST", path, b"body", _headers(request_id, key_version))
+        path = path or fleet.path_of(route_version, kind, request_id)
+        connection.request("POST", path, body, _headers(request_id, key_version))
         response = connection.getresponse()
         answer = read_answer(response)
         # Else the connection takes no further request.
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -279,6 +279,12 @@
             found[each.pool] += list(each.stand_in.arrivals)
         return found
 
+    def crashes(self) -> list[forwarded.Arrival]:
+        """Return the requests under which endpoints ended."""
+        return [
+            crash for each in (*self.served, *self.past) for crash in list(each.stand_in.crashes)
+        ]
+
     def _lane_of(self, port: int, listening_port: int) -> proxy.Lane | None:
         """Return the lane of the control box that connects, if it is one."""
         name = processes.socket_between(port, listening_port)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import collections
+import enum
 import math
 import pathlib
 import random
@@ -18,7 +19,7 @@
 import attrs
 import click
 
-from soak import callers, fleet, promises, proxy, records, storms, troubles
+from soak import callers, crashing, fleet, promises, proxy, records, storms, troubles
 
 RECOVERY_LIMIT_S = 60.0
 """After the last trouble. Far more than is promised: the time it took is printed, not judged."""
@@ -28,6 +29,20 @@
 _ROUND_S = 0.1
 
 
+class Kind(enum.Enum):
+    """What a run is made of."""
+
+    MIXED = "mixed"
+    """A third of the seeds has planned work only; in another third the links of control boxes have
+    a rate, and configurations may be large."""
+    STORM = "storm"
+    """Endpoints go on failing as well while routers and leaders are killed in series, and few
+    repeats are allowed; every other seed has all else too."""
+    CRASHES = "crashes"
+    """Some requests end each endpoint that begins to run them, while routers and leaders are killed
+    in series; every other seed has all else too. The configuration stays."""
+
+
 @attrs.frozen
 class Outcome:
     """What came of one seed."""
@@ -39,37 +54,30 @@
     """Arrivals beyond the first of their request, by pool."""
     ends: dict[str, int]
     """How many requests ended how, by the status or by what the caller met instead."""
+    crashes: list[int]
+    """How many endpoints ended under each of the requests that end them."""
     accepted_version: int
     recovery_s: float
     accepted_s: float | None
     """How long the configuration took that was submitted last; ``None`` if it was given up."""
 
 
-def run_seed(
-    seed: int, seconds_s: float, folder: pathlib.Path, *, is_storm: bool = False
-) -> Outcome:
-    """Run one seed.
-
-    A third of them has planned work only; in another third the links of control boxes have a rate,
-    and configurations may be large. In a storm, endpoints go on failing as well while routers and
-    leaders are killed in series, and few repeats are allowed; every other one has all else too.
-    """
-    has_rate = seed % 3 == 2
+def run_seed(seed: int, seconds_s: float, folder: pathlib.Path, kind: Kind = Kind.MIXED) -> Outcome:
+    """Run one seed."""
+    has_rate = seed % 3 == 2 and kind is not Kind.CRASHES
+    planned_only = seed % 3 == 0 and kind is Kind.MIXED
     link_bytes_per_s = fleet.LINK_BYTES_PER_S if has_rate else math.inf
-    site = fleet.Fleet(folder, link_bytes_per_s, fleet.TIGHT if is_storm else None)
+    site = fleet.Fleet(folder, link_bytes_per_s, fleet.TIGHT if kind is Kind.STORM else None)
     book = records.Book()
-    planned_only = seed % 3 == 0 and not is_storm
+    crowd = callers.Crowd(site, book, seed, changes=kind is not Kind.CRASHES)
+    crashers = crashing.Senders(site, book, seed, runs=kind is Kind.CRASHES)
     try:
         site.start()
         until_served(site, book, seed)
-        crowd = callers.Crowd(site, book, seed)
         crowd.start()
-        drawn = []
-        if not is_storm or seed % 2:
-            drawn += troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
-        if is_storm:
-            drawn += storms.Storm(seed, site).all(seconds_s)
-        troubles.play(drawn, seconds_s)
+        crashers.start()
+        troubles.play(_drawn(seed, seconds_s, site, book, kind, planned_only), seconds_s)
+        crashers.stop()
         recovery_s = _recover(site, book, seed)
         crowd.stop()
         spare_routes = fleet.LARGE_ROUTES if has_rate else 0
@@ -79,10 +87,12 @@
         until_served(site, book, seed)
         runs = site.runs()
         arrivals = site.arrivals()
+        crashes = site.crashes()
     finally:
         site.stop()
     broken = promises.broken(book, runs)
     broken += promises.repeats_beyond_the_budget(book, arrivals, site.allowance)
+    broken += crashing.sent_on(crashers.requests, arrivals, crashes)
     if planned_only:
         broken += promises.lost(book, runs)
     if recovery_s > RECOVERY_LIMIT_S:
@@ -95,12 +105,32 @@
             pool: len(promises.beyond_the_first(each)) for pool, each in sorted(arrivals.items())
         },
         ends=dict(collections.Counter(_end(each) for each in book.asked).most_common()),
+        crashes=sorted(collections.Counter(each.content for each in crashes).values()),
         accepted_version=book.accepted_version,
         recovery_s=recovery_s,
         accepted_s=accepted.took_s,
     )
 
 
+def _drawn(
+    seed: int,
+    seconds_s: float,
+    site: fleet.Fleet,
+    book: records.Book,
+    kind: Kind,
+    planned_only: bool,
+) -> list[troubles.Timed]:
+    """Return what goes wrong in a run."""
+    drawn = []
+    if kind is Kind.MIXED or seed % 2:
+        drawn += troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
+    if kind is Kind.STORM:
+        drawn += storms.Storm(seed, site).all(seconds_s)
+    if kind is Kind.CRASHES:
+        drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
+    return drawn
+
+
 def _end(asked: records.Asked) -> str:
     return str(asked.status) if asked.end is records.End.WHOLE else asked.end.value
 
@@ -175,20 +205,23 @@
 @click.command()
 @click.option("--seeds", default="1-50", show_default=True, help="A seed, or the first and last.")
 @click.option("--seconds", default=20.0, show_default=True, help="How long each has troubles.")
-@click.option("--storm", is_flag=True, help="Endpoints fail on, and kills come in series.")
+@click.option(
+    "--kind", type=click.Choice([each.value for each in Kind]), default="mixed", show_default=True
+)
 @click.option("--keep", type=click.Path(), help="Folder for settings and logs; else a new one.")
-def main(seeds: str, seconds: float, storm: bool, keep: str | None) -> None:
+def main(seeds: str, seconds: float, kind: str, keep: str | None) -> None:
     """Run seeds one after the other; the logs of one that broke a promise stay."""
     root = pathlib.Path(keep or tempfile.mkdtemp(prefix="soak-"))
     failed = 0
     for seed in parse_seeds(seeds):
         folder = root / f"seed-{seed}"
         folder.mkdir(parents=True)
-        outcome = run_seed(seed, seconds, folder, is_storm=storm)
+        outcome = run_seed(seed, seconds, folder, Kind(kind))
         failed += bool(outcome.broken)
         click.echo(
             f"seed {seed}: {len(outcome.broken)} broken, {outcome.requests} requests "
-            f"{outcome.ends}, repeats {outcome.repeats}, version {outcome.accepted_version}, "
+            f"{outcome.ends}, repeats {outcome.repeats}, crashes {outcome.crashes}, "
+            f"version {outcome.accepted_version}, "
             f"recovered in {outcome.recovery_s:.1f} s, accepted in {_seconds(outcome.accepted_s)}"
         )
         for line in outcome.broken[:10]:
--- a/testing/soak/storms.py
+++ b/testing/soak/storms.py
@@ -82,7 +82,7 @@
     def all(self, seconds_s: float) -> list[troubles.Timed]:
         """Return what goes wrong, after a calm in which routers come to use their share."""
         calm_s = self._chance.choice((0.5, _CALM_S))
-        return self._failing(calm_s, seconds_s) + self._kills(calm_s, seconds_s)
+        return self._failing(calm_s, seconds_s) + self.kills(calm_s, seconds_s)
 
     def _failing(self, calm_s: float, seconds_s: float) -> list[troubles.Timed]:
         chance = self._chance
@@ -98,7 +98,8 @@
             at_s += for_s + _PLAY_SLACK_S
         return drawn
 
-    def _kills(self, calm_s: float, seconds_s: float) -> list[troubles.Timed]:
+    def kills(self, calm_s: float, seconds_s: float) -> list[troubles.Timed]:
+        """Return kills of routers and leaders in series, from ``calm_s`` on."""
         chance = self._chance
         drawn = []
         at_s = calm_s + chance.expovariate(1 / _KILL_GAP_S)
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -7,7 +7,7 @@
 
 from croftpulley.core import retry_budget
 from croftpulley.fakes import forwarded
-from soak import fleet, promises, records
+from soak import crashing, fleet, promises, records
 
 End = records.End
 WELL = records.Asked(
@@ -123,3 +123,24 @@
     book = records.Book(asked=[*asked, attrs.evolve(WELL, kind="note", sent_s=0.1)])
     arrivals = {fleet.WORKER_POOL: [forwarded.Arrival("r", at_s) for at_s in arrived_s]}
     assert promises.repeats_beyond_the_budget(book, arrivals, TWO) == lines
+
+
+def sent_on(arrivals_s, ends_s):
+    """Judge one crashing request by when it arrived at endpoints and when these ended."""
+    request = crashing.Crashing("once", 0)
+    arrived = [forwarded.Arrival("r", at_s, request.content) for at_s in arrivals_s]
+    crashes = [forwarded.Arrival("r", at_s, request.content) for at_s in ends_s]
+    return crashing.sent_on([request], {"desk": arrived}, crashes)
+
+
+@pytest.mark.parametrize(
+    ("later_s", "is_broken"),
+    [([5.9] * 9, False), ([6.1] * 3, False), ([6.1] * 4, True), ([100.0] * 4, True)],
+)
+def test_a_crashing_request_that_is_sent_on_and_on_is_reported(later_s, is_broken):
+    ends_s = [1.0, 2.0, 3.0]
+    assert bool(sent_on(ends_s + later_s, ends_s + later_s)) is is_broken
+
+
+def test_a_request_under_which_two_endpoints_ended_may_be_sent_on():
+    assert sent_on([1.0, 2.0, *[9.0] * 9], [1.0, 2.0]) == []
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -21,6 +21,10 @@
 again had their share of the extra whole, and new leaders told of few boxes. 8, 11 and 12 did so
 too and are among those that are run by hand."""
 
+CRASHES_SECONDS_S = 10.0
+CRASHES = (2,)
+"""Requests that end endpoints, while routers and leaders are killed."""
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_in_a_short_soak(seed, tmp_path):
@@ -34,4 +38,9 @@
 
 @pytest.mark.parametrize("seed", STORMS)
 def test_a_promise_that_was_broken_in_a_storm_holds_now(seed, tmp_path):
-    assert run.run_seed(seed, STORMS[seed], tmp_path, is_storm=True).broken == []
+    assert run.run_seed(seed, STORMS[seed], tmp_path, run.Kind.STORM).broken == []
+
+
+@pytest.mark.parametrize("seed", CRASHES)
+def test_requests_that_end_endpoints_are_sent_to_few(seed, tmp_path):
+    assert run.run_seed(seed, CRASHES_SECONDS_S, tmp_path, run.Kind.CRASHES).broken == []
