--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -145,10 +145,10 @@
         for life, in_doubt in vanished.items():
             self._announce(life, "is listed no more", in_doubt)
 
-    def trial_ended(self, fingerprint: str, trial: str) -> None:
+    def trial_ended(self, end: suspects.TrialEnd) -> None:
         """Note that a trial is over."""
         with self._lock:
-            self._trial_ends[suspects.TrialEnd(fingerprint, trial)] = None
+            self._trial_ends[end] = None
         self.on_news()
 
     def news(self) -> suspects.Report:
--- a/src/croftpulley/core/attempts.py
+++ b/src/croftpulley/core/attempts.py
@@ -61,6 +61,8 @@
     number: int
     endpoint: str
     phase: Phase = Phase.UNSENT
+    status: int = 0
+    """Of the answer, once its head is there."""
     in_doubt: bool = False
     """Whether its end leaves open if the endpoint lived on: the connection broke off, or the answer
     says no length and ended with its connection. Noted where it is met: whoever closes the attempt
--- a/src/croftpulley/core/doubts.py
+++ b/src/croftpulley/core/doubts.py
@@ -15,7 +15,8 @@
 
 RECENT_S = 1.0
 """A request that left an endpoint so long before nobody listened there is still in doubt. One that
-its caller gave up may have begun to run by then; endpoints end within 0.1 s of such a beginning."""
+its caller gave up may have begun to run by then; endpoints end within 0.1 s of such a beginning.
+What left it longer before a success came from it is in doubt no more."""
 LISTED_S = 10.0
 """The same before the list lacks the endpoint, which it does some seconds after the end."""
 _ENDED_KEPT_S = 60.0
@@ -26,9 +27,9 @@
     """How an attempt ended."""
 
     SURVIVED = "survived"
-    """Its answer came whole."""
-    NOT_RUN = "not_run"
-    """It never began to run."""
+    """A success came whole: it ran to its end."""
+    UNCLEAR = "unclear"
+    """It did not begin to run, or an answer came that does not show that it did."""
     BROKE = "broke"
     """The connection broke off or fell silent."""
     GIVEN_UP = "given_up"
@@ -59,12 +60,14 @@
     answers_at_s: float = float("-inf")
     """When it was last seen that somebody listens at its address."""
 
-    def in_doubt(self, since_s: float, endings: tuple[Ending, ...]) -> tuple[Named, ...]:
-        left = [
-            each.request for each in self.left if each.ending in endings and each.at_s >= since_s
-        ]
+    def in_doubt(self, since_s: float) -> tuple[Named, ...]:
+        left = [each.request for each in self.left if each.at_s >= since_s]
         return tuple(dict.fromkeys([*self.open, *left]))
 
+    def survived(self, now_s: float) -> None:
+        """Take it that the endpoint goes on after all that left it some time ago."""
+        self.left = [each for each in self.left if now_s - each.at_s < RECENT_S]
+
     def forget(self, now_s: float) -> None:
         self.left = [each for each in self.left if now_s - each.at_s < LISTED_S]
 
@@ -101,6 +104,7 @@
         if ending is Ending.SURVIVED:
             # Whoever refused connections was not the endpoint: a link may do so too.
             self._ended_at_s.pop(life, None)
+            known.survived(now_s)
         in_doubt = ending in (Ending.BROKE, Ending.GIVEN_UP)
         if in_doubt and life not in self._ended_at_s:
             known.left.append(_Left(request, ending, now_s))
@@ -129,7 +133,7 @@
 
     def ended(self, life: str, now_s: float) -> tuple[Named, ...]:
         """Take it that nobody listens at a life's address; return what is in doubt there."""
-        return self._conclude(life, now_s, RECENT_S, (Ending.BROKE, Ending.GIVEN_UP))
+        return self._conclude(life, now_s, RECENT_S)
 
     def keep(self, leaving: dict[str, bool], now_s: float) -> dict[str, tuple[Named, ...]]:
         """Take the lives that are listed; return what is in doubt at those that vanished.
@@ -140,7 +144,7 @@
         for life, was_leaving in self._leaving.items():
             if life in leaving or life in self._ended_at_s:
                 continue
-            in_doubt = self._conclude(life, now_s, LISTED_S, (Ending.BROKE,))
+            in_doubt = self._conclude(life, now_s, LISTED_S)
             if in_doubt and not was_leaving:
                 found[life] = in_doubt
         self._leaving = dict(leaving)
@@ -156,9 +160,7 @@
             life: at_s for life, at_s in self._ended_at_s.items() if now_s - at_s < _ENDED_KEPT_S
         }
 
-    def _conclude(
-        self, life: str, now_s: float, within_s: float, endings: tuple[Ending, ...]
-    ) -> tuple[Named, ...]:
+    def _conclude(self, life: str, now_s: float, within_s: float) -> tuple[Named, ...]:
         """Note a life's end; return what was in doubt there within so many seconds, once."""
         if life in self._ended_at_s:
             return ()
@@ -166,7 +168,7 @@
         known = self._lives.get(life)
         if known is None:
             return ()
-        in_doubt = known.in_doubt(now_s - within_s, endings)
+        in_doubt = known.in_doubt(now_s - within_s)
         known.left.clear()
         return in_doubt
 
--- a/src/croftpulley/core/suspects.py
+++ b/src/croftpulley/core/suspects.py
@@ -50,10 +50,11 @@
 
 @attrs.frozen
 class TrialEnd:
-    """A trial is over, and the endpoint did not answer whole."""
+    """A trial is over, and no whole answer came; ``was_sent`` tells whether any byte left."""
 
     fingerprint: str
     trial: str
+    was_sent: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -75,8 +76,8 @@
     """One request under which endpoints ended.
 
     ``lives`` are the last of them, ``crashes`` how many there were. ``trials`` counts those granted
-    since it was known; ``trial`` is the last one of all, over once ``trial_until_wall_s`` has
-    passed, and ``crashes_before_trial`` the ends until then.
+    since it was known; ``trial`` is the one that goes on, until ``trial_until_wall_s`` at
+    the latest, and ``crashes_before_trial`` the ends until the last one began.
     """
 
     fingerprint: str
@@ -111,6 +112,12 @@
             crashes_before_trial=self.crashes,
         )
 
+    def trial_over(self, was_sent: bool) -> Suspect:
+        """Return the suspect once its trial is over; one that reached nobody does not count."""
+        is_counted = self.crashes_before_trial >= KNOWN_CRASHES
+        trials = self.trials if was_sent or not is_counted else self.trials - 1
+        return attrs.evolve(self, trial="", trial_until_wall_s=0.0, trials=trials)
+
     @property
     def is_told(self) -> bool:
         """Tell whether routers need to know of it."""
@@ -298,7 +305,7 @@
     def _end_trial(self, end: TrialEnd) -> None:
         known = self._by_fingerprint.get(end.fingerprint)
         if known is not None and known.trial == end.trial:
-            self._set(attrs.evolve(known, trial_until_wall_s=0.0))
+            self._set(known.trial_over(end.was_sent))
 
     def _set(self, suspect: Suspect) -> None:
         name = suspect.fingerprint
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -136,6 +136,7 @@
             response = self._send(request)
             if on_headers is not self._attempt.phase:
                 self._attempt.enter(on_headers)
+            self._attempt.status = response.status
             self._attempt.in_doubt = _ends_with_connection(response)
             return response
         except TRANSPORT_ERRORS as failure:
--- a/src/croftpulley/fakes/faults.py
+++ b/src/croftpulley/fakes/faults.py
@@ -25,6 +25,8 @@
     WRONG_LENGTH = "wrong_length"
     NOT_JSON = "not_json"
     ERROR = "error"
+    ERROR_UNRUN = "error_unrun"
+    """Answer 500 as if it had run, before it begins to."""
     DECLINE = "decline"
     MISDIRECTED = "misdirected"
     EMPTY_ERROR = "empty_error"
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -82,6 +82,8 @@
         match fault:
             case faults.Fault.RESET_BEFORE_ANSWER:
                 connection.reset()
+            case faults.Fault.ERROR_UNRUN:
+                await self._whole(request, connection, 500, b"broken")
             case faults.Fault.DECLINE:
                 await self._decline(request, connection, 503)
             case faults.Fault.MISDIRECTED:
--- a/src/croftpulley/forwarding/base.py
+++ b/src/croftpulley/forwarding/base.py
@@ -63,6 +63,7 @@
     attempts: attempts.AttemptLog = attrs.field(factory=attempts.AttemptLog)
     repeat: retry_budget.Decision | None = None
     trial: str = ""
+    attempts_before_trial: int = 0
     at_end: contextlib.ExitStack = attrs.field(factory=contextlib.ExitStack)
 
     @property
--- a/src/croftpulley/forwarding/suspects.py
+++ b/src/croftpulley/forwarding/suspects.py
@@ -11,7 +11,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import suspicion
-from croftpulley.core import attempts, doubts, membership
+from croftpulley.core import attempts, doubts, membership, verdicts
 from croftpulley.core import suspects as core
 from croftpulley.forwarding import base
 from croftpulley.observe import events, metrics
@@ -58,9 +58,14 @@
     def end_trial(self, exchange: base.Exchange) -> None:
         """Note that the trial of a request is over, if it has one."""
         if exchange.trial:
-            self._known.trial_ended(exchange.fingerprint, exchange.trial)
+            tried = exchange.attempts.attempts[exchange.attempts_before_trial :]
+            was_sent = any(each.phase is not attempts.Phase.UNSENT for each in tried)
+            self._end_trial(exchange, exchange.trial, was_sent)
             exchange.trial = ""
 
+    def _end_trial(self, exchange: base.Exchange, trial: str, was_sent: bool) -> None:
+        self._known.trial_ended(core.TrialEnd(exchange.fingerprint, trial, was_sent))
+
     def began(self, exchange: base.Exchange, endpoint: membership.Endpoint) -> None:
         """Note that the request is about to be sent to an endpoint."""
         self._known.begin(endpoint, _named(exchange))
@@ -69,14 +74,8 @@
         self, exchange: base.Exchange, endpoint: membership.Endpoint, attempt: attempts.Attempt
     ) -> None:
         """Note how an attempt ended."""
-        ending = doubts.Ending.GIVEN_UP
-        if attempt.run_state is codes.RunState.NOT_RUN:
-            ending = doubts.Ending.NOT_RUN
-        elif attempt.in_doubt and exchange.token.reason is None:
-            ending = doubts.Ending.BROKE
-        elif not attempt.in_doubt and attempt.phase is attempts.Phase.DONE:
-            ending = doubts.Ending.SURVIVED
-        self._known.end(endpoint, _named(exchange), ending)
+        is_cancelled = exchange.token.reason is not None
+        self._known.end(endpoint, _named(exchange), _ending(attempt, is_cancelled))
 
     def _look_where_it_broke(self, exchange: base.Exchange) -> None:
         """Find out whether endpoints ended, where that decides on this request."""
@@ -93,6 +92,8 @@
         trial = suspicion.new_trial()
         answer = self._trials.ask(exchange.fingerprint, trial, left_s + _TRIAL_SLACK_S)
         if answer is None:
+            # It may have been granted all the same.
+            self._end_trial(exchange, trial, was_sent=False)
             raise self._on_trial(exchange, standing.crashes, _UNANSWERED_RETRY_S)
         match answer.verdict:
             case core.Verdict.FREE:
@@ -104,6 +105,7 @@
                 raise self._on_trial(exchange, answer.crashes, wait_s)
             case core.Verdict.GRANTED:
                 exchange.trial = trial
+                exchange.attempts_before_trial = len(exchange.attempts.attempts)
                 exchange.at_end.callback(self.end_trial, exchange)
                 self._counters.suspect("tried")
                 log_trial(exchange, answer.crashes)
@@ -138,6 +140,18 @@
     return doubts.Named(exchange.fingerprint, exchange.workspace_name)
 
 
+def _ending(attempt: attempts.Attempt, is_cancelled: bool) -> doubts.Ending:
+    if attempt.run_state is codes.RunState.NOT_RUN:
+        return doubts.Ending.UNCLEAR
+    if attempt.in_doubt:
+        return doubts.Ending.GIVEN_UP if is_cancelled else doubts.Ending.BROKE
+    if attempt.phase is not attempts.Phase.DONE:
+        return doubts.Ending.GIVEN_UP
+    # An endpoint that fails requests may do so before it begins to run them.
+    is_success = attempt.status in verdicts.SUCCESSES
+    return doubts.Ending.SURVIVED if is_success else doubts.Ending.UNCLEAR
+
+
 def _error(
     code: codes.ResultCode, exchange: base.Exchange, crashes: int, wait_s: float
 ) -> errors.CroftpulleyError:
--- a/testing/core/test_doubts.py
+++ b/testing/core/test_doubts.py
@@ -36,7 +36,7 @@
         (Ending.BROKE, (REQUEST,)),
         (Ending.GIVEN_UP, (REQUEST,)),
         (Ending.SURVIVED, ()),
-        (Ending.NOT_RUN, ()),
+        (Ending.UNCLEAR, ()),
     ],
 )
 def test_what_left_it_without_an_answer_just_before_is_in_doubt_too(known, ending, in_doubt):
@@ -58,10 +58,16 @@
     assert known.keep({"other": False}, 2.0) == {}
 
 
-def test_a_life_that_vanishes_from_the_list_has_ended_with_what_broke_off_there(known):
+def test_a_life_that_vanishes_from_the_list_has_ended_with_what_left_it_in_doubt(known):
     leave(known, REQUEST, Ending.BROKE, 1.0)
     leave(known, OTHER, Ending.GIVEN_UP, 1.0)
-    assert known.keep({"other": False}, 4.0) == {"e": (REQUEST,)}
+    assert known.keep({"other": False}, 4.0) == {"e": (REQUEST, OTHER)}
+
+
+def test_what_left_an_endpoint_well_before_a_success_came_from_it_is_in_doubt_no_more(known):
+    leave(known, REQUEST, Ending.BROKE, 1.0)
+    leave(known, OTHER, Ending.SURVIVED, 1.0 + doubts.RECENT_S)
+    assert known.keep({"other": False}, 4.0) == {}
 
 
 def test_a_life_that_was_leaving_ended_as_it_was_meant_to(known):
--- a/testing/core/test_suspects.py
+++ b/testing/core/test_suspects.py
@@ -31,9 +31,9 @@
     return state.apply(agreed.BeginTrial(fingerprint, trial, LIMIT_S, at_s))
 
 
-def end(state, fingerprint, trial, at_s=0.0):
+def end(state, fingerprint, trial, at_s=0.0, *, was_sent=True):
     """Report that a trial is over."""
-    ends = (suspects.TrialEnd(fingerprint, trial),)
+    ends = (suspects.TrialEnd(fingerprint, trial, was_sent),)
     state.apply(agreed.ReportSuspects(suspects.Report(trial_ends=ends), at_s))
 
 
@@ -103,6 +103,17 @@
     assert ask(state, "f", "t3").verdict is suspects.Verdict.REFUSED
 
 
+@pytest.mark.parametrize("repeats", [1, 2])
+def test_a_trial_that_reached_no_endpoint_does_not_count(state, repeats):
+    crash(state, "f", "e1", "e2", "e3")
+    for number in range(suspects.MOST_TRIALS + 1):
+        assert ask(state, "f", f"t{number}").verdict is suspects.Verdict.GRANTED
+        for _ in range(repeats):
+            end(state, "f", f"t{number}", was_sent=False)
+    (known,) = state.suspects.all()
+    assert known.trials == 0
+
+
 def test_thousands_of_different_ones_of_one_workspace_drive_out_no_other(state):
     crash(state, "theirs", "e1", "e2", "e3", workspace="shop")
     for number in range(suspects.MOST_SUSPECTS + 200):
@@ -153,7 +164,10 @@
     crashes=strategies.lists(_CRASH, max_size=3).map(tuple),
     trial_ends=strategies.lists(
         strategies.builds(
-            suspects.TrialEnd, strategies.sampled_from(NAMES), strategies.sampled_from("123")
+            suspects.TrialEnd,
+            strategies.sampled_from(NAMES),
+            strategies.sampled_from("123"),
+            strategies.booleans(),
         ),
         max_size=1,
     ).map(tuple),
--- a/testing/daemons/test_crashing_requests.py
+++ b/testing/daemons/test_crashing_requests.py
@@ -151,6 +151,21 @@
     assert sum(later) <= MOST_SENDS_AFTER
 
 
+def test_a_failure_that_an_endpoint_answers_clears_nothing(site):
+    # An endpoint that fails requests may do so before it begins to run them.
+    path = "/confirm/x"
+    routers = itertools.islice(itertools.cycle(site.routers), 2 * ROUNDS)
+    for round_number, router in enumerate(routers):
+        if round_number % 2:
+            for each in site.workers:
+                each.faults.add(faults.Fault.ERROR_UNRUN)
+        send(site, router, path)
+        for each in site.workers:
+            each.faults.clear()
+        replace(site)
+    assert crashes(site) <= CRASHES + MOST_SENDS_AFTER
+
+
 def test_different_ones_at_once_are_each_stopped(site):
     bodies = [CRASHING + b" %d" % number for number in range(4)]
     for router in itertools.islice(itertools.cycle(site.routers), ROUNDS):
