Failing test: a trial whose router is killed leaves no trace, and is granted again and again

From the logs of its fingerprint: two ends known, then five trials granted at 42.54, 42.64, 45.26, 50.28 and 51.20; their routers were killed before the list showed the ends (proxies accept connections for endpoints that are gone), so no third end was known until 51.83.

--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -21,9 +21,11 @@
 again had their share of the extra whole, and new leaders told of few boxes. 8, 11 and 12 did so
 too and are among those that are run by hand."""
 
-CRASHES_SECONDS_S = 10.0
-CRASHES = (2,)
-"""Requests that end endpoints, while routers and leaders are killed."""
+CRASHES = {2: 10.0, 9: 14.0}
+"""Requests that end endpoints, while routers and leaders are killed. 9: one reached endpoints four
+times more where three are allowed, and ten ended. Endpoints stood behind proxies that accept for
+them when they are gone, so that only the list showed their ends; three times routers were killed
+with what they had met before the list showed it, each time during a trial."""
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -43,4 +45,4 @@
 
 @pytest.mark.parametrize("seed", CRASHES)
 def test_requests_that_end_endpoints_are_sent_to_few(seed, tmp_path):
-    assert run.run_seed(seed, CRASHES_SECONDS_S, tmp_path, run.Kind.CRASHES).broken == []
+    assert run.run_seed(seed, CRASHES[seed], tmp_path, run.Kind.CRASHES).broken == []
