A trial counts by itself: it is in the log before anything is sent

Cause: a trial of a request under which two endpoints had ended was not counted, since the third end would be reported; a router that is killed before the list shows an end reports nothing, and the next trial was granted. Ruled out: reports that were lost on their way (each router was killed within the list's lag), a clearing (none in the logs).

Change: trials are counted from the first, two at once and one after an hour (a minute, where no third end is known); four ends at once leave one. A trial that reached no endpoint is given back. The third end is what the first trial brings, so that users' three sends leave room for the second, the late one and one that was on its way.

--- a/src/croftpulley/codes.py
+++ b/src/croftpulley/codes.py
@@ -136,7 +136,7 @@
         429, 1.0, "The operators' program for admission asks to come back later."
     ),
     ResultCode.REQUEST_CRASHES: ResultInfo(
-        503, 600.0, "Endpoints ended under this request each time; it is sent to none for now."
+        503, 3600.0, "Endpoints ended under this request each time; it is sent to none for now."
     ),
     ResultCode.REQUEST_ON_TRIAL: ResultInfo(
         503, 1.0, "Endpoints ended under this request lately; it runs at one endpoint at a time."
--- a/src/croftpulley/core/suspects.py
+++ b/src/croftpulley/core/suspects.py
@@ -2,12 +2,13 @@
 
 Every router reports which requests an endpoint had when it ended. One end says little: what merely
 ran there is among them. So a request that two endpoints ended under is a *suspect*: it is tried at
-one endpoint at a time in the whole fleet. After the third end it is *known*, and gets so few trials
-more that whoever was only unlucky is served, and whoever ends endpoints is soon refused. A request
-that an endpoint answered whole is cleared.
+one endpoint at a time in the whole fleet, and gets so few trials that whoever was only unlucky is
+served, and whoever ends endpoints is soon refused. A success clears it.
 
 All of it is in the replicated log: no restart, and no new leader, gives a request its first chances
-again. Commands carry the time of day, so that each box comes to the same.
+again. A trial is in the log before anything is sent, and counts whether or not its end is heard of:
+the router may be killed with what it met. Commands carry the time of day, so that each box comes to
+the same.
 """
 
 from __future__ import annotations
@@ -20,14 +21,17 @@
 SUSPECTED_CRASHES = 2
 """From here on a request runs at one endpoint at a time. With one, all that ran beside a request
 that ends endpoints would wait for a trial: up to 22 were seen in flight at an end."""
-KNOWN_CRASHES = 3
-"""After so many ends users allow three sends more, ever; `MOST_TRIALS` keeps within that."""
 MOST_TRIALS = 2
-"""Trials of a known request. The third send that users allow is left for one that was on its way to
-an endpoint when the third end became known, or for an end that no router could report."""
-REST_S = 600.0
-"""Before the second trial if the first ended an endpoint: time for operators to mend endpoints by a
-release, which takes minutes."""
+"""At once, one after the other. Users allow three sends after the third end, ever. The first trial
+is what brings the third end; that leaves the second, one after `REST_S`, and one for what was on
+its way when the second end became known or for an end that no router could report."""
+MOST_ENDS_AND_TRIALS = 5
+"""A request under which more endpoints ended at once has fewer trials: with four ends one. Whoever
+was unlucky three times has one or two."""
+REST_S = 3600.0
+"""After the last trial, before one more: time for operators to mend endpoints by a release."""
+UNPROVEN_REST_S = 60.0
+"""The same where no third end is known: both trials may have come to nothing otherwise."""
 KEPT_S = 86_400.0
 """After its last end a request is forgotten; it may end three endpoints more then, one in 8 h."""
 MOST_SUSPECTS = 2048
@@ -75,9 +79,9 @@
 class Suspect:
     """One request under which endpoints ended.
 
-    ``lives`` are the last of them, ``crashes`` how many there were. ``trials`` counts those granted
-    since it was known; ``trial`` is the one that goes on, until ``trial_until_wall_s`` at
-    the latest, and ``crashes_before_trial`` the ends until the last one began.
+    ``lives`` are the last of them, ``crashes`` how many there were. ``trials`` counts those that
+    may have reached an endpoint, the last of them at ``last_trial_wall_s``. ``trial`` is the one
+    that goes on, until ``trial_until_wall_s`` at the latest.
     """
 
     fingerprint: str
@@ -88,7 +92,7 @@
     trials: int = 0
     trial: str = ""
     trial_until_wall_s: float = 0.0
-    crashes_before_trial: int = 0
+    last_trial_wall_s: float = 0.0
 
     def crashed(self, life: str, at_wall_s: float) -> Suspect:
         """Return the suspect after one more end; one that is known of changes nothing."""
@@ -103,19 +107,17 @@
 
     def tried(self, trial: str, at_wall_s: float, limit_s: float) -> Suspect:
         """Return the suspect with a trial that has just begun."""
-        is_known = self.crashes >= KNOWN_CRASHES
         return attrs.evolve(
             self,
-            trials=self.trials + is_known,
+            trials=self.trials + 1,
             trial=trial,
             trial_until_wall_s=at_wall_s + limit_s,
-            crashes_before_trial=self.crashes,
+            last_trial_wall_s=at_wall_s,
         )
 
     def trial_over(self, was_sent: bool) -> Suspect:
         """Return the suspect once its trial is over; one that reached nobody does not count."""
-        is_counted = self.crashes_before_trial >= KNOWN_CRASHES
-        trials = self.trials if was_sent or not is_counted else self.trials - 1
+        trials = self.trials if was_sent else self.trials - 1
         return attrs.evolve(self, trial="", trial_until_wall_s=0.0, trials=trials)
 
     @property
@@ -125,11 +127,18 @@
 
     @property
     def refused_until_wall_s(self) -> float:
-        """Until when it is sent to no endpoint at all; 0 if it may be tried."""
-        if self.trials >= MOST_TRIALS:
-            return self.last_crash_wall_s + KEPT_S
-        if self.trials and self.crashes > self.crashes_before_trial:
-            return self.last_crash_wall_s + REST_S
+        """Until when it is sent to no endpoint at all; 0 if it may be tried, or is being tried."""
+        return 0.0 if self.trial else self.rests_until_wall_s
+
+    @property
+    def rests_until_wall_s(self) -> float:
+        """Until when no other trial begins once the last one is over; 0 if one may."""
+        last_s = max(self.last_trial_wall_s, self.last_crash_wall_s)
+        if self.trials > MOST_TRIALS:
+            return last_s + KEPT_S
+        if self.trials == MOST_TRIALS or self.trials + self.crashes >= MOST_ENDS_AND_TRIALS:
+            is_proven = self.crashes > SUSPECTED_CRASHES
+            return last_s + (REST_S if is_proven else UNPROVEN_REST_S)
         return 0.0
 
 
@@ -230,7 +239,7 @@
     ['GRANTED', 'BUSY', 'GRANTED']
     >>> _ = suspects.report(Report(crashes=(Crash("f", "clinic", "e4"),)), 2.0)
     >>> suspects.begin_trial("f", "t3", 5.0, 9.0)
-    TrialAnswer(verdict=<Verdict.REFUSED: 'refused'>, crashes=4, wait_s=593.0)
+    TrialAnswer(verdict=<Verdict.REFUSED: 'refused'>, crashes=4, wait_s=3593.0)
     """
 
     bulletin: Bulletin = attrs.field(factory=Bulletin)
@@ -289,11 +298,11 @@
             return TrialAnswer(Verdict.FREE)
         if known.trial == trial:
             return TrialAnswer(Verdict.GRANTED, known.crashes)
-        refused_s = known.refused_until_wall_s - at_wall_s
-        if refused_s > 0:
-            return TrialAnswer(Verdict.REFUSED, known.crashes, refused_s)
         if known.trial and at_wall_s < known.trial_until_wall_s:
             return TrialAnswer(Verdict.BUSY, known.crashes, known.trial_until_wall_s - at_wall_s)
+        rests_s = known.rests_until_wall_s - at_wall_s
+        if rests_s > 0:
+            return TrialAnswer(Verdict.REFUSED, known.crashes, rests_s)
         self._set(known.tried(trial, at_wall_s, limit_s))
         self._publish()
         return TrialAnswer(Verdict.GRANTED, known.crashes)
