Suspects: only a grant goes into the log, and a router asks four times a second at most; clean-up of renewals and lines of failures

A suspect that comes again and again while it is tried had each router ask the leader each time, and each ask was an entry of the log. The verdict is read first; a router whose ask was not granted puts the next off for 0.25 s. Tests of the leading control box's side.

Clean-up: a renewal published its view twice, and made the list's keys at each answer; two lines of failures were alike but for two fields.

--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -99,6 +99,7 @@
         self._fetches = False
         self._believed = listed_endpoints.Listed()
         self._stated: versions.Versioned[listing.Endpoints] = versions.Versioned(())
+        self._stated_keys: list[str] = []
         self._leader = ""
         self._next_note = 0
         self._more_notes = False
@@ -172,7 +173,7 @@
         listed = self._listed.get()
         if listed.read_at_s <= known.heard_at_s or not listed.endpoints.value:
             return
-        self._stated = listed.endpoints
+        self._state_list(listed.endpoints)
         self._view.publish(self._with_endpoints(known, self._stated))
 
     def _renew_once(self) -> None:
@@ -235,7 +236,6 @@
         self._fails = False
         self._take_lease(answer, sent_at_s)
         self._learn_addresses(answer)
-        self._view.publish(attrs.evolve(self._view.get(), heard_no_leader=False))
         self._take(answer, sent_at_s, own_loads)
 
     def _take_lease(self, answer: box_messages.BoxReportAnswer, sent_at_s: float) -> None:
@@ -289,7 +289,7 @@
         if answer.endpoints:
             # An empty list is not taken: a fleet without an endpoint serves nobody, and one that is
             # gone shows itself by failing.
-            self._stated = versions.Versioned(answer.endpoints)
+            self._state_list(versions.Versioned(answer.endpoints))
         self._next_note = answer.next_note
         # A box that has just started gets its notes page by page; until it has them all it sends
         # prompts to engines that do not hold them.
@@ -306,6 +306,7 @@
             loads_at_s=sent_at_s,
             heard_at_s=sent_at_s,
             held_off=frozenset(answer.held_off),
+            heard_no_leader=answer.lease_s <= 0,
             leader_address=self._leader,
         )
         if answer.boxes is not None:
@@ -322,7 +323,12 @@
         """Return counts by endpoint; none where this box holds another list than they go by."""
         if answer.endpoints_version != self._stated.version:
             return {}
-        return listed_counts.by_key(numbers, [each.key for each in self._stated.value])
+        return listed_counts.by_key(numbers, self._stated_keys)
+
+    def _state_list(self, stated: versions.Versioned[listing.Endpoints]) -> None:
+        """Take a list as it was told or read; its keys are made once, not at each answer."""
+        self._stated = stated
+        self._stated_keys = [each.key for each in stated.value]
 
     def _with_endpoints(
         self, state: router_state.RouterState, stated: versions.Versioned[listing.Endpoints]
--- a/src/croftpulley/controllers/suspect_register.py
+++ b/src/croftpulley/controllers/suspect_register.py
@@ -43,15 +43,22 @@
         if not self._leads():
             return box_messages.TrialRequestAnswer()
         done = self._propose_report(request.report)
-        command = agreed.BeginTrial(
-            request.fingerprint, request.trial, request.limit_s, self._clock.wall_s()
-        )
-        answer = _result(self._agreement.propose(command))
         changed = _result(done) if done is not None else ()
-        if changed is None or not isinstance(answer, suspects.TrialAnswer):
+        if changed is None:
             return box_messages.TrialRequestAnswer()
         _announce(changed)
-        return box_messages.TrialRequestAnswer(answer=answer)
+        return box_messages.TrialRequestAnswer(answer=self._answer(request))
+
+    def _answer(self, request: box_messages.TrialRequest) -> suspects.TrialAnswer | None:
+        """Return the verdict; only a grant goes into the log, ``None`` if it is not known to."""
+        now_wall_s = self._clock.wall_s()
+        known = self._agreement.read().suspects
+        answer = known.verdict(request.fingerprint, request.trial, now_wall_s)
+        if answer.verdict is not suspects.Verdict.GRANTED:
+            return answer if self._leads() else None
+        command = agreed.BeginTrial(request.fingerprint, request.trial, request.limit_s, now_wall_s)
+        granted = _result(self._agreement.propose(command))
+        return granted if isinstance(granted, suspects.TrialAnswer) else None
 
     def all(self) -> tuple[suspects.Suspect, ...]:
         """Return the suspects that routers are told of, as applied here."""
--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -25,6 +25,9 @@
 _LOG = logging.getLogger(__name__)
 MOST_REPORTED = 200
 """Ends of endpoints in one report, each 108 bytes; the rest goes with the next."""
+PUT_OFF_S = 0.25
+"""Between two asks of a router for a trial of one request, where none is granted: a suspect that
+comes a thousand times a second asks the leading control box four times."""
 MOST_PENDING = 5000
 """Ends that wait to be reported while no control box leads, about 1 MB; the oldest go first."""
 
@@ -35,6 +38,8 @@
 
     crashes: int = 0
     refused_for_s: float = 0.0
+    put_off_for_s: float = 0.0
+    """How long no trial is asked for: one was not granted just now."""
 
     @property
     def needs_trial(self) -> bool:
@@ -63,6 +68,7 @@
         self._crashes: dict[suspects.Crash, None] = {}
         self._trial_ends: dict[suspects.TrialEnd, None] = {}
         self._cleared: dict[str, None] = {}
+        self._put_off_until_s: dict[str, float] = {}
         self.on_broke: Callable[[membership.Endpoint], None] = lambda _endpoint: None
         """Called where a connection to an endpoint broke off; set once, before requests come."""
         self.on_news: Callable[[], None] = lambda: None
@@ -94,8 +100,20 @@
         with self._lock:
             heard = self._heard.get(fingerprint, _Heard(0, 0.0))
             own = sum(each.fingerprint == fingerprint for each in self._crashes)
-        refused_for_s = max(0.0, heard.refused_until_s - now_s)
-        return Standing(max(heard.crashes, own), refused_for_s)
+            put_off_until_s = self._put_off_until_s.get(fingerprint, 0.0)
+        return Standing(
+            crashes=max(heard.crashes, own),
+            refused_for_s=max(0.0, heard.refused_until_s - now_s),
+            put_off_for_s=max(0.0, put_off_until_s - now_s),
+        )
+
+    def put_off(self, fingerprint: str) -> None:
+        """Have no trial be asked for for a moment."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            known = self._put_off_until_s.items()
+            self._put_off_until_s = {name: at_s for name, at_s in known if at_s > now_s}
+            self._put_off_until_s[fingerprint] = now_s + PUT_OFF_S
 
     def unclear(self, fingerprint: str) -> tuple[str, ...]:
         """Return the lives of endpoints where it broke off lately, and it is not known why."""
@@ -171,10 +189,6 @@
             for fingerprint in report.cleared:
                 self._cleared.pop(fingerprint, None)
 
-    def refused(self, verdict: str) -> None:
-        """Count a suspect that was refused, or tried."""
-        self._counters.suspect(verdict)
-
     def _speaks_against(self, request: doubts.Named) -> bool:
         fingerprint = request.fingerprint
         return fingerprint in self._heard or any(
--- a/src/croftpulley/core/suspects.py
+++ b/src/croftpulley/core/suspects.py
@@ -293,6 +293,15 @@
 
         The same trial asked for again, since the answer was lost, is granted again.
         """
+        answer = self.verdict(fingerprint, trial, at_wall_s)
+        known = self._by_fingerprint.get(fingerprint)
+        if answer.verdict is Verdict.GRANTED and known is not None and known.trial != trial:
+            self._set(known.tried(trial, at_wall_s, limit_s))
+            self._publish()
+        return answer
+
+    def verdict(self, fingerprint: str, trial: str, at_wall_s: float) -> TrialAnswer:
+        """Return what `begin_trial` would; changes nothing, and any thread may ask."""
         known = self._by_fingerprint.get(fingerprint)
         if known is None or not known.is_told:
             return TrialAnswer(Verdict.FREE)
@@ -303,8 +312,6 @@
         rests_s = known.rests_until_wall_s - at_wall_s
         if rests_s > 0:
             return TrialAnswer(Verdict.REFUSED, known.crashes, rests_s)
-        self._set(known.tried(trial, at_wall_s, limit_s))
-        self._publish()
         return TrialAnswer(Verdict.GRANTED, known.crashes)
 
     def _get(self, crash: Crash) -> Suspect:
--- a/src/croftpulley/forwarding/failures.py
+++ b/src/croftpulley/forwarding/failures.py
@@ -54,26 +54,27 @@
 
 def log_repeat(exchange: base.Exchange, failure: errors.CroftpulleyError) -> None:
     """Log that another endpoint is asked after a failure."""
-    events.emit(
-        _LOG,
+    _log_decision(
+        exchange,
         events.Event.REQUEST_REPEATED,
-        level=logging.WARNING,
-        request_id=exchange.facts.request_id,
-        attempts=len(exchange.attempts.attempts),
         code=failure.code.name,
         run_state=failure.run_state.label,
-        **_budget(exchange),
     )
 
 
 def log_held_back(exchange: base.Exchange) -> None:
     """Log that no other endpoint is asked since the shared budget has no repeat left."""
+    _log_decision(exchange, events.Event.REPEAT_HELD_BACK)
+
+
+def _log_decision(exchange: base.Exchange, event: events.Event, **fields: Any) -> None:
     events.emit(
         _LOG,
-        events.Event.REPEAT_HELD_BACK,
+        event,
         level=logging.WARNING,
         request_id=exchange.facts.request_id,
         attempts=len(exchange.attempts.attempts),
+        **fields,
         **_budget(exchange),
     )
 
--- a/src/croftpulley/forwarding/suspects.py
+++ b/src/croftpulley/forwarding/suspects.py
@@ -19,8 +19,8 @@
 _LOG = logging.getLogger(__name__)
 _UNANSWERED_RETRY_S = 1.0
 """When to come back if no control box said whether it may be tried: an election takes so long."""
-_LONGEST_BUSY_RETRY_S = 1.0
-"""When to come back at the latest while it is tried elsewhere; most trials end sooner."""
+_BUSY_RETRY_S = 0.5
+"""When to come back while it is tried elsewhere: most requests take less."""
 _TRIAL_SLACK_S = 1.0
 """Beyond the request's own time: what a router takes to end it and to say so."""
 
@@ -53,6 +53,8 @@
             return
         if standing.refused_for_s > 0:
             raise self._refused(exchange, standing.crashes, standing.refused_for_s)
+        if standing.put_off_for_s > 0:
+            raise self._put_off(exchange, standing.crashes, _BUSY_RETRY_S)
         self._begin_trial(exchange, standing)
 
     def end_trial(self, exchange: base.Exchange) -> None:
@@ -94,15 +96,16 @@
         if answer is None:
             # It may have been granted all the same.
             self._end_trial(exchange, trial, was_sent=False)
-            raise self._on_trial(exchange, standing.crashes, _UNANSWERED_RETRY_S)
+            self._known.put_off(exchange.fingerprint)
+            raise self._put_off(exchange, standing.crashes, _UNANSWERED_RETRY_S)
         match answer.verdict:
             case core.Verdict.FREE:
                 return
             case core.Verdict.REFUSED:
                 raise self._refused(exchange, answer.crashes, answer.wait_s)
             case core.Verdict.BUSY:
-                wait_s = min(_LONGEST_BUSY_RETRY_S, answer.wait_s)
-                raise self._on_trial(exchange, answer.crashes, wait_s)
+                self._known.put_off(exchange.fingerprint)
+                raise self._put_off(exchange, answer.crashes, _BUSY_RETRY_S)
             case core.Verdict.GRANTED:
                 exchange.trial = trial
                 exchange.attempts_before_trial = len(exchange.attempts.attempts)
@@ -116,7 +119,7 @@
         self._counters.suspect("refused")
         return _error(codes.ResultCode.REQUEST_CRASHES, exchange, crashes, wait_s)
 
-    def _on_trial(
+    def _put_off(
         self, exchange: base.Exchange, crashes: int, wait_s: float
     ) -> errors.CroftpulleyError:
         self._counters.suspect("put_off")
--- /dev/null
+++ b/testing/controllers/test_suspect_register.py
@@ -0,0 +1,102 @@
+"""What the leading control box puts into the log of suspects, and what it answers without."""
+
+from __future__ import annotations
+
+import attrs
+import pykka
+import pytest
+
+from croftpulley import clock as clocks
+from croftpulley import codes, errors
+from croftpulley.controllers import actors, agreement, replica, suspect_register, suspicion
+from croftpulley.core import agreed, suspects
+from croftpulley.core.replication import state as states
+from croftpulley.observe import metrics
+from croftpulley.transport import box_messages
+
+FAR_S = 1e9
+NOTHING = suspects.Report()
+LEADS = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=0.0)
+
+
+class Log(agreement.Agreement):
+    """Applies at once, or refuses."""
+
+    def __init__(self):
+        self.state = agreed.AgreedState()
+        self.proposed = []
+        self.refuses = False
+
+    def propose(self, command):
+        self.proposed.append(command)
+        done = pykka.ThreadingFuture()
+        if self.refuses:
+            failure = errors.CroftpulleyError(codes.ResultCode.NOT_LEADER)
+            done.set_exception((type(failure), failure, None))
+        else:
+            done.set(self.state.apply(command))
+        return done
+
+    def read(self):
+        return self.state
+
+
+@pytest.fixture
+def log():
+    return Log()
+
+
+@pytest.fixture
+def standing():
+    return actors.View(LEADS)
+
+
+@pytest.fixture
+def register(log, standing):
+    return suspect_register.SuspectRegister(log, standing, clocks.ManualClock())
+
+
+def report_of(*lives):
+    return suspects.Report(crashes=tuple(suspects.Crash("f", "clinic", life) for life in lives))
+
+
+def ask(register, trial, report=NOTHING):
+    request = box_messages.TrialRequest(report=report, fingerprint="f", trial=trial, limit_s=5.0)
+    return register.begin_trial(request).answer
+
+
+def test_what_comes_with_a_request_for_a_trial_decides_on_it(register):
+    assert ask(register, "t1", report_of("e1")).verdict is suspects.Verdict.FREE
+    assert ask(register, "t1", report_of("e2")).verdict is suspects.Verdict.GRANTED
+
+
+def test_only_a_grant_goes_into_the_log(register, log):
+    # Else whoever sends a suspect again and again would fill it.
+    ask(register, "t1", report_of("e1", "e2"))
+    before = len(log.proposed)
+    assert ask(register, "t2").verdict is suspects.Verdict.BUSY
+    assert len(log.proposed) == before
+
+
+def test_what_is_not_in_the_log_is_not_taken(register, log):
+    log.refuses = True
+    message = box_messages.SuspectReport(report=report_of("e1"))
+    assert not register.report(message).is_taken
+    assert ask(register, "t1", report_of("e1", "e2")) is None
+
+
+def test_a_box_without_authority_answers_nothing(register, log, standing):
+    standing.publish(NO_AUTHORITY)
+    assert not register.report(box_messages.SuspectReport(report=report_of("e1"))).is_taken
+    assert ask(register, "t1") is None
+    assert log.proposed == []
+
+
+def test_a_router_puts_off_asking_for_a_moment():
+    clock = clocks.ManualClock()
+    known = suspicion.Suspicion(clock, metrics.Metrics())
+    known.put_off("f")
+    assert known.standing("f").put_off_for_s == suspicion.PUT_OFF_S
+    clock.advance(suspicion.PUT_OFF_S)
+    assert known.standing("f").put_off_for_s == 0.0
