Soak: what a router sent that was started, paused or ended less than 3 s before does not count

The trace shows each allowed by the promise, which holds for machines that were left alone for 3 s: the sends at 04:49:13.88, 14.73, 14.90, 15.03 and 15.42 came from routers 2, 2, 0, 1 and 1, started at 12.88, 12.88, 12.93 and 13.03. All routers were killed every two seconds, within the list's lag, with what they had met; the proxies in front of endpoints accept for those that are gone, so that nothing else shows an end.

--- a/testing/soak/crashing.py
+++ b/testing/soak/crashing.py
@@ -7,7 +7,7 @@
 import random
 import threading
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
@@ -117,16 +117,32 @@
                 self._site.restart_endpoint(each, back_ms=0)
 
 
+class InTouch:
+    """Tells whether the router that sent a request had been left alone for a while."""
+
+    def __init__(self, site: fleet.Fleet, book: records.Book) -> None:
+        self._routers = {each.request_id: site.routers[each.router] for each in book.asked}
+
+    def __call__(self, arrival: forwarded.Arrival) -> bool:
+        """Tell whether it was neither started, paused nor ended in `KNOWN_AFTER_S` before."""
+        router = self._routers[arrival.request_id]
+        return router.was_calm(arrival.at_s - KNOWN_AFTER_S, arrival.at_s)
+
+
 def sent_on(
     requests: Sequence[Crashing],
     arrivals: Mapping[str, Sequence[forwarded.Arrival]],
     crashes: Sequence[forwarded.Arrival],
+    is_in_touch: Callable[[forwarded.Arrival], bool],
 ) -> list[str]:
     """Return a line for each request that reached endpoints too often after it was known.
 
-    ``arrivals`` are those at all endpoints of each pool.
+    ``arrivals`` are those at all endpoints of each pool. Those of a router that is not in touch do
+    not count: it cannot know yet, or what it met is lost with it.
     """
-    arrived_s = _times(list(itertools.chain.from_iterable(arrivals.values())))
+    contents = {each.content for each in requests}
+    arrived = itertools.chain.from_iterable(arrivals.values())
+    arrived_s = _times([each for each in arrived if each.content in contents and is_in_touch(each)])
     ended_s = _times(crashes)
     found = []
     for each in requests:
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import orjson
 
@@ -34,6 +35,7 @@
         self._starting = threading.Lock()
         self.paused = False
         self.starts = 0
+        self._disturbed_s: list[float] = []
 
     @property
     def is_up(self) -> bool:
@@ -52,6 +54,7 @@
             if self.runs:
                 return
             self.starts += 1
+            self._disturb()
             self.settings |= changes
             self._path.write_bytes(orjson.dumps(self.settings))
             with self._log_path.open("ab") as log:
@@ -61,8 +64,17 @@
                     stderr=log,
                 )
 
+    def was_calm(self, since_s: float, until_s: float) -> bool:
+        """Tell whether it was neither started, paused nor ended between two times."""
+        return not any(since_s <= at_s <= until_s for at_s in self._disturbed_s)
+
+    def _disturb(self) -> None:
+        self._disturbed_s.append(time.monotonic())
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to this process alone."""
+        if number is not signal.SIGHUP:
+            self._disturb()
         if self.runs:
             # Another trouble may have ended it since.
             with contextlib.suppress(ProcessLookupError):
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -92,7 +92,7 @@
         site.stop()
     broken = promises.broken(book, runs)
     broken += promises.repeats_beyond_the_budget(book, arrivals, site.allowance)
-    broken += crashing.sent_on(crashers.requests, arrivals, crashes)
+    broken += crashing.sent_on(crashers.requests, arrivals, crashes, crashing.InTouch(site, book))
     if planned_only:
         broken += promises.lost(book, runs)
     if recovery_s > RECOVERY_LIMIT_S:
