Doubts: a request that only waits for its connection when an endpoint ends is not in doubt

It counted as under way from before it connected, so that one that chose the endpoint in the millisecond of its end was reported as having been there. Found by reading; test with it.

--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -17,7 +17,7 @@
 from croftpulley import clock as clocks
 from croftpulley import errors
 from croftpulley.controllers import actors, router_state
-from croftpulley.core import doubts, membership, suspects
+from croftpulley.core import attempts, doubts, membership, suspects
 from croftpulley.endpoints import presence
 from croftpulley.observe import events, metrics
 from croftpulley.transport import box_messages, json_codec, links
@@ -120,17 +120,24 @@
         with self._lock:
             return self._doubts.broke_lately(fingerprint, self._clock.monotonic_s())
 
-    def begin(self, endpoint: membership.Endpoint, request: doubts.Named) -> None:
+    def begin(
+        self, endpoint: membership.Endpoint, request: doubts.Named, attempt: attempts.Attempt
+    ) -> None:
         """Note that a request is about to be sent to an endpoint."""
         with self._lock:
-            self._doubts.begin(endpoint.key, request)
+            self._doubts.begin(endpoint.key, request, attempt)
 
     def end(
-        self, endpoint: membership.Endpoint, request: doubts.Named, ending: doubts.Ending
+        self,
+        endpoint: membership.Endpoint,
+        request: doubts.Named,
+        attempt: attempts.Attempt,
+        ending: doubts.Ending,
     ) -> None:
         """Note how an attempt ended."""
+        now_s = self._clock.monotonic_s()
         with self._lock:
-            self._doubts.end(endpoint.key, request, ending, self._clock.monotonic_s())
+            self._doubts.end(endpoint.key, request, attempt, ending, now_s)
             is_known = self._doubts.has_ended(endpoint.key)
             is_cleared = ending is doubts.Ending.SURVIVED and self._speaks_against(request)
             if is_cleared:
--- a/src/croftpulley/core/doubts.py
+++ b/src/croftpulley/core/doubts.py
@@ -8,11 +8,13 @@
 
 from __future__ import annotations
 
-import collections
 import enum
 
 import attrs
 
+from croftpulley import codes
+from croftpulley.core import attempts
+
 RECENT_S = 1.0
 """A request that left an endpoint so long before nobody listened there is still in doubt. One that
 its caller gave up may have begun to run by then; endpoints end within 0.1 s of such a beginning.
@@ -44,6 +46,16 @@
     workspace: str
 
 
+@attrs.frozen
+class _Open:
+    request: Named
+    attempt: attempts.Attempt
+
+    @property
+    def may_run(self) -> bool:
+        return self.attempt.run_state is not codes.RunState.NOT_RUN
+
+
 @attrs.frozen
 class _Left:
     request: Named
@@ -55,14 +67,17 @@
 class _Life:
     """One life of an endpoint: requests under way, and those that left it in doubt."""
 
-    open: collections.Counter[Named] = attrs.field(factory=collections.Counter)
+    open: dict[int, _Open] = attrs.field(factory=dict)
+    """Requests under way, by what tells attempts apart."""
     left: list[_Left] = attrs.field(factory=list)
     answers_at_s: float = float("-inf")
     """When it was last seen that somebody listens at its address."""
 
     def in_doubt(self, since_s: float) -> tuple[Named, ...]:
         left = [each.request for each in self.left if each.at_s >= since_s]
-        return tuple(dict.fromkeys([*self.open, *left]))
+        # One that waits for its connection has not begun to run there.
+        under_way = [each.request for each in self.open.values() if each.may_run]
+        return tuple(dict.fromkeys([*under_way, *left]))
 
     def survived(self, now_s: float) -> None:
         """Take it that the endpoint goes on after all that left it some time ago."""
@@ -80,9 +95,9 @@
 class Doubts:
     """What one router has in doubt, by the lives of endpoints.
 
-    >>> doubts, request = Doubts(), Named("f", "clinic")
-    >>> doubts.begin("e", request)
-    >>> doubts.end("e", request, Ending.BROKE, 1.0)
+    >>> doubts, request, attempt = Doubts(), Named("f", "clinic"), attempts.Attempt(1, "e")
+    >>> doubts.begin("e", request, attempt)
+    >>> doubts.end("e", request, attempt, Ending.BROKE, 1.0)
     >>> doubts.broke_lately("f", 1.0), doubts.ended("e", 1.1), doubts.broke_lately("f", 1.1)
     (('e',), (Named(fingerprint='f', workspace='clinic'),), ())
     """
@@ -92,15 +107,21 @@
     _leaving: dict[str, bool] = attrs.field(factory=dict)
     """Whether each life that was listed last is leaving."""
 
-    def begin(self, life: str, request: Named) -> None:
+    def begin(self, life: str, request: Named, attempt: attempts.Attempt) -> None:
         """Note that a request is about to be sent."""
-        self._lives.setdefault(life, _Life()).open[request] += 1
-
-    def end(self, life: str, request: Named, ending: Ending, now_s: float) -> None:
+        self._lives.setdefault(life, _Life()).open[id(attempt)] = _Open(request, attempt)
+
+    def end(
+        self,
+        life: str,
+        request: Named,
+        attempt: attempts.Attempt,
+        ending: Ending,
+        now_s: float,
+    ) -> None:
         """Note how an attempt ended."""
         known = self._lives.setdefault(life, _Life())
-        known.open[request] -= 1
-        known.open = +known.open
+        known.open.pop(id(attempt), None)
         if ending is Ending.SURVIVED:
             # Whoever refused connections was not the endpoint: a link may do so too.
             self._ended_at_s.pop(life, None)
--- a/src/croftpulley/forwarding/attempt.py
+++ b/src/croftpulley/forwarding/attempt.py
@@ -87,7 +87,7 @@
         order = self._order(exchange, outgoing)
         self._counts.enter(endpoint.key)
         self._counts.begin_reading(exchange.facts, endpoint.key, placed.reading_tokens)
-        self._gate.began(exchange, endpoint)
+        self._gate.began(exchange, endpoint, attempt)
         on_close = functools.partial(self._gate.ended, exchange, endpoint, attempt)
         try:
             answer = self._sender.send(order, attempt, exchange.token)
--- a/src/croftpulley/forwarding/suspects.py
+++ b/src/croftpulley/forwarding/suspects.py
@@ -68,16 +68,18 @@
     def _end_trial(self, exchange: base.Exchange, trial: str, was_sent: bool) -> None:
         self._known.trial_ended(core.TrialEnd(exchange.fingerprint, trial, was_sent))
 
-    def began(self, exchange: base.Exchange, endpoint: membership.Endpoint) -> None:
+    def began(
+        self, exchange: base.Exchange, endpoint: membership.Endpoint, attempt: attempts.Attempt
+    ) -> None:
         """Note that the request is about to be sent to an endpoint."""
-        self._known.begin(endpoint, _named(exchange))
+        self._known.begin(endpoint, _named(exchange), attempt)
 
     def ended(
         self, exchange: base.Exchange, endpoint: membership.Endpoint, attempt: attempts.Attempt
     ) -> None:
         """Note how an attempt ended."""
-        is_cancelled = exchange.token.reason is not None
-        self._known.end(endpoint, _named(exchange), _ending(attempt, is_cancelled))
+        ending = _ending(attempt, is_cancelled=exchange.token.reason is not None)
+        self._known.end(endpoint, _named(exchange), attempt, ending)
 
     def _look_where_it_broke(self, exchange: base.Exchange) -> None:
         """Find out whether endpoints ended, where that decides on this request."""
@@ -143,7 +145,7 @@
     return doubts.Named(exchange.fingerprint, exchange.workspace_name)
 
 
-def _ending(attempt: attempts.Attempt, is_cancelled: bool) -> doubts.Ending:
+def _ending(attempt: attempts.Attempt, *, is_cancelled: bool) -> doubts.Ending:
     if attempt.run_state is codes.RunState.NOT_RUN:
         return doubts.Ending.UNCLEAR
     if attempt.in_doubt:
--- a/testing/core/test_doubts.py
+++ b/testing/core/test_doubts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from croftpulley.core import doubts
+from croftpulley.core import attempts, doubts
 
 REQUEST = doubts.Named("f", "clinic")
 OTHER = doubts.Named("g", "clinic")
@@ -18,15 +18,28 @@
     return made
 
 
+def begin(known, request, life="e", phase=attempts.Phase.SENT):
+    """Have a request under way; return its attempt."""
+    attempt = attempts.Attempt(1, life, phase)
+    known.begin(life, request, attempt)
+    return attempt
+
+
 def leave(known, request, ending, at_s, life="e"):
     """Have an attempt come to an end."""
-    known.begin(life, request)
-    known.end(life, request, ending, at_s)
+    known.end(life, request, begin(known, request, life), ending, at_s)
 
 
 def test_what_is_under_way_when_an_endpoint_ends_is_in_doubt(known):
-    known.begin("e", REQUEST)
-    known.begin("other", OTHER)
+    begin(known, REQUEST)
+    begin(known, OTHER, "other")
+    assert known.ended("e", 1.0) == (REQUEST,)
+
+
+@pytest.mark.parametrize("phase", [attempts.Phase.UNSENT, attempts.Phase.REFUSED])
+def test_what_only_waits_for_its_connection_then_is_not(known, phase):
+    begin(known, OTHER, phase=phase)
+    begin(known, REQUEST)
     assert known.ended("e", 1.0) == (REQUEST,)
 
 
@@ -51,9 +64,9 @@
 
 
 def test_an_end_is_found_once(known):
-    known.begin("e", REQUEST)
+    attempt = begin(known, REQUEST)
     known.ended("e", 1.0)
-    known.end("e", REQUEST, Ending.BROKE, 1.1)
+    known.end("e", REQUEST, attempt, Ending.BROKE, 1.1)
     assert known.ended("e", 1.2) == ()
     assert known.keep({"other": False}, 2.0) == {}
 
@@ -71,16 +84,16 @@
 
 
 def test_a_life_that_was_leaving_ended_as_it_was_meant_to(known):
-    known.begin("e", REQUEST)
+    begin(known, REQUEST)
     known.keep({"e": True, "other": False}, 1.0)
     assert known.keep({"other": False}, 2.0) == {}
 
 
 def test_a_life_that_answers_after_all_has_not_ended(known):
     # A cut link may refuse connections while the endpoint goes on.
-    known.begin("e", OTHER)
+    attempt = begin(known, OTHER)
     known.ended("e", 1.0)
-    known.end("e", OTHER, Ending.SURVIVED, 1.1)
+    known.end("e", OTHER, attempt, Ending.SURVIVED, 1.1)
     leave(known, REQUEST, Ending.BROKE, 2.0)
     assert known.ended("e", 2.1) == (REQUEST,)
 
