--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -253,3 +253,25 @@
     controller._agreement.commit()
     answer = controller.handle(report())
     assert (answer.lease_s, answer.registered_boxes) == (LEASE_S, 1)
+
+
+def test_a_new_leader_tells_no_loads_before_every_registered_box_has_told_its_own(make_leader):
+    """Routers that took the sum of one box for that of all sent to endpoints that others filled.
+
+    A leader that has just come knew of the loads of those alone that had renewed with it, up to a
+    renewal (0.25 s) after the others, and told their sum as that of all.
+    """
+    controller, _ = make_leader()
+    controller._agreement.read().apply(agreed.RegisterBox(OTHER))
+    assert controller.handle(attrs.evolve(report(), in_flight={"e": 2})).loads is None
+    theirs = attrs.evolve(report(), box=OTHER, in_flight={"e": 3})
+    assert controller.handle(theirs).loads == (5,)
+    assert controller.handle(attrs.evolve(report(), in_flight={"e": 2})).loads == (5,)
+
+
+def test_a_box_that_is_gone_keeps_loads_back_for_a_moment_only(make_leader):
+    controller, clock = make_leader()
+    controller._agreement.read().apply(agreed.RegisterBox(OTHER))
+    controller.handle(attrs.evolve(report(), in_flight={"e": 2}))
+    clock.advance(sessions.LOADS_AWAITED_S)
+    assert controller.handle(attrs.evolve(report(), in_flight={"e": 2})).loads == (2,)
