A leader that has just come tells no loads before every registered box has told its own

Cause: sums of requests in flight were told from the first renewal on, and held only those that had renewed with this leader. Ruled out: keeping the sums of the leader before (another process). Change: until every registered box has renewed, for 0.5 s at most, an answer has no loads and routers keep those that they were told last.

--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -296,14 +296,18 @@
         taken = sum(len(parts) for parts in answer.notes.values())
         self._more_notes = taken >= places.NOTES_AN_ANSWER
         self._fetch.aim(answer.configuration_version)
+        if answer.loads is not None:
+            known = attrs.evolve(
+                known,
+                loads=self._by_key(answer.loads, answer),
+                own_loads=own_loads.in_flight,
+                reading_tokens=self._by_key(answer.reading_tokens, answer),
+                own_reading_tokens=own_loads.reading_tokens,
+                loads_at_s=sent_at_s,
+            )
         changed = attrs.evolve(
             known,
             lease_until_s=self._lease.until_s,
-            loads=self._by_key(answer.loads, answer),
-            own_loads=own_loads.in_flight,
-            reading_tokens=self._by_key(answer.reading_tokens, answer),
-            own_reading_tokens=own_loads.reading_tokens,
-            loads_at_s=sent_at_s,
             heard_at_s=sent_at_s,
             held_off=frozenset(answer.held_off),
             heard_no_leader=answer.lease_s <= 0,
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -31,6 +31,10 @@
 LIST_FRESH_S = 2.0
 """A list read longer ago may be from a former leadership of this box, or from its start: boxes that
 have one keep theirs until it is read anew, which the leader does each 0.5 s."""
+LOADS_AWAITED_S = 0.5
+"""How long a leader that has just come tells no loads while it has not heard every registered box:
+two renewals. Until then routers keep those that they were told last, at most 1 s old; the sum of
+one box told as that of all has it send to endpoints that the others fill."""
 LEAST_KEPT_S = 5.0
 """How long after the end of its lease a box leaves the agreed state at least; one that only
 restarted does not write to the log again. It stays for longer where repeats count for longer: its
@@ -102,6 +106,7 @@
         self._clock = clock
         self._sessions = sessions.Sessions(lease_s, margin_s)
         self._leads_term = 0
+        self._leads_from_s = float("-inf")
         self._waiting: list[WhenInForce] = []
         self._registering: set[str] = set()
         self._forgetting: set[str] = set()
@@ -143,6 +148,7 @@
             self._forget_at_s.clear()
             # Another leader's numbers must not be taken for these.
             self._bulletin = places.Bulletin(standing.term * _NOTES_A_TERM)
+            self._leads_from_s = now_s
             self._sessions.begin(tuple(self._agreement.read().boxes), now_s)
         return True
 
@@ -214,6 +220,7 @@
         # Summed for each answer: the router takes off what it has just reported, so that must be in
         # the sum, and nothing that it reported before.
         loads = self._sessions.loads()
+        are_whole = self._are_loads_whole()
         page = self._bulletin.since(report.next_note)
         notes = [note for note in page.notes if self._is_life(note.engine, listed)]
         return box_messages.BoxReportAnswer(
@@ -228,7 +235,7 @@
             boxes=self._boxes.unless(report.boxes_version),
             endpoints_version=listed.endpoints.version,
             endpoints=self._newer_endpoints(listed, report.endpoints_version),
-            loads=listed_counts.in_order(loads.in_flight, order),
+            loads=listed_counts.in_order(loads.in_flight, order) if are_whole else None,
             reading_tokens=listed_counts.in_order(loads.reading_tokens, order),
             notes=places.by_engine(notes),
             next_note=page.next_number,
@@ -236,6 +243,10 @@
             suspects=state.suspects.bulletin.since(report.suspects_revision, self._clock.wall_s()),
         )
 
+    def _are_loads_whole(self) -> bool:
+        is_new = self._clock.monotonic_s() - self._leads_from_s < LOADS_AWAITED_S
+        return not (is_new and self._sessions.awaits_boxes)
+
     def _is_life(self, key: str, listed: listing.Listing) -> bool:
         """Tell whether a note is of a life that is listed; without a list none is left out."""
         known = self._order.keys(listed)
--- a/src/croftpulley/core/sessions.py
+++ b/src/croftpulley/core/sessions.py
@@ -152,6 +152,11 @@
             if now_s - self._sessions[name].heard_at_s <= SILENT_AFTER_S
         )
 
+    @property
+    def awaits_boxes(self) -> bool:
+        """Tell whether a registered box has yet to renew with this leader: sums lack its part."""
+        return bool(self._assumed)
+
     def loads(self) -> Load:
-        """Return what all boxes have at each endpoint."""
+        """Return what all boxes that have renewed have at each endpoint."""
         return Load(self._in_flight.counts(), self._reading_tokens.counts())
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -52,7 +52,8 @@
     ``lease_s`` is 0 where none is granted: then ``leader_address`` may say who grants. ``loads``
     are the requests in flight at each endpoint from all routers as last reported, and
     ``reading_tokens`` what the endpoints have to read for them, in the order of the list that
-    ``endpoints_version`` names (`core.listed_counts`). ``notes`` are all routers' from the
+    ``endpoints_version`` names (`core.listed_counts`); without ``loads`` the router keeps all that
+    it was told of both. ``notes`` are all routers' from the
     number that was asked for up to ``next_note``. ``held_off`` are endpoints that fail more than
     their peers. ``configuration_version`` is the newest, which a router fetches in parts
     (`core.parts`): its length must not bear on the lease. ``silent_addresses`` are those of the
@@ -73,7 +74,7 @@
     boxes: tuple[membership.Box, ...] | None = None
     endpoints_version: int = 0
     endpoints: tuple[membership.Endpoint, ...] | None = None
-    loads: tuple[int, ...] = ()
+    loads: tuple[int, ...] | None = ()
     reading_tokens: tuple[int, ...] = ()
     notes: places.Notes = attrs.field(factory=dict)
     next_note: int = 0
