Failing test: a verdict that is asked while the log is applied finds no suspect

Found at the read of the whole change: an entry is taken out and put back to keep its order, and the thread that answers a router may look in between.

--- a/testing/core/test_suspects.py
+++ b/testing/core/test_suspects.py
@@ -67,6 +67,14 @@
     assert ask(state, "f", "t2").verdict is suspects.Verdict.GRANTED
 
 
+def test_a_verdict_is_asked_while_the_log_is_applied(state):
+    # Threads that answer routers must not see a suspect between its removal and its return.
+    crash(state, "f", "e1", "e2")
+    ask(state, "f", "t1")
+    state.suspects._by_fingerprint.clear()
+    assert state.suspects.verdict("f", "t2", 0.0).verdict is suspects.Verdict.BUSY
+
+
 def test_a_trial_whose_router_says_nothing_more_ends_with_its_time(state):
     crash(state, "f", "e1", "e2")
     ask(state, "f", "t1", at_s=10.0)
