A verdict on a suspect reads the bulletin, which is never changed

Cause: verdicts were read by other threads from the map that the log's thread changes. The bulletin is made anew at each change and holds the same.

--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -134,7 +134,7 @@
         """Have a request served again; raises NOT_FOUND, `NotLeaderError` or NOT_LEADER."""
         self._await_authority()
         self._require_authority()
-        if not any(each.fingerprint == fingerprint for each in self._register.all()):
+        if fingerprint not in {each.fingerprint for each in self._register.all()}:
             raise errors.CroftpulleyError(
                 codes.ResultCode.NOT_FOUND, f"no endpoints ended under request {fingerprint!r}"
             )
--- a/src/croftpulley/core/suspects.py
+++ b/src/croftpulley/core/suspects.py
@@ -205,6 +205,11 @@
     entries: tuple[_Entry, ...] = ()
     removals: tuple[_Removal, ...] = ()
 
+    def find(self, fingerprint: str) -> Suspect | None:
+        """Return a suspect."""
+        found = (each.suspect for each in self.entries if each.suspect.fingerprint == fingerprint)
+        return next(found, None)
+
     def since(self, revision: int, now_wall_s: float) -> Change | None:
         """Return what changed since a revision, ``None`` if nothing did."""
         if revision == self.revision:
@@ -301,9 +306,12 @@
         return answer
 
     def verdict(self, fingerprint: str, trial: str, at_wall_s: float) -> TrialAnswer:
-        """Return what `begin_trial` would; changes nothing, and any thread may ask."""
-        known = self._by_fingerprint.get(fingerprint)
-        if known is None or not known.is_told:
+        """Return what `begin_trial` would; changes nothing, and any thread may ask.
+
+        It reads the bulletin: what is being changed lacks the entry for a moment.
+        """
+        known = self.bulletin.find(fingerprint)
+        if known is None:
             return TrialAnswer(Verdict.FREE)
         if known.trial == trial:
             return TrialAnswer(Verdict.GRANTED, known.crashes)
