--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -11,6 +11,7 @@
 import threading
 import uuid
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import attrs
 
@@ -29,7 +30,8 @@
 """Between two asks of a router for a trial of one request, where none is granted: a suspect that
 comes a thousand times a second asks the leading control box four times."""
 MOST_PENDING = 5000
-"""Ends that wait to be reported while no control box leads, about 1 MB; the oldest go first."""
+"""Ends, and as many trials and clearings, that wait to be reported while no control box leads: about
+1 MB; the oldest go first."""
 
 
 @attrs.frozen
@@ -142,6 +144,7 @@
             is_cleared = ending is doubts.Ending.SURVIVED and self._speaks_against(request)
             if is_cleared:
                 self._cleared[request.fingerprint] = None
+                _bound(self._cleared)
                 self._drop_crashes(request.fingerprint)
         if is_cleared:
             self.on_news()
@@ -174,6 +177,7 @@
         """Note that a trial is over."""
         with self._lock:
             self._trial_ends[end] = None
+            _bound(self._trial_ends)
         self.on_news()
 
     def news(self) -> suspects.Report:
@@ -209,8 +213,7 @@
     def _add_crashes(self, life: str, in_doubt: tuple[doubts.Named, ...]) -> None:
         for each in in_doubt:
             self._crashes[suspects.Crash(each.fingerprint, each.workspace, life)] = None
-        while len(self._crashes) > MOST_PENDING:
-            del self._crashes[next(iter(self._crashes))]
+        _bound(self._crashes)
 
     def _announce(self, life: str, sign: str, in_doubt: tuple[doubts.Named, ...]) -> None:
         if not in_doubt:
@@ -228,6 +231,12 @@
         self.on_news()
 
 
+def _bound(pending: dict[Any, None]) -> None:
+    """Drop the oldest of what waits to be reported where it is too much."""
+    while len(pending) > MOST_PENDING:
+        del pending[next(iter(pending))]
+
+
 class Trials:
     """Asks the leading control box whether a suspect may be tried, from request threads."""
 
@@ -329,8 +338,8 @@
                 self._links.to(address).post(box_messages.SUSPECT_REPORTS_PATH, body),
                 box_messages.SuspectReportAnswer,
             )
-        except errors.CroftpulleyError as failure:
-            _LOG.debug("a report of ended endpoints was not taken: %s", failure)
+        except errors.CroftpulleyError:
+            # The link has counted it; the next tick tries again.
             return
         if answer.is_taken:
             self._suspicion.reported(report)
--- a/testing/controllers/test_suspect_register.py
+++ b/testing/controllers/test_suspect_register.py
@@ -100,3 +100,12 @@
     assert known.standing("f").put_off_for_s == suspicion.PUT_OFF_S
     clock.advance(suspicion.PUT_OFF_S)
     assert known.standing("f").put_off_for_s == 0.0
+
+
+def test_what_waits_while_no_control_box_leads_is_bounded():
+    known = suspicion.Suspicion(clocks.ManualClock(), metrics.Metrics())
+    for number in range(suspicion.MOST_PENDING + 10):
+        known.trial_ended(suspects.TrialEnd("f", f"t{number}"))
+    waiting = known.news().trial_ends
+    assert len(waiting) == suspicion.MOST_PENDING
+    assert waiting[0].trial == "t10"
