--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -30,8 +30,8 @@
 """Between two asks of a router for a trial of one request, where none is granted: a suspect that
 comes a thousand times a second asks the leading control box four times."""
 MOST_PENDING = 5000
-"""Ends, and as many trials and clearings, that wait to be reported while no control box leads: about
-1 MB; the oldest go first."""
+"""Ends, and as many trials and clearings, that wait to be reported while nobody leads, about 1 MB;
+the oldest go first."""
 
 
 @attrs.frozen
