Soak: what is sent less than 3 s after a control box was started, paused or ended does not count

The trace shows each allowed by the promise, which needs stable control boxes for 3 s: the sends at 28.75, 29.11, 29.40, 30.58 and 30.60 came while all three control boxes had been killed and were started at 27.63, 28.02 and 28.04, one again at 29.76.

--- a/testing/soak/crashing.py
+++ b/testing/soak/crashing.py
@@ -118,15 +118,17 @@
 
 
 class InTouch:
-    """Tells whether the router that sent a request had been left alone for a while."""
+    """Tells whether the router that sent a request, and all control boxes, had been left alone."""
 
     def __init__(self, site: fleet.Fleet, book: records.Book) -> None:
+        self._control = site.control
         self._routers = {each.request_id: site.routers[each.router] for each in book.asked}
 
     def __call__(self, arrival: forwarded.Arrival) -> bool:
-        """Tell whether it was neither started, paused nor ended in `KNOWN_AFTER_S` before."""
-        router = self._routers[arrival.request_id]
-        return router.was_calm(arrival.at_s - KNOWN_AFTER_S, arrival.at_s)
+        """Tell whether none was started, paused or ended in `KNOWN_AFTER_S` before."""
+        programs = (self._routers[arrival.request_id], *self._control)
+        since_s = arrival.at_s - KNOWN_AFTER_S
+        return all(each.was_calm(since_s, arrival.at_s) for each in programs)
 
 
 def sent_on(
@@ -138,7 +140,7 @@
     """Return a line for each request that reached endpoints too often after it was known.
 
     ``arrivals`` are those at all endpoints of each pool. Those of a router that is not in touch do
-    not count: it cannot know yet, or what it met is lost with it.
+    not count: it cannot know yet, nobody leads, or what it met is lost with it.
     """
     contents = {each.content for each in requests}
     arrived = itertools.chain.from_iterable(arrivals.values())
