A server that has ended is woken by nobody: its trigger knows that it is closed

Cause: waitress lets any thread write to the pipe that wakes the loop, and the loop closes that pipe. A stop hands the loop what closes it and writes its byte afterwards; a loop that is awake for an answer may have closed the pipe by then. The write fails, or reaches whoever has opened the same number, a log on disk too. Ruled out: that the test asks for more than a box may give (it stops a daemon once, as programs do). The trigger writes and closes under one lock now and does nothing once closed; that holds for threads that answer late as well as for the stop.

--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -13,7 +13,7 @@
 import waitress.wasyncore
 
 from croftpulley import codes, errors
-from croftpulley.http import dispatcher, wsgi
+from croftpulley.http import dispatcher, wakeup, wsgi
 from croftpulley.settings import fleet, schema
 
 _CODES_BY_STATUS = {
@@ -146,6 +146,8 @@
             asyncore_use_poll=True,
             clear_untrusted_proxy_headers=not passes_headers,
         )
+        self._server.trigger.close()
+        self._server.trigger = wakeup.Wakeup(self._map)
         self._server.channel_class = _Channel
         self._server.closes_connections = False
         # The library's own looks at the time of day, which may jump.
