--- a/src/croftpulley/http/replica_app.py
+++ b/src/croftpulley/http/replica_app.py
@@ -11,6 +11,7 @@
     actors,
     configuration_parts,
     replica,
+    replica_standing,
     suspect_register,
 )
 from croftpulley.core import parts
@@ -32,7 +33,7 @@
         session_controller: pykka.ActorRef[Any],
         configuration: configuration_parts.ConfigurationParts,
         register: suspect_register.SuspectRegister,
-        standing: actors.View[replica.Standing],
+        standing: actors.View[replica_standing.Standing],
         counters: metrics.Metrics,
     ) -> None:
         self._replica = replica_controller
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -10,10 +10,11 @@
 import waitress.parser
 import waitress.server
 import waitress.task
+import waitress.trigger
 import waitress.wasyncore
 
 from croftpulley import codes, errors
-from croftpulley.http import dispatcher, wakeup, wsgi
+from croftpulley.http import dispatcher, wsgi
 from croftpulley.settings import fleet, schema
 
 _CODES_BY_STATUS = {
@@ -109,6 +110,27 @@
         return self.used_at_s + idle_s
 
 
+class _Wakeup(waitress.trigger.trigger):
+    """A trigger that does nothing once it is closed.
+
+    Every thread that answers pulls it, and the loop closes it. The library's own writes to its
+    descriptor unasked: after the close that fails, or reaches whoever has opened the same number.
+    """
+
+    def __init__(self, sockets: Any) -> None:
+        self._pull_lock = threading.Lock()
+        super().__init__(sockets)
+
+    def _close(self) -> None:
+        with self._pull_lock:
+            super()._close()  # type: ignore[misc]
+
+    def _physical_pull(self) -> None:
+        with self._pull_lock:
+            if not self._closed:  # type: ignore[attr-defined]
+                super()._physical_pull()  # type: ignore[misc]
+
+
 class HttpServer:
     """One listening address with its own threads.
 
@@ -147,7 +169,7 @@
             clear_untrusted_proxy_headers=not passes_headers,
         )
         self._server.trigger.close()
-        self._server.trigger = wakeup.Wakeup(self._map)
+        self._server.trigger = _Wakeup(self._map)
         self._server.channel_class = _Channel
         self._server.closes_connections = False
         # The library's own looks at the time of day, which may jump.
