--- a/src/croftpulley/bench/agreement.py
+++ b/src/croftpulley/bench/agreement.py
@@ -21,7 +21,7 @@
     agreement,
     configuration_parts,
     listing,
-    replica,
+    replica_standing,
     sessions,
 )
 from croftpulley.core import agreed, membership, parts, retry_budget, submissions, versions
@@ -84,7 +84,7 @@
         listed = tuple(_endpoint(number) for number in range(endpoints))
         step = max(1, endpoints // _LOADED_ENDPOINTS)
         self._load = {each.name: 2 for each in listed[::step]}
-        standing = replica.Standing(
+        standing = replica_standing.Standing(
             states.Role.LEADER, term=1, leader_address=_ADDRESS, authority_until_s=_FAR_S
         )
         self._controller = sessions.SessionController(
--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -10,7 +10,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, agreement, replica, sessions, suspect_register
+from croftpulley.controllers import actors, agreement, replica_standing, sessions, suspect_register
 from croftpulley.core import agreed, submissions, suspects
 from croftpulley.core.replication import state as states
 from croftpulley.observe import events
@@ -38,7 +38,7 @@
     def __init__(
         self,
         log: agreement.Agreement,
-        standing: actors.View[replica.Standing],
+        standing: actors.View[replica_standing.Standing],
         session_controller: pykka.ActorRef[Any],
         register: suspect_register.SuspectRegister,
         document_format: formats.DocumentFormat,
@@ -151,7 +151,7 @@
             led_elsewhere = standing.role.value != "leader"
             raise NotLeaderError(standing.leader_address if led_elsewhere else "")
 
-    def _is_clear(self, standing: replica.Standing) -> bool:
+    def _is_clear(self, standing: replica_standing.Standing) -> bool:
         """Tell whether this box may answer, or another leads that can be named."""
         is_led_elsewhere = standing.role is not states.Role.LEADER and standing.leader_address
         return standing.leads(self._clock.monotonic_s()) or bool(is_led_elsewhere)
--- a/src/croftpulley/controllers/inventory.py
+++ b/src/croftpulley/controllers/inventory.py
@@ -17,7 +17,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley import errors
-from croftpulley.controllers import actors, listing, replica, sessions
+from croftpulley.controllers import actors, listing, replica_standing, sessions
 from croftpulley.core import membership, places
 from croftpulley.endpoints import caches
 from croftpulley.observe import events
@@ -38,7 +38,7 @@
     def __init__(
         self,
         reader: caches.CacheReader,
-        standing: actors.View[replica.Standing],
+        standing: actors.View[replica_standing.Standing],
         listed: actors.View[listing.Listing],
         configured_pools: Callable[[], frozenset[str]],
         session_controller: pykka.ActorRef[Any],
--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -17,7 +17,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, agreement
+from croftpulley.controllers import actors, agreement, joining, proposals, replica_standing
 from croftpulley.core import agreed
 from croftpulley.core.replication import long_texts, messages
 from croftpulley.core.replication import replica as replicas
@@ -36,36 +36,7 @@
 LOGGED_SIZE_BYTES = long_texts.PART_LENGTH
 """A request this large that gets no answer is logged each time: its size may be why. Only one that
 carries a whole part of a long text is."""
-_JOIN_INTERVAL_S = 0.3
 _DISK_RETRY_S = 0.3
-LOST_AFTER_S = 2.0
-"""A replica that has heard no other for so long asks at the addresses that its settings name:
-those in its log may all have been exchanged. Elections settle within a second."""
-
-
-@attrs.frozen
-class Standing:
-    """What other threads may know of the replica.
-
-    ``authority_until_s`` is on this box's steady clock; until then no other box can lead.
-    ``silent_addresses`` are those of members that lately answered this leader nothing.
-    """
-
-    role: states.Role = states.Role.FOLLOWER
-    term: int = 0
-    leader_address: str = ""
-    authority_until_s: float = float("-inf")
-    members: messages.Members = attrs.field(factory=messages.Members)
-    silent_addresses: tuple[str, ...] = ()
-
-    def leads(self, now_s: float) -> bool:
-        """Tell whether this box alone may answer for the agreed state."""
-        return now_s < self.authority_until_s
-
-    @property
-    def addresses(self) -> tuple[str, ...]:
-        """Where all members are reached."""
-        return tuple(member.address for member in self.members.members)
 
 
 @attrs.frozen(kw_only=True)
@@ -81,14 +52,6 @@
     first_members: tuple[messages.Member, ...] = ()
 
 
-@attrs.frozen
-class Propose:
-    """A command to commit; the future gets its result."""
-
-    command: agreed.Command
-    result: pykka.Future[agreed.Result]
-
-
 @attrs.frozen
 class Receive:
     """A request of another replica."""
@@ -140,7 +103,7 @@
         timing: states.Timing,
         outgoing: senders.Senders,
         state: agreed.AgreedState,
-        view: actors.View[Standing],
+        view: actors.View[replica_standing.Standing],
         clock: clocks.Clock,
         chance: random.Random,
     ) -> None:
@@ -154,12 +117,11 @@
         self._clock = clock
         self._chance = chance
         self._replica: replicas.Replica | None = None
-        self._gathered: list[Propose] = []
-        self._pending: dict[int, tuple[int, Propose]] = {}
+        self._proposals = proposals.Proposals()
         self._retry_at_s = float("-inf")
-        self._join_at_s = float("-inf")
-        self._join_address = ""
-        self._heard_at_s = clock.monotonic_s()
+        self._joining = joining.Joining(
+            identity.address, identity.known_addresses, heard_at_s=clock.monotonic_s()
+        )
         self._silent: set[str] = set()
 
     def on_start(self) -> None:
@@ -174,19 +136,19 @@
     def handle(self, message: object) -> object:
         """Handle a request, a reply, a proposal or a tick."""
         match message:
-            case Propose():
+            case proposals.Propose():
                 self._gather(message)
             case _Flush():
                 self._flush()
             case UseAddresses(addresses):
-                self._identity = attrs.evolve(self._identity, known_addresses=addresses)
+                self._joining.known = addresses
             case Receive(request):
-                self._heard_at_s = self._clock.monotonic_s()
+                self._joining.heard_at_s = self._clock.monotonic_s()
                 return self._receive(request)
             case Join(request):
                 return self._admit(request)
             case _Answered(reply, sent_s):
-                self._heard_at_s = self._clock.monotonic_s()
+                self._joining.heard_at_s = self._clock.monotonic_s()
                 self._silent.discard(_sender(reply))
                 self._with_replica(lambda one, now_s: one.reply(reply, sent_s, now_s))
             case _Unanswered():
@@ -225,8 +187,8 @@
         events.emit(_LOG, events.Event.DISK_FAILED, level=logging.ERROR, problem=str(failure))
         self._replica = None
         self._retry_at_s = self._clock.monotonic_s() + _DISK_RETRY_S
-        self._fail_pending()
-        self._view.publish(Standing())
+        self._proposals.fail_pending()
+        self._view.publish(replica_standing.Standing())
 
     # --- the replica --------------------------------------------------------------------------
 
@@ -236,7 +198,8 @@
                 self._load()
             return
         self._with_replica(lambda one, now_s: one.tick(now_s))
-        self._join()
+        if self._replica is not None:
+            self._join(self._replica)
 
     def _with_replica(
         self, act: Callable[[replicas.Replica, float], states.Effects]
@@ -312,34 +275,9 @@
             self.actor_ref.tell(message)
 
     def _publish(self, replica: replicas.Replica) -> None:
-        before = self._view.get()
-        now_s = self._clock.monotonic_s()
-        standing = Standing(
-            role=replica.role,
-            term=replica.term,
-            leader_address=replica.leader_address(),
-            authority_until_s=replica.authority_until_s(now_s),
-            members=replica.members,
-            silent_addresses=replica.silent_addresses(now_s),
-        )
-        if standing != before:
-            self._view.publish(standing)
-        if (standing.role, standing.term, standing.leader_address) != (
-            before.role,
-            before.term,
-            before.leader_address,
-        ):
-            events.emit(
-                _LOG,
-                events.Event.REPLICA_ROLE,
-                role=standing.role.value,
-                term=standing.term,
-                leader_address=standing.leader_address,
-                last_index=replica.log.last_index,
-                commit_index=replica.commit_index,
-            )
+        standing = replica_standing.publish(self._view, replica, self._clock.monotonic_s())
         if standing.role is not states.Role.LEADER:
-            self._fail_pending()
+            self._proposals.fail_pending()
 
     # --- joining ------------------------------------------------------------------------------
 
@@ -350,18 +288,11 @@
         self._carry_out(self._replica, effects)
         return messages.JoinReply(taken=taken, leader_address=self._view.get().leader_address)
 
-    def _join(self) -> None:
-        """Ask to be taken in, at the leader if it is known and else at each known box in turn."""
-        now_s = self._clock.monotonic_s()
-        if self._replica is None or now_s < self._join_at_s:
-            return
-        is_lost = now_s - self._heard_at_s > LOST_AFTER_S
-        if not (self._replica.must_join or is_lost):
-            return
-        self._join_at_s = now_s + _JOIN_INTERVAL_S
-        others = [each for each in self._identity.known_addresses if each != self._identity.address]
-        address = self._join_address or (self._chance.choice(others) if others else "")
-        self._join_address = ""
+    def _join(self, replica: replicas.Replica) -> None:
+        """Ask to be taken in where that is due."""
+        address = self._joining.next_address(
+            self._clock.monotonic_s(), self._chance, must_join=replica.must_join
+        )
         if not address:
             return
         request = messages.JoinRequest(
@@ -373,27 +304,23 @@
         self._outgoing.to(address).send(job)
 
     def _join_answered(self, body: bytes) -> None:
-        reply = json_codec.decode(body, messages.JoinReply)
-        if reply.leader_address != self._identity.address:
-            self._join_address = reply.leader_address
+        self._joining.told_leader(json_codec.decode(body, messages.JoinReply).leader_address)
 
     # --- commands -----------------------------------------------------------------------------
 
-    def _gather(self, proposal: Propose) -> None:
-        if not self._gathered:
+    def _gather(self, proposal: proposals.Propose) -> None:
+        if self._proposals.gather(proposal):
             self.actor_ref.tell(_Flush())
-        self._gathered.append(proposal)
 
     def _flush(self) -> None:
-        batch, self._gathered = self._gathered, []
+        batch = self._proposals.take_batch()
         if self._replica is None or self._replica.role is not states.Role.LEADER:
             for proposal in batch:
-                _fail(proposal, codes.RunState.NOT_RUN)
+                proposal.fail(codes.RunState.NOT_RUN)
             return
         payloads = [commands.encode(proposal.command).decode() for proposal in batch]
         effects, indexes = self._replica.propose(payloads, self._clock.monotonic_s())
-        for index, proposal in zip(indexes, batch, strict=True):
-            self._pending[index] = (self._replica.term, proposal)
+        self._proposals.proposed(self._replica.term, indexes, batch)
         self._carry_out(self._replica, effects)
 
     def _apply(self, replica: replicas.Replica) -> None:
@@ -410,10 +337,7 @@
         The others must not go with it: which entries are taken together differs from box to box,
         and so would what they come to.
         """
-        term, proposal = self._pending.pop(index, (0, None))
-        if proposal is not None and term != entry.term:
-            _fail(proposal, codes.RunState.NOT_RUN)
-            proposal = None
+        proposal = self._proposals.take(index, entry.term)
         try:
             result = self._state.apply(commands.decode(entry.payload.encode()))
         except Exception as failure:
@@ -426,7 +350,7 @@
                 size_bytes=len(entry.payload),
             )
             if proposal is not None:
-                _fail(proposal, codes.RunState.NOT_RUN, codes.ResultCode.INTERNAL)
+                proposal.fail(codes.RunState.NOT_RUN, codes.ResultCode.INTERNAL)
             return
         if proposal is not None:
             proposal.result.set(result)
@@ -454,21 +378,6 @@
             took_s=round(self._clock.monotonic_s() - began_s, 3),
         )
 
-    def _fail_pending(self) -> None:
-        """Nobody knows whether these will be committed by another leader."""
-        pending, self._pending = self._pending, {}
-        for _, proposal in pending.values():
-            _fail(proposal, codes.RunState.UNKNOWN)
-
-
-def _fail(
-    proposal: Propose,
-    run_state: codes.RunState,
-    code: codes.ResultCode = codes.ResultCode.NOT_LEADER,
-) -> None:
-    failure = errors.CroftpulleyError(code, run_state=run_state)
-    proposal.result.set_exception((type(failure), failure, None))
-
 
 def _sender(reply: messages.Reply) -> str:
     return reply.voter if isinstance(reply, messages.VoteReply) else reply.replica
@@ -494,7 +403,7 @@
     def propose(self, command: agreed.Command) -> pykka.Future[agreed.Result]:
         """Queue the command; the future fails with NOT_LEADER where it cannot be committed."""
         result: pykka.Future[agreed.Result] = pykka.ThreadingFuture()
-        self._controller.tell(Propose(command, result))
+        self._controller.tell(proposals.Propose(command, result))
         return result
 
     def read(self) -> agreed.AgreedState:
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -12,7 +12,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, agreement, listing, replica
+from croftpulley.controllers import actors, agreement, listing, replica_standing
 from croftpulley.core import (
     agreed,
     listed_counts,
@@ -90,7 +90,7 @@
     def __init__(
         self,
         log: agreement.Agreement,
-        standing: actors.View[replica.Standing],
+        standing: actors.View[replica_standing.Standing],
         endpoints: actors.View[listing.Listing],
         lease_s: float,
         margin_s: float,
--- a/src/croftpulley/controllers/suspect_register.py
+++ b/src/croftpulley/controllers/suspect_register.py
@@ -9,7 +9,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, agreement, replica
+from croftpulley.controllers import actors, agreement, replica_standing
 from croftpulley.core import agreed, suspects
 from croftpulley.observe import events
 from croftpulley.transport import box_messages
@@ -23,7 +23,10 @@
     """Takes reports and grants trials while this box leads; any thread may call."""
 
     def __init__(
-        self, log: agreement.Agreement, standing: actors.View[replica.Standing], clock: clocks.Clock
+        self,
+        log: agreement.Agreement,
+        standing: actors.View[replica_standing.Standing],
+        clock: clocks.Clock,
     ) -> None:
         self._agreement = log
         self._standing = standing
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -18,6 +18,7 @@
     inventory,
     listing,
     replica,
+    replica_standing,
     sessions,
     suspect_register,
 )
@@ -49,7 +50,7 @@
 
     def __init__(
         self,
-        standing: actors.View[replica.Standing],
+        standing: actors.View[replica_standing.Standing],
         listed: actors.View[listing.Listing],
         clock: clocks.Clock,
     ) -> None:
@@ -79,7 +80,7 @@
         self._interface = interface or operators.OwnOperatorInterface(settings.operator_token_file)
         self._clock = clock or clocks.SystemClock()
         self._counters = metrics.Metrics()
-        self._standing = actors.View(replica.Standing())
+        self._standing = actors.View(replica_standing.Standing())
         self._endpoints = actors.View(listing.Listing())
         self._state = agreed.AgreedState(submissions=submissions.HighestNumber())
         self._replica = self._start_replica()
@@ -139,7 +140,7 @@
         """Look for other control boxes at other addresses from now on."""
         self._replica.tell(replica.UseAddresses(settings.seeds))
 
-    def standing(self) -> replica.Standing:
+    def standing(self) -> replica_standing.Standing:
         """Return what the replica is at the moment."""
         return self._standing.get()
 
--- a/testing/controllers/test_control_plane.py
+++ b/testing/controllers/test_control_plane.py
@@ -12,7 +12,7 @@
     actors,
     agreement,
     control_plane,
-    replica,
+    replica_standing,
     suspect_register,
 )
 from croftpulley.core import agreed, submissions
@@ -20,9 +20,9 @@
 from croftpulley.settings import formats
 
 FAR_S = 1e9
-LEADS = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+LEADS = replica_standing.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
 NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=float("-inf"))
-FOLLOWS = replica.Standing(states.Role.FOLLOWER, 1, "127.0.0.1:7")
+FOLLOWS = replica_standing.Standing(states.Role.FOLLOWER, 1, "127.0.0.1:7")
 
 
 class Applied(agreement.Agreement):
--- a/testing/controllers/test_inventory.py
+++ b/testing/controllers/test_inventory.py
@@ -9,7 +9,7 @@
 from conftest import wait_until
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, inventory, listing, replica, sessions
+from croftpulley.controllers import actors, inventory, listing, replica_standing, sessions
 from croftpulley.core import membership, versions
 from croftpulley.core.replication import state as states
 from croftpulley.endpoints import caches
@@ -69,7 +69,7 @@
 def told(reader):
     """Return what reached the sessions once all engines that answer were heard."""
     clock = clocks.ManualClock()
-    standing = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+    standing = replica_standing.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
     engines = (*(engine(number) for number in range(1, 41)), engine(99, "of another writer"))
     listed = listing.Listing(versions.Versioned(engines), clock.monotonic_s())
     kept = Sessions()
--- a/testing/controllers/test_replica_sight.py
+++ b/testing/controllers/test_replica_sight.py
@@ -11,7 +11,7 @@
 from conftest import wait_until
 from croftpulley import clock as clocks
 from croftpulley import errors
-from croftpulley.controllers import actors, replica
+from croftpulley.controllers import actors, replica, replica_standing
 from croftpulley.core import agreed, submissions, suspects
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import state as states
@@ -30,7 +30,7 @@
 
     def make(members=MEMBERS[:1], counters=None, open_file=files.DiskFile):
         state = agreed.AgreedState(submissions=submissions.HighestNumber())
-        view = actors.View(replica.Standing())
+        view = actors.View(replica_standing.Standing())
         controller = replica.ReplicaController.start(
             replica.Identity(
                 replica="a", address=NOBODY, known_addresses=(), first_members=members
--- a/testing/controllers/test_retry_sharing.py
+++ b/testing/controllers/test_retry_sharing.py
@@ -17,7 +17,7 @@
 
 import shared_budget
 from croftpulley import clock as clocks
-from croftpulley.controllers import actors, agreement, listing, replica, sessions, traffic
+from croftpulley.controllers import actors, agreement, listing, replica_standing, sessions, traffic
 from croftpulley.core import agreed, leases, membership, retry_budget, selection, submissions
 from croftpulley.core.replication import state as states
 from croftpulley.transport import box_messages
@@ -163,7 +163,7 @@
         self.after(self.chance.uniform(0, RENEW_S), box.renew)
 
     def new_leader(self):
-        standing = replica.Standing(states.Role.LEADER, next(self.terms), "c:1", FAR_S)
+        standing = replica_standing.Standing(states.Role.LEADER, next(self.terms), "c:1", FAR_S)
         self.leader = sessions.SessionController(
             self.log,
             actors.View(standing),
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -8,7 +8,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley import errors
-from croftpulley.controllers import actors, agreement, listing, replica, sessions
+from croftpulley.controllers import actors, agreement, listing, replica_standing, sessions
 from croftpulley.core import agreed, membership, submissions, versions
 from croftpulley.core.replication import state as states
 from croftpulley.transport import box_messages
@@ -21,7 +21,7 @@
 LEASE_S = 3.0
 MARGIN_S = 0.1
 KEPT_S = 12.0
-LEADS = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+LEADS = replica_standing.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
 NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=0.0)
 
 
--- a/testing/controllers/test_suspect_register.py
+++ b/testing/controllers/test_suspect_register.py
@@ -8,7 +8,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, agreement, replica, suspect_register, suspicion
+from croftpulley.controllers import actors, agreement, replica_standing, suspect_register, suspicion
 from croftpulley.core import agreed, suspects
 from croftpulley.core.replication import state as states
 from croftpulley.observe import metrics
@@ -16,7 +16,7 @@
 
 FAR_S = 1e9
 NOTHING = suspects.Report()
-LEADS = replica.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
+LEADS = replica_standing.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
 NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=0.0)
 
 
--- a/testing/daemons/test_new_seeds.py
+++ b/testing/daemons/test_new_seeds.py
@@ -6,7 +6,7 @@
 import pytest
 
 from conftest import wait_until
-from croftpulley.controllers import replica as replica_controllers
+from croftpulley.controllers import joining
 from croftpulley.daemons import replica, router
 from croftpulley.platform import callers, operators
 from croftpulley.settings import schema
@@ -78,7 +78,7 @@
 def test_a_control_box_whose_others_are_all_gone_joins_by_changed_seeds(
     site, keep, tmp_path, monkeypatch
 ):
-    monkeypatch.setattr(replica_controllers, "LOST_AFTER_S", 0.3)
+    monkeypatch.setattr(joining, "LOST_AFTER_S", 0.3)
     own = ReservedPort()
     # A set of three of which the others are never there.
     seeds = (own.address, "127.0.0.1:8", NOBODY)
--- a/testing/test_clock.py
+++ b/testing/test_clock.py
@@ -16,7 +16,7 @@
 from conftest import wait_until
 from croftpulley import cancel, codes
 from croftpulley import clock as clocks
-from croftpulley.controllers import replica, streams, suspicion
+from croftpulley.controllers import replica_standing, streams, suspicion
 from croftpulley.core import leases, retry_budget, suspects
 from croftpulley.observe import metrics
 
@@ -51,7 +51,7 @@
 
 
 def test_a_leader_has_no_authority_after_a_suspension(suspend, clock):
-    standing = replica.Standing(authority_until_s=clock.monotonic_s() + 0.4)
+    standing = replica_standing.Standing(authority_until_s=clock.monotonic_s() + 0.4)
     assert standing.leads(clock.monotonic_s())
     suspend()
     assert not standing.leads(clock.monotonic_s())
