--- a/testing/controllers/test_control_plane.py
+++ b/testing/controllers/test_control_plane.py
@@ -30,7 +30,7 @@
 
     def __init__(self):
         self.state = agreed.AgreedState(submissions=submissions.HighestNumber())
-        self.reads = threading.Event()
+        self.on_read = lambda: None
 
     def apply(self, version):
         submitted = submissions.Submission("", version, "{}")
@@ -40,7 +40,7 @@
         raise NotImplementedError
 
     def read(self):
-        self.reads.set()
+        self.on_read()
         return self.state
 
 
@@ -93,6 +93,25 @@
     assert answers == [3]
 
 
+@pytest.mark.parametrize("before", [NO_AUTHORITY, attrs.evolve(LEADS, term=0)], ids=["none", "old"])
+def test_what_was_read_before_a_leadership_began_is_not_told(
+    plane, applied, view, monkeypatch, before
+):
+    """A box whose disk refused a write applies its log anew, and leads again meanwhile.
+
+    Nobody has seen it; found at the read of what tells that a state was read under authority. It
+    was looked at after the reading only: a call that had waited in vain, or under a leadership that
+    had ended, read a state that was being made anew, and told it as the newest if the box came to
+    lead before the look.
+    """
+    monkeypatch.setattr(control_plane, "AUTHORITY_WAIT_S", 0.0)
+    applied.on_read = lambda: view.publish(LEADS)
+    for read in (plane.read, plane.suspects):
+        view.publish(before)
+        with pytest.raises(control_plane.NotLeaderError):
+            read()
+
+
 def test_a_box_that_does_not_lead_names_who_does_at_once(plane, view):
     view.publish(FOLLOWS)
     with pytest.raises(control_plane.NotLeaderError) as failure:
