What a control box tells was read under one leadership from before the reading to after it

Cause: authority was looked at after the reading alone. A call that had waited for it in vain, or began under a leadership that has ended, read a state that may just be made anew, and told it as the newest where the box came to lead before the look: an older configuration, or no suspects. Authority is required before and after now, under one term; reads of the configuration and of suspects share that. Ruled out: answers to renewals, which one thread makes within one look (and a log is loaded anew 0.3 s after a disk's refusal at the earliest).

--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import logging
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 import attrs
 import pykka
@@ -17,6 +18,7 @@
 from croftpulley.settings import formats
 
 _LOG = logging.getLogger(__name__)
+_Value = TypeVar("_Value")
 _ASK_TIMEOUT_S = 1.0
 AUTHORITY_WAIT_S = 0.3
 """A leader whose followers answer late has its authority again with the next heartbeat, each 0.1 s,
@@ -102,12 +104,21 @@
 
     def read(self) -> submissions.Held:
         """Return the newest committed configuration; raises `NotLeaderError`."""
+        return self._read(lambda: self._agreement.read().submissions.held)
+
+    def _read(self, read: Callable[[], _Value]) -> _Value:
+        """Return what ``read`` does, if this box alone may answer for it.
+
+        Its authority is looked at before and after, under one term: then all that was committed
+        before had been applied, and what was read is no older than what this moment allows. A box
+        that comes to lead in between may have read nothing yet.
+        """
         self._await_authority()
-        held = self._agreement.read().submissions.held
-        # Looked at after the reading, and not waited for: what was read is then no older than what
-        # this moment allows. A box that comes to lead after the reading may have read nothing yet.
-        self._require_authority()
-        return held
+        term = self._require_authority()
+        value = read()
+        if self._require_authority() != term:
+            raise NotLeaderError("")
+        return value
 
     def status(self) -> dict[str, Any]:
         """Return who leads, the replicas, the boxes and who is waited for."""
@@ -125,10 +136,7 @@
 
     def suspects(self) -> tuple[suspects.Suspect, ...]:
         """Return the requests under which endpoints ended; raises `NotLeaderError`."""
-        self._await_authority()
-        found = self._register.all()
-        self._require_authority()
-        return found
+        return self._read(self._register.all)
 
     def clear_suspect(self, fingerprint: str) -> None:
         """Have a request served again; raises NOT_FOUND, `NotLeaderError` or NOT_LEADER."""
@@ -144,12 +152,13 @@
         """Wait a moment for authority, or for another leader to be known."""
         self._standing.wait_for(self._is_clear, AUTHORITY_WAIT_S)
 
-    def _require_authority(self) -> None:
-        """Raise `NotLeaderError` unless this box alone may answer at this moment."""
+    def _require_authority(self) -> int:
+        """Return the term in which this box alone may answer now; raises `NotLeaderError`."""
         standing = self._standing.get()
         if not standing.leads(self._clock.monotonic_s()):
             led_elsewhere = standing.role.value != "leader"
             raise NotLeaderError(standing.leader_address if led_elsewhere else "")
+        return standing.term
 
     def _is_clear(self, standing: replica_standing.Standing) -> bool:
         """Tell whether this box may answer, or another leads that can be named."""
