--- a/testing/soak/acceptance.py
+++ b/testing/soak/acceptance.py
@@ -8,7 +8,6 @@
 
 import pathlib
 import random
-import signal
 import tempfile
 import threading
 import time
@@ -16,7 +15,7 @@
 import click
 
 from croftpulley.bench import table
-from soak import callers, fleet, records, run
+from soak import callers, fleet, records, run, storms
 
 ROUTERS = 12
 _START_WAIT_S = 3.0
@@ -25,11 +24,9 @@
 
 def kill_leader(site: fleet.Fleet) -> None:
     """Kill the control box that leads and start it again."""
-    box = callers.leader(site)
-    if box is not None:
-        box.signal(signal.SIGKILL)
-        box.kill()
-        threading.Timer(_START_WAIT_S / 2, site.start_again, (box,)).start()
+    killed = storms.LeaderKilled(site)
+    killed.begin()
+    threading.Timer(_START_WAIT_S / 2, killed.end).start()
 
 
 @click.command()
