--- a/testing/controllers/test_replica_sight.py
+++ b/testing/controllers/test_replica_sight.py
@@ -11,7 +11,7 @@
 from conftest import wait_until
 from croftpulley import clock as clocks
 from croftpulley import errors
-from croftpulley.controllers import actors, replica, replica_standing
+from croftpulley.controllers import actors, proposals, replica, replica_standing
 from croftpulley.core import agreed, submissions, suspects
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import state as states
@@ -186,3 +186,26 @@
     (suspect,) = log.read().suspects.all()
     assert suspect.trials == 1
     assert log.propose(agreed.GrantOwnership("engine", "box")).get(timeout=5).epoch == 2
+
+
+def test_whoever_is_told_that_a_disk_refused_finds_no_authority(start, refuse_writes, monkeypatch):
+    """Whoever proposed was told first, and for a moment still saw a box that leads.
+
+    Nobody has seen it; found at the read of the test above, which waits for the box to lead again
+    and could have taken the leadership before for it.
+    """
+    open_file, refuse = refuse_writes
+    _, view, log = start(open_file=open_file)
+    wait_until(lambda: leads(view), "it leads")
+    seen = []
+    fail = proposals.Propose.fail
+
+    def watched(proposal, *args):
+        seen.append(leads(view))
+        fail(proposal, *args)
+
+    monkeypatch.setattr(proposals.Propose, "fail", watched)
+    refuse(1)
+    with pytest.raises(errors.CroftpulleyError, match="NOT_LEADER"):
+        log.propose(agreed.ForgetBox("nobody")).get(timeout=5)
+    assert seen == [False]
