A control box whose disk refused a write says that it leads no more before it fails what was proposed

Whoever proposed was woken first and could still see a box that leads; the new test of a disk that refuses waits for the box to lead again and might have taken the leadership before for it. The state is published first now, as it is where a leadership ends otherwise.

--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -187,8 +187,9 @@
         events.emit(_LOG, events.Event.DISK_FAILED, level=logging.ERROR, problem=str(failure))
         self._replica = None
         self._retry_at_s = self._clock.monotonic_s() + _DISK_RETRY_S
-        self._proposals.fail_pending()
+        # First that it leads no more: whoever is told that a command failed may look at once.
         self._view.publish(replica_standing.Standing())
+        self._proposals.fail_pending()
 
     # --- the replica --------------------------------------------------------------------------
 
