Failing tests: a cold endpoint gets what a warm one gets

Story: an endpoint that has just started takes few requests a second and falls over beyond. Evidence: the list's time is checked in platform/instances and thrown away, and no router knows what the others send.

--- a/src/croftpulley/platform/stand_ins.py
+++ b/src/croftpulley/platform/stand_ins.py
@@ -28,6 +28,8 @@
         self.listed: tuple[membership.Endpoint, ...] = ()
         self.extra_entries: list[bytes] = []
         """Follow what is listed, as they are: entries of other writers."""
+        self.cold_ms: dict[str, float] = {}
+        """How long endpoints stay cold, by their ids; the others are warm."""
         self.refused_tokens: set[str] = set()
         """Tokens of pages that are refused once each."""
         self.calls = 0
@@ -48,14 +50,15 @@
         await connection.respond_bytes(self._page(int(token)))
 
     def _page(self, start: int) -> bytes:
-        written = [orjson.dumps(entry(each)) for each in self.listed] + self.extra_entries
+        entries = [entry(each, self.cold_ms.get(each.incarnation, 0)) for each in self.listed]
+        written = [orjson.dumps(each) for each in entries] + self.extra_entries
         end = start + _PAGE_SIZE
         following = orjson.dumps(str(end) if end < len(written) else None)
         page = b",".join(written[start:end])
         return b'{"instances":[' + page + b'],"nextPageToken":' + following + b"}"
 
 
-def entry(endpoint: membership.Endpoint) -> dict[str, Any]:
+def entry(endpoint: membership.Endpoint, cold_ms: float = 0) -> dict[str, Any]:
     """Return an endpoint as the platform lists it."""
     described: dict[str, Any] = {
         "id": endpoint.incarnation,
@@ -65,7 +68,7 @@
         "version": "v1",
         "slots": 64,
         "state": "draining" if endpoint.leaving else "ready",
-        "coldRemainingMs": 0,
+        "coldRemainingMs": cold_ms,
     }
     if endpoint.kind is membership.EndpointKind.ENGINE:
         described["stage"] = "prefill_decode"
