Cold endpoints get no more in a second than they take, from all routers together

Cause: coldRemainingMs was checked and thrown away, and routers share no count. Ways weighed (core/cold): an even division needs no leader, but a box cannot send a fraction of a request: 83 routers at 0.1 a second each may send 83 in one second where 9 are taken (a bucket of one each; derived); a few routers chosen by hashing are two sets for a moment whenever boxes come and go; the leader allots parts that end by themselves (taken). A part goes to another box only when whatever its holder sent is a second old; a new leader waits for that too, and so does a box that has started. Change: the list's cold time goes with the reading; the leader tells, in list order, who is cold and what the box may send (one number an endpoint); routers count from when bytes leave; with all endpoints cold and nothing allotted a request is refused at once (code 45, back in 0.5 s). A hall that was returned is taken for cold for 2.5 s, until the list can say. Allotted is what one takes (9 of 9.6 a second), under the users' bound (19). Not taken: the cold time in health answers, since nothing is probed (each probe is priced); a turn cold without a start is known with the list, 1.5 s later at most, but for the return of a hall.

--- a/src/croftpulley/bench/agreement.py
+++ b/src/croftpulley/bench/agreement.py
@@ -91,6 +91,7 @@
             _Applied(routes),
             actors.View(standing),
             actors.View(listing.Listing(versions.Versioned(listed), 0.0)),
+            dict,
             _LEASE_S,
             _MARGIN_S,
             retry_budget.Allowance().counted_s,
--- a/src/croftpulley/codes.py
+++ b/src/croftpulley/codes.py
@@ -62,6 +62,7 @@
     REQUEST_CRASHES = 42
     REQUEST_ON_TRIAL = 43
     LOAD_UNKNOWN = 44
+    ENDPOINTS_COLD = 45
     ENGINE_UNREACHABLE = 50
     ENGINE_BROKE = 51
     ENGINE_REFUSED = 52
@@ -147,6 +148,9 @@
     ResultCode.LOAD_UNKNOWN: ResultInfo(
         503, 0.5, "The engine has a new owner and has not told it yet what it runs."
     ),
+    ResultCode.ENDPOINTS_COLD: ResultInfo(
+        503, 0.5, "Every endpoint that may be asked is cold; such ones get few requests a second."
+    ),
     ResultCode.ENGINE_UNREACHABLE: ResultInfo(502, 1.0, "The engine could not be reached."),
     ResultCode.ENGINE_BROKE: ResultInfo(502, 1.0, "The engine's answer broke off."),
     ResultCode.ENGINE_REFUSED: ResultInfo(502, 1.0, "The engine refused the request."),
--- a/src/croftpulley/controllers/listing.py
+++ b/src/croftpulley/controllers/listing.py
@@ -24,12 +24,24 @@
 
 @attrs.frozen
 class Listing:
-    """The endpoints as last read, and when; ``read_at_s`` is ``-inf`` before the first reading."""
+    """The endpoints as last read, and when; ``read_at_s`` is ``-inf`` before the first reading.
+
+    ``cold_until_s`` holds, by their keys, until when endpoints are cold that were so then.
+    """
 
     endpoints: versions.Versioned[Endpoints] = attrs.field(
         factory=lambda: versions.Versioned[Endpoints](())
     )
     read_at_s: float = float("-inf")
+    cold_until_s: dict[str, float] = attrs.field(factory=dict)
+
+    def cold(self, now_s: float) -> list[membership.Endpoint]:
+        """Return the endpoints that are cold now."""
+        if not self.cold_until_s:
+            return []
+        return [
+            each for each in self.endpoints.value if self.cold_until_s.get(each.key, now_s) > now_s
+        ]
 
 
 class Turn(abc.ABC):
@@ -111,7 +123,8 @@
         known = {each.key: each for each in self._view.get().endpoints.value}
         kept = self._listed.take(reading.endpoints, read_at_s)
         self._announce(known, kept)
-        self._view.publish(Listing(versions.Versioned(kept), read_at_s))
+        cold_until_s = {key: read_at_s + left_s for key, left_s in reading.cold_left_s.items()}
+        self._view.publish(Listing(versions.Versioned(kept), read_at_s, cold_until_s))
 
     def _failed(self, failure: errors.CroftpulleyError) -> None:
         if not self._read_fails:
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -18,6 +18,7 @@
     traffic,
 )
 from croftpulley.core import (
+    cold,
     leases,
     listed_counts,
     membership,
@@ -178,7 +179,9 @@
         if listed.read_at_s <= known.heard_at_s or not listed.endpoints.value:
             return
         self._state_list(listed.endpoints)
-        self._view.publish(self._with_endpoints(known, self._stated))
+        # Nobody allots while control is silent.
+        cold_now = dict.fromkeys((each.key for each in listed.cold(self._clock.monotonic_s())), 0)
+        self._view.publish(attrs.evolve(self._with_endpoints(known, self._stated), cold=cold_now))
 
     def _renew_once(self) -> None:
         address = self._leader or self._chance.choice(self._addresses)
@@ -317,6 +320,8 @@
             held_off=frozenset(answer.held_off),
             heard_no_leader=answer.lease_s <= 0,
             leader_address=self._leader,
+            cold=cold.told_back(self._by_key(answer.cold, answer)),
+            cold_at_s=sent_at_s,
         )
         if answer.evacuated is not None:
             changed = changed.with_evacuated(answer.evacuated, self._clock.monotonic_s())
--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from croftpulley.core import halls, membership, tables
+from croftpulley.core import cold, halls, membership, tables
 from croftpulley.settings import fleet
 
 
@@ -18,7 +18,8 @@
     others of their pool, by what all routers met. ``heard_no_leader`` tells that since the last
     lease a control box has answered, but none that leads. ``leader_address`` is where the box leads
     that granted the last lease. ``evacuated`` are the halls whose endpoints get no requests, and
-    ``returned_at_s`` says when this box learned that halls are in service again.
+    ``returned_at_s`` says when this box learned that halls are in service again. ``cold`` says how
+    many requests a second this box may send to each cold endpoint, as told at ``cold_at_s``.
     """
 
     lease_until_s: float = float("-inf")
@@ -41,6 +42,8 @@
     leader_address: str = ""
     evacuated: halls.Evacuated = attrs.field(factory=halls.Evacuated)
     returned_at_s: dict[str, float] = attrs.field(factory=dict)
+    cold: dict[str, int] = attrs.field(factory=dict)
+    cold_at_s: float = float("-inf")
 
     @property
     def is_cut_off(self) -> bool:
@@ -66,6 +69,17 @@
                 returned_at_s[hall] = now_s
         return attrs.evolve(self, evacuated=evacuated, returned_at_s=returned_at_s)
 
+    def cold_a_second(self, endpoint: membership.Endpoint, now_s: float) -> int | None:
+        """Return how many requests a second may go to a cold endpoint, ``None`` if it is warm."""
+        pool = self.tables.pools.get(endpoint.pool)
+        if pool is None or not pool.cold_per_s:
+            return None
+        told = self.cold.get(endpoint.key)
+        if told is not None:
+            return told if now_s < self.cold_at_s + cold.ALLOTTED_S else 0
+        returned_at_s = self.returned_at_s.get(endpoint.hall, float("-inf"))
+        return 0 if now_s < returned_at_s + cold.RETURNED_S else None
+
     def lease_holds(self, now_s: float) -> bool:
         """Tell whether this box may take work that needs a lease."""
         return now_s < self.lease_until_s
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable, Mapping
 
 import attrs
 import pykka
@@ -15,6 +16,7 @@
 from croftpulley.controllers import actors, agreement, listing, replica_standing
 from croftpulley.core import (
     agreed,
+    cold,
     listed_counts,
     membership,
     outcomes,
@@ -92,6 +94,7 @@
         log: agreement.Agreement,
         standing: actors.View[replica_standing.Standing],
         endpoints: actors.View[listing.Listing],
+        cold_per_s: Callable[[], Mapping[str, float]],
         lease_s: float,
         margin_s: float,
         repeats_counted_s: float,
@@ -102,6 +105,8 @@
         self._agreement = log
         self._standing = standing
         self._endpoints = endpoints
+        self._cold_per_s = cold_per_s
+        self._allotments = cold.Allotments()
         self._lease_s = lease_s
         self._clock = clock
         self._sessions = sessions.Sessions(lease_s, margin_s)
@@ -149,6 +154,7 @@
             # Another leader's numbers must not be taken for these.
             self._bulletin = places.Bulletin(standing.term * _NOTES_A_TERM)
             self._leads_from_s = now_s
+            self._allotments.begin(now_s)
             self._sessions.begin(tuple(self._agreement.read().boxes), now_s)
         return True
 
@@ -237,6 +243,7 @@
             endpoints=self._newer_endpoints(listed, report.endpoints_version),
             loads=listed_counts.in_order(loads.in_flight, order) if are_whole else None,
             reading_tokens=listed_counts.in_order(loads.reading_tokens, order),
+            cold=listed_counts.in_order(self._cold(report.box.name, listed), order),
             notes=places.by_engine(notes),
             next_note=page.next_number,
             held_off=self._outcomes.held(self._clock.monotonic_s()),
@@ -244,6 +251,24 @@
             evacuated=state.evacuated.unless(report.halls_revision),
         )
 
+    def _cold(self, box: str, listed: listing.Listing) -> dict[str, int]:
+        """Return what a box is told of the endpoints that are cold, and may send there."""
+        now_s = self._clock.monotonic_s()
+        cold_now = listed.cold(now_s)
+        if not cold_now:
+            return {}
+        takes_per_s = self._cold_per_s()
+        boxes = tuple(each.name for each in self._boxes.value if not each.draining)
+        return cold.told(
+            {
+                each.key: self._allotments.a_second(
+                    each.key, takes_per_s[each.pool], box, boxes, now_s
+                )
+                for each in cold_now
+                if each.pool in takes_per_s
+            }
+        )
+
     def _are_loads_whole(self) -> bool:
         is_new = self._clock.monotonic_s() - self._leads_from_s < LOADS_AWAITED_S
         return not (is_new and self._sessions.awaits_boxes)
@@ -274,6 +299,7 @@
         # Not at each renewal: that would cost all boxes' work for each of them.
         self._boxes.set(self._sessions.boxes(now_s))
         self._forget(now_s)
+        self._allotments.forget(now_s)
         self._judge(now_s)
         self._settle()
 
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -13,6 +13,7 @@
 from croftpulley.controllers import router_state
 from croftpulley.core import (
     calls,
+    cold,
     membership,
     outcomes,
     places,
@@ -45,6 +46,7 @@
         self._records = records.Records()
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._extra_share = retry_budget.ExtraShare()
+        self._pace = cold.Pace.started(clock.monotonic_s())
 
     def enter(self, endpoint: str) -> None:
         """Count a request in."""
@@ -208,6 +210,21 @@
         with self._lock:
             self._records.keep(each.key for each in endpoints)
 
+    def may_send_cold(self, endpoint: str, a_second: int) -> bool:
+        """Tell whether a cold endpoint may be sent one more request now."""
+        with self._lock:
+            return self._pace.may_send(endpoint, a_second, self._clock.monotonic_s())
+
+    def take_cold(self, endpoint: str, a_second: int) -> cold.Departure | None:
+        """Count a request towards a cold endpoint's pace, if it may have one more."""
+        with self._lock:
+            return self._pace.take(endpoint, a_second, self._clock.monotonic_s())
+
+    def cold_leaves(self, departure: cold.Departure) -> None:
+        """Have a request to a cold endpoint count from now on: its bytes leave, or never will."""
+        with self._lock:
+            departure.at_s = self._clock.monotonic_s()
+
     def request(self, pool: str) -> None:
         """Count a request towards the pool's retry budget."""
         with self._lock:
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -14,6 +14,7 @@
 from croftpulley.controllers import (
     actors,
     configuration_parts,
+    configured_pools,
     control_plane,
     inventory,
     listing,
@@ -86,10 +87,12 @@
         self._replica = self._start_replica()
         self._log = replica.ReplicatedLog(self._replica, self._state)
         self._suspects = suspect_register.SuspectRegister(self._log, self._standing, self._clock)
+        pools = configured_pools.ConfiguredPools(self._log, self._interface.documents)
         self._sessions = sessions.SessionController.start(
             self._log,
             self._standing,
             self._endpoints,
+            pools.cold_per_s,
             settings.lease_s,
             settings.drift_margin_s,
             retry_budget.Allowance(window_s=settings.retry_window_s).counted_s,
@@ -107,7 +110,7 @@
             self._interface.cache_reader(),
             self._standing,
             self._endpoints,
-            self._configured_pools,
+            pools.names,
             self._sessions,
             self._clock,
         )
@@ -178,14 +181,6 @@
             random.Random(uuid.uuid4().int),
         )
 
-    def _configured_pools(self) -> frozenset[str]:
-        """Return the pools of the newest configuration; nothing of any other is asked."""
-        held = self._log.read().submissions.held
-        if not held.version:
-            return frozenset()
-        configuration = self._interface.documents.parse(held.document_json)
-        return frozenset(pool.name for pool in configuration.pools)
-
     def _make_peer_http(self) -> server.HttpServer:
         application = replica_app.ReplicaApp(
             self._replica,
--- a/src/croftpulley/endpoints/lists.py
+++ b/src/croftpulley/endpoints/lists.py
@@ -37,10 +37,14 @@
 
 @attrs.frozen
 class Reading:
-    """The list as read once; an entry that is spoiled says nothing of any other."""
+    """The list as read once; an entry that is spoiled says nothing of any other.
+
+    ``cold_left_s`` says, by their keys, for how long endpoints are still cold.
+    """
 
     endpoints: tuple[membership.Endpoint, ...] = ()
     spoiled: tuple[Spoiled, ...] = ()
+    cold_left_s: dict[str, float] = attrs.field(factory=dict)
 
     @classmethod
     def of(cls, decoded: Iterable[membership.Endpoint | Spoiled]) -> Reading:
@@ -71,6 +75,19 @@
     return Spoiled(Defect.FIELD_TYPE, f"{name}: got {value!r:.100}, expected {expected}")
 
 
+LONGEST_COLD_S = 60.0
+"""No endpoint is cold for so long: a longer time is a fault of its writer, and read anew anyway."""
+
+
+def cold_left_s(told_s: float) -> float:
+    """Return how long an endpoint is cold by what its entry says, whatever the number.
+
+    >>> [cold_left_s(told_s) for told_s in (-1, 0.5, 1e300, float("nan"))]
+    [0.0, 0.5, 60.0, 0.0]
+    """
+    return min(told_s, LONGEST_COLD_S) if told_s > 0 else 0.0
+
+
 class PlatformList(abc.ABC):
     """The platform's lagging list of what is live and what is leaving."""
 
--- a/src/croftpulley/forwarding/attempt.py
+++ b/src/croftpulley/forwarding/attempt.py
@@ -84,7 +84,7 @@
             last_event_id=last_event_id,
             cache_from=placed.cache_from,
         )
-        order = self._order(exchange, outgoing)
+        order = self._order(exchange, outgoing, placed)
         self._counts.enter(endpoint.key)
         self._counts.begin_reading(exchange.facts, endpoint.key, placed.reading_tokens)
         self._gate.began(exchange, endpoint, attempt)
@@ -94,11 +94,15 @@
         except BaseException:
             self._counts.end_reading(endpoint.key, placed.reading_tokens)
             self._counts.leave(endpoint.key)
+            if placed.departure is not None:
+                self._counts.cold_leaves(placed.departure)
             on_close()
             raise
         return OpenAttempt(endpoint, attempt, answer, self._counts, on_close, placed.reading_tokens)
 
-    def _order(self, exchange: base.Exchange, outgoing: headers.Outgoing) -> sender.Order:
+    def _order(
+        self, exchange: base.Exchange, outgoing: headers.Outgoing, placed: place.Placed
+    ) -> sender.Order:
         order = sender.Order(
             endpoint=outgoing.endpoint,
             method=exchange.request.method,
@@ -107,11 +111,16 @@
             body=exchange.request.body,
         )
         repeat = exchange.repeat.repeat if exchange.repeat else None
-        if repeat is None:
+        departure = placed.departure
+        if repeat is None and departure is None:
             return order
+
+        def on_leaving() -> None:
+            if repeat is not None:
+                self._counts.repeat_leaves(repeat)
+            if departure is not None:
+                self._counts.cold_leaves(departure)
+
         # The shared budget counts a repeat for so long as it may still arrive.
-        return attrs.evolve(
-            order,
-            arrival_limit_s=self._counts.arrival_s,
-            on_leaving=functools.partial(self._counts.repeat_leaves, repeat),
-        )
+        arrival_limit_s = self._counts.arrival_s if repeat is not None else None
+        return attrs.evolve(order, arrival_limit_s=arrival_limit_s, on_leaving=on_leaving)
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -9,7 +9,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, router_state, traffic
-from croftpulley.core import membership, places, selection
+from croftpulley.core import cold, membership, places, selection
 from croftpulley.forwarding import base, steer
 from croftpulley.observe import events
 
@@ -25,6 +25,8 @@
     endpoint: membership.Endpoint
     cache_from: str = ""
     reading_tokens: int = 0
+    departure: cold.Departure | None = None
+    """Of a request to a cold endpoint."""
 
 
 def _no_engine(
@@ -65,21 +67,39 @@
         self._clock = clock
 
     def choose(self, exchange: base.Exchange, tried: set[str]) -> Placed:
-        """Return the endpoint for the next attempt; raises NO_ENGINE if none is left.
+        """Return the endpoint for the next attempt; raises NO_ENGINE or ENDPOINTS_COLD if none is.
 
         Which endpoints are in service is looked up for each attempt: a stream may go on elsewhere
         long after its request came.
         """
-        state = self._view.get()
+        passed_over = set(tried)
+        while True:
+            state = self._view.get()
+            placed = self._choose(exchange, state, passed_over)
+            a_second = state.cold_a_second(placed.endpoint, self._clock.monotonic_s())
+            if a_second is None:
+                return placed
+            departure = self._counts.take_cold(placed.endpoint.key, a_second)
+            if departure is not None:
+                return attrs.evolve(placed, departure=departure)
+            # Another request has just taken the last place.
+            passed_over.add(placed.endpoint.key)
+
+    def _choose(
+        self, exchange: base.Exchange, state: router_state.RouterState, passed_over: set[str]
+    ) -> Placed:
         pool = exchange.pool
         members = [each for each in state.endpoints if each.pool == pool]
         in_service = [each for each in members if _is_in_service(each, state)]
-        endpoints = [each for each in in_service if each.key not in tried]
-        held_tokens = self._held_tokens(exchange, members)
+        endpoints = [each for each in in_service if each.key not in passed_over]
         now_s = self._clock.monotonic_s()
-        candidates = selection.trusted(
-            self._counts.candidates(endpoints, state, held_tokens), now_s
-        )
+        open_now = [each for each in endpoints if self._is_open(each, state, now_s)]
+        held_tokens = self._held_tokens(exchange, members)
+        candidates = selection.trusted(self._counts.candidates(open_now, state, held_tokens), now_s)
+        if not candidates and endpoints:
+            raise errors.CroftpulleyError(
+                codes.ResultCode.ENDPOINTS_COLD, f"pool {pool!r}: {len(endpoints)} cold"
+            )
         if not candidates:
             raise _no_engine(state, pool, members)
         prompt = _prompt(exchange)
@@ -92,6 +112,13 @@
         self._log(exchange, chosen, candidates, now_s)
         return placed
 
+    def _is_open(
+        self, endpoint: membership.Endpoint, state: router_state.RouterState, now_s: float
+    ) -> bool:
+        """Tell whether an endpoint may be sent one more request, should it be cold."""
+        a_second = state.cold_a_second(endpoint, now_s)
+        return a_second is None or self._counts.may_send_cold(endpoint.key, a_second)
+
     def _chosen(
         self,
         exchange: base.Exchange,
--- a/src/croftpulley/http/wsgi.py
+++ b/src/croftpulley/http/wsgi.py
@@ -6,8 +6,7 @@
 import logging
 import math
 from collections.abc import Callable, Iterable, Iterator
-from typing import Any
-from wsgiref import types as wsgi_types
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import orjson
@@ -15,6 +14,10 @@
 from croftpulley import codes, errors
 from croftpulley.observe import events
 
+if TYPE_CHECKING:
+    # Loaded at the start of each router otherwise, for a name in an annotation.
+    from wsgiref import types as wsgi_types
+
 _LOG = logging.getLogger(__name__)
 JSON = "application/json"
 EVENT_STREAM = "text/event-stream"
--- a/src/croftpulley/platform/documents.py
+++ b/src/croftpulley/platform/documents.py
@@ -98,6 +98,7 @@
         connections=service.whole("connectionLimit", 1000),
         slots=engine.whole("slots", 0),
         cache_tokens=engine.whole("kvCacheTokens", 0),
+        cold_per_s=service.number("coldPerS", 0.0),
     )
 
 
--- a/src/croftpulley/platform/instances.py
+++ b/src/croftpulley/platform/instances.py
@@ -9,6 +9,8 @@
 import urllib.parse
 from typing import Any
 
+import attrs
+
 from croftpulley import codes, errors
 from croftpulley.core import membership
 from croftpulley.endpoints import connection, lists
@@ -103,7 +105,13 @@
 
 def decode(values: list[Any], needs_start: bool) -> lists.Reading:
     """Decode entries; with ``needs_start`` one that lacks the time of its start is spoiled."""
-    return lists.Reading.of(_decode(each, needs_start) for each in values)
+    decoded = [_decode(each, needs_start) for each in values]
+    cold_left_s = {
+        each.key: lists.cold_left_s(value["coldRemainingMs"] / 1000)
+        for value, each in zip(values, decoded, strict=True)
+        if isinstance(each, membership.Endpoint) and value["coldRemainingMs"] > 0
+    }
+    return attrs.evolve(lists.Reading.of(decoded), cold_left_s=cold_left_s)
 
 
 def _tells_start(value: Any) -> bool:
--- a/src/croftpulley/settings/fleet.py
+++ b/src/croftpulley/settings/fleet.py
@@ -123,13 +123,17 @@
 
 @attrs.frozen(kw_only=True)
 class Pool:
-    """Endpoints that routes send to; ``slots`` and ``cache_tokens`` are of one, 0 if unknown."""
+    """Endpoints that routes send to; ``slots`` and ``cache_tokens`` are of one, 0 if unknown.
+
+    ``cold_per_s`` is how many requests a second one takes that is cold; 0 sets no bound.
+    """
 
     name: str
     health_path: str = "/health"
     connections: int = attrs.field(default=1000, validator=_positive)
     slots: int = attrs.field(default=0, validator=_not_negative)
     cache_tokens: int = attrs.field(default=0, validator=_not_negative)
+    cold_per_s: float = attrs.field(default=0.0, validator=_not_negative)
 
 
 @attrs.frozen(kw_only=True)
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -63,6 +63,8 @@
     ``suspects`` are the requests under which endpoints ended, as far as they changed.
     ``registered_boxes`` share the extra of retry budgets; each stays registered for ``kept_s``
     after the end of its lease. ``evacuated`` are the halls whose endpoints get no requests.
+    ``cold`` says, in the order of the list, which endpoints are cold and how many requests the box
+    may send there in any second, one more than that (`core.cold`).
     """
 
     lease_s: float = 0.0
@@ -83,6 +85,7 @@
     held_off: tuple[str, ...] = ()
     suspects: suspects.Change | None = None
     evacuated: halls.Evacuated | None = None
+    cold: tuple[int, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/controllers/test_control_plane.py
+++ b/testing/controllers/test_control_plane.py
@@ -62,7 +62,7 @@
 @pytest.fixture
 def plane(applied, view, register):
     return control_plane.ControlPlane(
-        applied, view, None, register, formats.OwnFormat(), 1.0, clocks.SystemClock()
+        applied, view, None, register, formats.OwnFormat(), frozenset(), 1.0, clocks.SystemClock()
     )
 
 
--- a/testing/controllers/test_retry_sharing.py
+++ b/testing/controllers/test_retry_sharing.py
@@ -168,6 +168,7 @@
             self.log,
             actors.View(standing),
             actors.View(listing.Listing()),
+            dict,
             LEASE_S,
             MARGIN_S,
             self.allowance.counted_s,
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -72,6 +72,7 @@
             Applied(version),
             view or actors.View(LEADS),
             actors.View(listed),
+            dict,
             LEASE_S,
             MARGIN_S,
             KEPT_S,
@@ -303,3 +304,20 @@
     clock.advance(2 * MARGIN_S)
     controller.handle(actors.Tick())
     assert is_in_force(done)
+
+
+def test_a_cold_endpoint_is_told_to_every_box_and_open_to_those_that_are_allotted_some(make_leader):
+    controller, clock = make_leader()
+    listed = listing.Listing(
+        versions.Versioned((ENDPOINT,)), clock.monotonic_s(), {"e": clock.monotonic_s() + 60}
+    )
+    controller._endpoints.publish(listed)
+    controller._cold_per_s = lambda: {"llm": 4.0}
+    # What the leader before allotted must have run out first.
+    assert controller.handle(report()).cold == (1,)
+    clock.advance(2.5)
+    controller.handle(report())
+    controller.handle(actors.Tick())
+    assert controller.handle(report()).cold == (5,)
+    clock.advance(60)
+    assert controller.handle(report()).cold == ()
--- a/testing/platform/test_instances.py
+++ b/testing/platform/test_instances.py
@@ -94,6 +94,26 @@
     assert reading.defects() == {lists.Defect.FIELD_TYPE.value: 1}
 
 
+@pytest.mark.parametrize(
+    ("told_ms", "left_s"), [(2500, 2.5), (0.5, 0.0005), (0, None), (-7, None), (1e300, 60.0)]
+)
+def test_how_long_an_endpoint_is_cold_is_read_whatever_the_number(fake, told_ms, left_s):
+    fake.listed = (endpoint("w"),)
+    fake.cold_ms = {"w": told_ms}
+    reading = instances.InstanceList(fake.address).read()
+    assert reading.endpoints == fake.listed
+    assert reading.cold_left_s.get("w") == left_s
+
+
+@pytest.mark.parametrize("told_ms", ["7", None, True, [], {}])
+def test_a_cold_time_that_is_no_number_spoils_its_entry_alone(fake, told_ms):
+    fake.listed = (endpoint("w"),)
+    fake.extra_entries = [orjson.dumps({**entry(), "coldRemainingMs": told_ms})]
+    reading = instances.InstanceList(fake.address).read()
+    assert reading.endpoints == fake.listed
+    assert sum(reading.defects().values()) == 1
+
+
 def test_an_entry_without_a_start_is_spoiled_once_the_list_tells_starts(fake):
     fake.listed = (endpoint("w"),)
     reader = instances.InstanceList(fake.address)
