Failing tests: a box out of touch names boxes that may have ended long ago

Story: where a route needs no key a box without a lease still answers its directory, and with the list of its last word from control, for as long as it is cut off. The users bound it: nobody who ended over contactMs + 3 s ago (6 s at least) is named beside a running box.

--- a/testing/interfaces/test_callers.py
+++ b/testing/interfaces/test_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
 from croftpulley import codes, errors
@@ -50,3 +51,17 @@
 @pytest.mark.parametrize("changes", [{"routes": (open_route(),)}, {"workspaces": ()}])
 def test_a_box_without_a_lease_that_may_serve_some_requests_still_answers(changes):
     assert callers.named_boxes(state(**changes), "hall-a", 10.0) == [NEAR, FAR]
+
+
+@pytest.mark.parametrize("changes", [{"routes": (open_route(),)}, {"workspaces": ()}])
+def test_a_box_that_has_long_been_out_of_touch_names_itself_alone(changes):
+    # Others that it has on its list may have ended since: nobody tells it.
+    known = attrs.evolve(state(**changes), box_name="near")
+    assert callers.named_boxes(known, "hall-a", 11.0) == [NEAR, FAR]
+    assert callers.named_boxes(known, "hall-a", 11.6) == [NEAR]
+
+
+def test_a_box_out_of_touch_that_is_stopping_names_nobody():
+    known = attrs.evolve(state(routes=(open_route(),)), box_name="leaving")
+    with pytest.raises(errors.CroftpulleyError, match="NO_LEASE"):
+        callers.named_boxes(known, "hall-a", 60.0)
