A box that has long been out of touch names itself alone

Cause: named_boxes went by the boxes of the last word from control, without an age, where some route needs no key. Ruled out: boxes with a lease (the leader drops a box unheard for 1 s, and a lease is 2.8 s, so 4.1 s at most) and boxes whose every route needs a key (they answer 503 without a lease). Change: from 1.5 s after the end of the lease on it names itself alone, and nobody if it stops. Before: any age; after: 5.6 s after the end of another box at most (derived), 6 s allowed.

--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -10,7 +10,7 @@
 
 @attrs.frozen
 class RouterState:
-    """What a router knows; published whole.
+    """What the router called ``box_name`` knows; published whole.
 
     ``loads`` are the requests in flight at each endpoint from all routers, as the control box last
     summed them up, and ``own_loads`` this router's part of that sum; the same holds for the prompt
@@ -22,6 +22,7 @@
     many requests a second this box may send to each cold endpoint, as told at ``cold_at_s``.
     """
 
+    box_name: str = ""
     lease_until_s: float = float("-inf")
     tables: tables.Tables = attrs.field(
         factory=lambda: tables.Tables(fleet.FleetConfiguration()), eq=False
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -72,7 +72,7 @@
         self._clock = clock or clocks.SystemClock()
         self._chance = random.Random(uuid.uuid4().int)
         self._counters = metrics.Metrics(settings.workspace_labels)
-        self._view = actors.View(router_state.RouterState())
+        self._view = actors.View(router_state.RouterState(box_name=settings.box))
         self._listed = actors.View(listing.Listing())
         self._closed = actors.View(False)
         self._streams = streams.Streams(settings.streams, self._clock, self._counters)
--- a/src/croftpulley/interfaces/callers.py
+++ b/src/croftpulley/interfaces/callers.py
@@ -14,6 +14,11 @@
 from croftpulley.http import wsgi
 from croftpulley.interfaces import base
 
+OTHERS_NAMED_S = 1.5
+"""How long after the end of its lease a box still names others. One of them may have ended 4 s
+before that: unheard for 1 s, then told with a renewal, then for a lease of 2.8 s. The users count a
+box as ended 6 s after its end at the earliest."""
+
 
 class CallerInterface(base.Interface):
     """What callers and the platform speak with a router; decides nothing."""
@@ -65,11 +70,14 @@
     """Return the boxes that callers may use, those of their ``hall`` first.
 
     Raises NO_LEASE if there is none, and from a box whose lease has ended: its list is old and
-    names itself, while callers who ask another box learn of those that serve.
+    names itself, while callers who ask another box learn of those that serve. One that serves some
+    requests without a lease names itself alone after `OTHERS_NAMED_S`.
     """
     if not (state.lease_holds(now_s) or state.tables.serve_without_lease):
         raise errors.CroftpulleyError(codes.ResultCode.NO_LEASE, "this box is out of touch")
-    named = [box for box in state.boxes if not box.draining]
+    is_old = now_s - state.lease_until_s > OTHERS_NAMED_S
+    known = [box for box in state.boxes if not is_old or box.name == state.box_name]
+    named = [box for box in known if not box.draining]
     if not named:
         raise errors.CroftpulleyError(codes.ResultCode.NO_LEASE, "no entry box is in service")
     return sorted(named, key=lambda box: box.hall != hall)
