Routes and workspaces have homes: requests run there alone, and callers are told of boxes there

Cause: allowedRegions was read by nobody. Change: home regions in configurations (both bind), the region of each hall in a router's settings, the rule in core/halls: endpoints outside are no candidates, nor sources of prompts; with none at home a request is refused at once. The directory names the caller's hall first, then its region, and for a host with homes only boxes there or near the caller, if there are any. Bodies never pass from box to box, so nothing else bears on them. Weighed: a box in every home that relays (one more hop, a second leg to pay), and routes filtered at the directory alone (binds nobody who keeps an old answer).

--- a/src/croftpulley/core/tables.py
+++ b/src/croftpulley/core/tables.py
@@ -53,8 +53,13 @@
         self.workspaces = {
             key: workspace for workspace in configuration.workspaces for key in workspace.keys
         }
+        self._homes = _homes_by_host(configuration.routes)
         self.arms = arms.Arms(tuple(fleet.made_arm(arm) for arm in configuration.arms))
 
+    def homes_of_host(self, host: str) -> frozenset[str]:
+        """Return the home regions of all routes of a host."""
+        return self._homes.get(host.lower().partition(":")[0], frozenset())
+
     @property
     def keys_needed(self) -> bool:
         """Tell whether a route that is not open needs a key."""
@@ -66,6 +71,15 @@
         return not self.keys_needed or any(route.open for route in self.configuration.routes)
 
 
+def _homes_by_host(routes: tuple[fleet.Route, ...]) -> dict[str, frozenset[str]]:
+    homes: dict[str, frozenset[str]] = {}
+    for route in routes:
+        if route.home_regions:
+            host = route.host.lower()
+            homes[host] = homes.get(host, frozenset()) | frozenset(route.home_regions)
+    return homes
+
+
 def pool_for(route: fleet.Route, request_id: str) -> str:
     """Return the pool that a request goes to: by its id, in proportion to the weights."""
     total = sum(share.weight for share in route.shares)
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -19,7 +19,7 @@
     suspicion,
     traffic,
 )
-from croftpulley.core import membership, retry_budget, selection
+from croftpulley.core import halls, membership, retry_budget, selection
 from croftpulley.daemons import entry_box
 from croftpulley.forwarding import chain, observe, place, relay, rules, sender, steer, suspects
 from croftpulley.http import forward_app, health_app, server, wsgi
@@ -70,6 +70,7 @@
         self._settings = settings
         self._interface = interface or callers.OwnCallerInterface()
         self._clock = clock or clocks.SystemClock()
+        self._regions = halls.Regions(settings.regions)
         self._chance = random.Random(uuid.uuid4().int)
         self._counters = metrics.Metrics(settings.workspace_labels)
         self._view = actors.View(router_state.RouterState(box_name=settings.box))
@@ -216,6 +217,7 @@
             settings.hall,
             self._view,
             self._traffic,
+            self._regions,
             selection.Spill(),
             selection.Rates(),
             steer.Steering(settings.hall, self._counters, self._clock),
@@ -246,7 +248,8 @@
         )
 
     def _make_directory_http(self) -> server.HttpServer:
-        handler = self._interface.directory(self._view, self._settings.entry_ttl_s, self._clock)
+        ttl_s = self._settings.entry_ttl_s
+        handler = self._interface.directory(self._view, self._regions, ttl_s, self._clock)
         return self._make_http(handler, self._settings.directory_address)
 
     def _make_ready_http(self) -> server.HttpServer:
--- a/src/croftpulley/forwarding/base.py
+++ b/src/croftpulley/forwarding/base.py
@@ -10,7 +10,7 @@
 
 from croftpulley import cancel, errors
 from croftpulley.controllers import router_state
-from croftpulley.core import attempts, calls, fingerprints, retry_budget, tables
+from croftpulley.core import attempts, calls, fingerprints, halls, retry_budget, tables
 from croftpulley.filters import steps
 from croftpulley.settings import fleet
 
@@ -78,6 +78,12 @@
         """The pool that the request goes to, for the steps after the one that finds its route."""
         return tables.pool_for(self.known_route, self.facts.request_id)
 
+    @property
+    def home_regions(self) -> frozenset[str] | None:
+        """Where it may run, by its route and its workspace; ``None``: anywhere."""
+        of_workspace = self.workspace.home_regions if self.workspace else ()
+        return halls.allowed(self.known_route.home_regions, of_workspace)
+
     @property
     def workspace_name(self) -> str:
         """The workspace's name, empty if there is none."""
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -9,7 +9,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, router_state, traffic
-from croftpulley.core import cold, membership, places, selection
+from croftpulley.core import cold, halls, membership, places, selection
 from croftpulley.forwarding import base, steer
 from croftpulley.observe import events
 
@@ -30,7 +30,10 @@
 
 
 def _no_engine(
-    state: router_state.RouterState, pool: str, members: list[membership.Endpoint]
+    state: router_state.RouterState,
+    pool: str,
+    members: list[membership.Endpoint],
+    homes_bind: frozenset[str] | None,
 ) -> errors.CroftpulleyError:
     code = codes.ResultCode.NO_ENGINE
     if not state.endpoints:
@@ -42,7 +45,8 @@
         return errors.CroftpulleyError(
             code, f"pool {pool!r} has no endpoint but in evacuated halls: {', '.join(evacuated)}"
         )
-    return errors.CroftpulleyError(code, f"pool {pool!r} has no endpoint that may be asked")
+    where = "" if homes_bind is None else f" in {', '.join(sorted(homes_bind)) or 'no region'}"
+    return errors.CroftpulleyError(code, f"pool {pool!r} has no endpoint that may be asked{where}")
 
 
 class Placement:
@@ -53,6 +57,7 @@
         hall: str,
         view: actors.View[router_state.RouterState],
         counts: traffic.Traffic,
+        regions: halls.Regions,
         spill: selection.Spill,
         rates: selection.Rates,
         programs: steer.Steering,
@@ -62,6 +67,7 @@
         self._hall = hall
         self._view = view
         self._counts = counts
+        self._regions = regions
         self._spill = spill
         self._rates = rates
         self._clock = clock
@@ -89,7 +95,9 @@
         self, exchange: base.Exchange, state: router_state.RouterState, passed_over: set[str]
     ) -> Placed:
         pool = exchange.pool
-        members = [each for each in state.endpoints if each.pool == pool]
+        members = self._regions.at_home(
+            (each for each in state.endpoints if each.pool == pool), exchange.home_regions
+        )
         in_service = [each for each in members if _is_in_service(each, state)]
         endpoints = [each for each in in_service if each.key not in passed_over]
         now_s = self._clock.monotonic_s()
@@ -101,7 +109,7 @@
                 codes.ResultCode.ENDPOINTS_COLD, f"pool {pool!r}: {len(endpoints)} cold"
             )
         if not candidates:
-            raise _no_engine(state, pool, members)
+            raise _no_engine(state, pool, members, exchange.home_regions)
         prompt = _prompt(exchange)
         most = max(held_tokens.values(), default=0)
         chosen = self._chosen(exchange, prompt, candidates, most)
--- a/src/croftpulley/interfaces/callers.py
+++ b/src/croftpulley/interfaces/callers.py
@@ -9,7 +9,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, router_state
-from croftpulley.core import membership
+from croftpulley.core import halls, membership
 from croftpulley.forwarding import vocabulary
 from croftpulley.http import wsgi
 from croftpulley.interfaces import base
@@ -30,7 +30,11 @@
 
     @abc.abstractmethod
     def directory(
-        self, view: actors.View[router_state.RouterState], ttl_s: float, clock: clocks.Clock
+        self,
+        view: actors.View[router_state.RouterState],
+        regions: halls.Regions,
+        ttl_s: float,
+        clock: clocks.Clock,
     ) -> wsgi.Handler:
         """Make the handler that tells callers which boxes to use."""
 
@@ -48,14 +52,21 @@
         return vocabulary.OWN
 
     def directory(
-        self, view: actors.View[router_state.RouterState], ttl_s: float, clock: clocks.Clock
+        self,
+        view: actors.View[router_state.RouterState],
+        regions: halls.Regions,
+        ttl_s: float,
+        clock: clocks.Clock,
     ) -> wsgi.Handler:
         """Make the handler of ``GET /v1/entry``: boxes of the caller's hall first."""
 
         def handle(request: wsgi.Request) -> wsgi.Response:
             require(request, "GET", "/v1/entry")
-            hall = dict(urllib.parse.parse_qsl(request.query)).get("hall", "")
-            boxes = named_boxes(view.get(), hall, clock.monotonic_s())
+            given = dict(urllib.parse.parse_qsl(request.query))
+            caller = halls.Caller(
+                given.get("hall", ""), given.get("region", ""), given.get("host", "")
+            )
+            boxes = named_boxes(view.get(), caller, regions, clock.monotonic_s())
             entries = [{"address": box.caller_address, "hall": box.hall} for box in boxes]
             return wsgi.json_response({"entries": entries, "ttl_s": ttl_s})
 
@@ -66,8 +77,10 @@
         return readiness_handler("/readyz", not_ready)
 
 
-def named_boxes(state: router_state.RouterState, hall: str, now_s: float) -> list[membership.Box]:
-    """Return the boxes that callers may use, those of their ``hall`` first.
+def named_boxes(
+    state: router_state.RouterState, caller: halls.Caller, regions: halls.Regions, now_s: float
+) -> list[membership.Box]:
+    """Return the boxes that a caller may use, the nearest first.
 
     Raises NO_LEASE if there is none, and from a box whose lease has ended: its list is old and
     names itself, while callers who ask another box learn of those that serve. One that serves some
@@ -80,7 +93,7 @@
     named = [box for box in known if not box.draining]
     if not named:
         raise errors.CroftpulleyError(codes.ResultCode.NO_LEASE, "no entry box is in service")
-    return sorted(named, key=lambda box: box.hall != hall)
+    return regions.ordered(named, caller, state.tables.homes_of_host(caller.host))
 
 
 def readiness_handler(path: str, not_ready: Callable[[], str]) -> wsgi.Handler:
--- a/src/croftpulley/platform/boot.py
+++ b/src/croftpulley/platform/boot.py
@@ -54,6 +54,7 @@
         retry_ratio=bounds.number("retryBudgetRatio", 0.2),
         retry_extra=bounds.number("retryBudgetExtra", 50.0),
         retry_window_s=bounds.number("budgetWindowS", 10.0),
+        regions=boot.object("zones").texts_by_name(),
     )
 
 
--- a/src/croftpulley/platform/callers.py
+++ b/src/croftpulley/platform/callers.py
@@ -7,6 +7,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, router_state
+from croftpulley.core import halls
 from croftpulley.forwarding import vocabulary
 from croftpulley.http import wsgi
 from croftpulley.interfaces import callers
@@ -25,14 +26,21 @@
         return names.VOCABULARY
 
     def directory(
-        self, view: actors.View[router_state.RouterState], ttl_s: float, clock: clocks.Clock
+        self,
+        view: actors.View[router_state.RouterState],
+        regions: halls.Regions,
+        ttl_s: float,
+        clock: clocks.Clock,
     ) -> wsgi.Handler:
         """Make the handler of ``GET /resolution``."""
 
         def handle(request: wsgi.Request) -> wsgi.Response:
             callers.require(request, "GET", "/resolution")
-            hall = dict(urllib.parse.parse_qsl(request.query)).get("zone", "")
-            boxes = callers.named_boxes(view.get(), hall, clock.monotonic_s())
+            given = dict(urllib.parse.parse_qsl(request.query))
+            caller = halls.Caller(
+                given.get("zone", ""), given.get("region", ""), given.get("name", "")
+            )
+            boxes = callers.named_boxes(view.get(), caller, regions, clock.monotonic_s())
             addresses = [box.caller_address for box in boxes[:_MOST_ADDRESSES]]
             return wsgi.json_response({"addresses": addresses, "ttlS": ttl_s})
 
--- a/src/croftpulley/platform/documents.py
+++ b/src/croftpulley/platform/documents.py
@@ -78,6 +78,7 @@
         # Says only that requests name the parts of their prompt; no caller is bound to a box.
         sticky=route.flag("stickySessions", False),
         resumable=route.flag("streamResumption", False),
+        home_regions=route.texts("allowedRegions"),
     )
 
 
@@ -117,4 +118,5 @@
         name=tenant.text("name"),
         keys=tenant.texts("apiKeys"),
         priority=tenant.whole("priority", 0),
+        home_regions=tenant.texts("allowedRegions"),
     )
--- a/src/croftpulley/platform/fields.py
+++ b/src/croftpulley/platform/fields.py
@@ -31,6 +31,10 @@
         """Return the names of all fields."""
         return tuple(self._value)
 
+    def texts_by_name(self) -> dict[str, str]:
+        """Return all fields, which must be strings."""
+        return {name: self.text(name) for name in self._value}
+
     def text(self, name: str, default: str | None = None) -> str:
         """Return a string."""
         value = self._value.get(name, default)
--- a/src/croftpulley/settings/fleet.py
+++ b/src/croftpulley/settings/fleet.py
@@ -44,13 +44,15 @@
 class Workspace:
     """A customer: its limit of requests in flight at one entry box, and the keys of its callers.
 
-    ``priority`` ranks customers before routes; 0 is the most urgent.
+    ``priority`` ranks customers before routes; 0 is the most urgent. Its requests run in its
+    ``home_regions`` only; none binds nothing.
     """
 
     name: str
     keys: tuple[str, ...] = ()
     priority: int = attrs.field(default=0, validator=_not_negative)
     in_flight_per_box: int = attrs.field(default=1000, validator=_positive)
+    home_regions: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -97,7 +99,8 @@
     stream: the first event) is in time, ``gap_ms`` the longest pause between events that is in
     time. ``attempts`` is at how many endpoints it may run. ``open`` routes need no key.
     ``sticky`` requests name the parts of their prompt and should go where those are cached.
-    ``resumable`` streams may go on at another endpoint. Priority 0 is the most urgent.
+    ``resumable`` streams may go on at another endpoint. Priority 0 is the most urgent. Requests run
+    in ``home_regions`` only, and in those of their workspace; none binds nothing.
     """
 
     name: str
@@ -113,6 +116,7 @@
     open: bool = False
     sticky: bool = False
     resumable: bool = False
+    home_regions: tuple[str, ...] = ()
 
     @property
     def may_repeat(self) -> bool:
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -134,7 +134,10 @@
 
 @attrs.frozen(kw_only=True)
 class RouterSettings(CallersBoxSettings):
-    """Settings of a router: an entry box that forwards requests by the configured routes."""
+    """Settings of a router: an entry box that forwards requests by the configured routes.
+
+    ``regions`` gives the region of each hall, for routes and workspaces that have homes.
+    """
 
     directory_address: str = attrs.field(validator=_address)
     ready_address: str = attrs.field(validator=_address)
@@ -156,6 +159,7 @@
     retry_ratio: float = attrs.field(default=0.2, validator=_between(0, 10))
     retry_extra: float = attrs.field(default=50.0, validator=_between(0, 100_000))
     retry_window_s: float = attrs.field(default=10.0, validator=_between(0.1, 3600))
+    regions: dict[str, str] = attrs.field(factory=dict)
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/daemons/test_evacuations.py
+++ b/testing/daemons/test_evacuations.py
@@ -26,9 +26,8 @@
 
     Calls without a prompt go to the near one of two idle workers.
     """
-    made = make_site(control=3, routers=2, hall=HALL)
-    made.halls = {"engine-1": HALL, "worker-1": HALL}
-    made.list_endpoints()
+    near = {"engine-1": HALL, "worker-1": HALL}
+    made = make_site(control=3, routers=2, hall=HALL, halls=near)
     wait_until(lambda: all("worker-1" in served(made, each) for each in made.routers), "both serve")
     return made
 
--- a/testing/daemons/test_homes.py
+++ b/testing/daemons/test_homes.py
@@ -17,15 +17,14 @@
 
 REGIONS = {"hall-a": "here", "hall-b": "there"}
 NUMBERS = itertools.count()
-REGION_SENT = names.VOCABULARY.request_id
+REQUEST_ID = names.VOCABULARY.request_id
 
 
 @pytest.fixture
 def site(make_site):
     """Return a router in hall-b with one worker there and one in hall-a, a region each."""
-    made = make_site(hall="hall-b", regions=REGIONS)
-    made.halls = {"worker-1": "hall-b", "engine-1": "hall-b"}
-    made.list_endpoints()
+    near = {"worker-1": "hall-b", "engine-1": "hall-b"}
+    made = make_site(hall="hall-b", regions=REGIONS, halls=near)
     wait_until(lambda: ask(made)[1] == ["worker-1"], "the near one serves")
     return made
 
@@ -34,7 +33,7 @@
     """Send one request; return its status and where it ran."""
     request_id = f"request-{next(NUMBERS)}"
     answer = site.ask("GET", "/cancel/x", request_id=request_id)
-    ran = [name for name, run in site.runs() if run.headers[REGION_SENT] == request_id]
+    ran = [name for name, run in site.runs() if run.headers[REQUEST_ID] == request_id]
     return answer.status, ran
 
 
--- a/testing/site_of_routers.py
+++ b/testing/site_of_routers.py
@@ -114,6 +114,7 @@
         workers: int = 2,
         lease_s: float = 0.8,
         election_s: float = 0.3,
+        halls: dict[str, str] | None = None,
         **changes: Any,
     ) -> None:
         self.folder = folder
@@ -123,7 +124,7 @@
         self.instances = stand_ins.FakeInstances()
         self.instances.start()
         self.crashed: list[forwarded.ForwardedEndpoint] = []
-        self.halls: dict[str, str] = {}
+        self.halls = halls or {}
         """Of endpoints by their names; the others are in hall-a."""
         self.engines = [self.start_engine(f"engine-{n}") for n in range(engines)]
         self.workers = [self.start_endpoint(f"worker-{n}") for n in range(workers)]
