--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -182,7 +182,22 @@
     because = around.before(
         events.Event.DAEMON_STARTED, events.Event.ENDPOINT_UNLISTED, events.Event.LEASE_GAINED
     )
-    return "Refused, not run: the box knew no endpoint of the pool that may be asked.", because
+    told = "Refused, not run: the box knew no endpoint of the pool that may be asked."
+    problem = str(around.last.fields.get("problem", ""))
+    if "evacuated" not in problem:
+        return told, because
+    because = around.before(events.Event.HALLS_CHANGED)
+    because += around.before(events.Event.HALLS_IN_FORCE, anywhere=True)
+    return f"{told} Operators have evacuated halls: {problem}.", because
+
+
+def _cold(around: _Around) -> _Cause:
+    because = around.before(events.Event.HALLS_CHANGED, events.Event.ENDPOINT_LISTED)
+    return (
+        f"Refused, not run: {around.last.fields.get('problem', '')}, and all that this box may "
+        "send to cold endpoints in a second was sent, or the leading control box allotted it none.",
+        because,
+    )
 
 
 def _unknown(around: _Around) -> _Cause:
@@ -252,6 +267,7 @@
     "NO_CONFIGURATION": _no_configuration,
     "DRAINING": _draining,
     "NO_ENGINE": _no_engine,
+    "ENDPOINTS_COLD": _cold,
     "ROUTE_UNKNOWN": _unknown,
     "KEY_UNKNOWN": _unknown,
     "ARM_REFUSED": _arm_refused,
--- a/testing/observe/test_explain.py
+++ b/testing/observe/test_explain.py
@@ -99,6 +99,20 @@
             ["drain_started", "request_refused"],
         ),
         ([refused("NO_ENGINE")], "knew no endpoint", ["request_refused"]),
+        (
+            [
+                text("10:00:07", Event.HALLS_IN_FORCE, box="control-1", hall="hall-b"),
+                text("10:00:08", Event.HALLS_CHANGED, evacuated=["hall-b"]),
+                refused("NO_ENGINE", problem="no endpoint but in evacuated halls: hall-b"),
+            ],
+            "Operators have evacuated halls: no endpoint but in evacuated halls: hall-b",
+            ["halls_in_force", "halls_changed", "request_refused"],
+        ),
+        (
+            [refused("ENDPOINTS_COLD", problem="pool 'llm': 3 cold")],
+            "pool 'llm': 3 cold",
+            ["request_refused"],
+        ),
         (
             [refused("KEY_UNKNOWN", configuration_version=7)],
             "no such route or key in version 7",
