The soak evacuates a hall in turns, while routers and leaders are killed

Judged by what endpoints see: nothing reaches the hall's endpoints from 0.5 s after an acknowledgement on (4 s where routers are paused and links harmed) until the order that takes it back is sent, and an evacuation that nobody took back is in force at the end.

--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -106,6 +106,7 @@
     way: proxy.Proxy
     leaving: bool = False
     born_ms: int = 0
+    hall: str = "hall-a"
 
 
 class Spoil(enum.Enum):
@@ -209,20 +210,22 @@
     def add_endpoint(self, pool: str) -> None:
         """Start one more endpoint and list it."""
         self._made[pool] += 1
-        self._serve(f"{pool}-{self._made[pool]}", pool, _now_ms())
+        hall = "hall-b" if self._made[pool] % ENDPOINTS == 0 else "hall-a"
+        self._serve(f"{pool}-{self._made[pool]}", pool, _now_ms(), hall)
         self.list_endpoints()
 
-    def _serve(self, name: str, pool: str, born_ms: int) -> None:
+    def _serve(self, name: str, pool: str, born_ms: int, hall: str) -> None:
         made = forwarded.ForwardedEndpoint(schema.FakeSettings(name=name, address=ANY_PORT))
         made.pause_s = WORK_S
         made.start()
         way = proxy.Proxy(self.loop, made.address)
-        self.served.append(Served(made, pool, way, born_ms=born_ms))
+        self.served.append(Served(made, pool, way, born_ms=born_ms, hall=hall))
 
     def restart_endpoint(self, served: Served, back_ms: int) -> None:
         """End an endpoint and start it again under its name, its clock set back by so much."""
         self._end(served)
-        self._serve(served.stand_in.settings.name, served.pool, _now_ms() - back_ms)
+        name = served.stand_in.settings.name
+        self._serve(name, served.pool, _now_ms() - back_ms, served.hall)
         self.list_endpoints()
 
     def remove_endpoint(self, served: Served) -> None:
@@ -244,7 +247,7 @@
                 "kind": "engine" if each.pool == ENGINE_POOL else "worker",
                 "pool": each.pool,
                 "address": each.way.address,
-                "hall": "hall-a",
+                "hall": each.hall,
                 "incarnation": each.stand_in.incarnation,
                 "leaving": each.leaving,
                 "born_ms": each.born_ms,
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -19,7 +19,7 @@
 import attrs
 import click
 
-from soak import callers, crashing, fleet, promises, proxy, records, storms, troubles
+from soak import callers, crashing, fleet, places, promises, proxy, records, storms, troubles
 
 RECOVERY_LIMIT_S = 60.0
 """After the last trouble. Far more than is promised: the time it took is printed, not judged."""
@@ -41,6 +41,9 @@
     CRASHES = "crashes"
     """Some requests end each endpoint that begins to run them, while routers and leaders are killed
     in series; every other seed has all else too. The configuration stays."""
+    PLACES = "places"
+    """A hall is evacuated and returned in turns, while routers and leaders are killed in series;
+    every other seed has all else too. It ends evacuated."""
 
 
 @attrs.frozen
@@ -56,6 +59,7 @@
     """How many requests ended how, by the status or by what the caller met instead."""
     crashes: list[int]
     """How many endpoints ended under each of the requests that end them."""
+    evacuations: int
     accepted_version: int
     recovery_s: float
     accepted_s: float | None
@@ -71,13 +75,16 @@
     book = records.Book()
     crowd = callers.Crowd(site, book, seed, changes=kind is not Kind.CRASHES)
     crashers = crashing.Senders(site, book, seed, runs=kind is Kind.CRASHES)
+    operator = places.Operator(site, seed, runs=kind is Kind.PLACES)
     try:
         site.start()
         until_served(site, book, seed)
         crowd.start()
         crashers.start()
+        operator.start()
         troubles.play(_drawn(seed, seconds_s, site, book, kind, planned_only), seconds_s)
         crashers.stop()
+        operator.stop()
         recovery_s = _recover(site, book, seed)
         crowd.stop()
         spare_routes = fleet.LARGE_ROUTES if has_rate else 0
@@ -88,11 +95,16 @@
         runs = site.runs()
         arrivals = site.arrivals()
         crashes = site.crashes()
+        misplaced = [
+            *places.sent_there(site, operator.evacuations, _slack_s(seed)),
+            *places.lost(site, operator.evacuations),
+        ]
     finally:
         site.stop()
     broken = promises.broken(book, runs)
     broken += promises.repeats_beyond_the_budget(book, arrivals, site.allowance)
     broken += crashing.sent_on(crashers.requests, arrivals, crashes, crashing.InTouch(site, book))
+    broken += misplaced
     if planned_only:
         broken += promises.lost(book, runs)
     if recovery_s > RECOVERY_LIMIT_S:
@@ -105,6 +117,7 @@
             pool: len(promises.beyond_the_first(each)) for pool, each in sorted(arrivals.items())
         },
         ends=dict(collections.Counter(_end(each) for each in book.asked).most_common()),
+        evacuations=len(operator.evacuations),
         crashes=sorted(collections.Counter(each.content for each in crashes).values()),
         accepted_version=book.accepted_version,
         recovery_s=recovery_s,
@@ -126,11 +139,19 @@
         drawn += troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
     if kind is Kind.STORM:
         drawn += storms.Storm(seed, site).all(seconds_s)
-    if kind is Kind.CRASHES:
+    if kind in (Kind.CRASHES, Kind.PLACES):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
     return drawn
 
 
+def _slack_s(seed: int) -> float:
+    """Return how long after an acknowledgement a request may still arrive.
+
+    Where routers are paused or their links harmed, one that they chose before may come late.
+    """
+    return troubles.LONGEST_S + 1.0 if seed % 2 else 0.5
+
+
 def _end(asked: records.Asked) -> str:
     return str(asked.status) if asked.end is records.End.WHOLE else asked.end.value
 
@@ -221,7 +242,7 @@
         click.echo(
             f"seed {seed}: {len(outcome.broken)} broken, {outcome.requests} requests "
             f"{outcome.ends}, repeats {outcome.repeats}, crashes {outcome.crashes}, "
-            f"version {outcome.accepted_version}, "
+            f"evacuations {outcome.evacuations}, version {outcome.accepted_version}, "
             f"recovered in {outcome.recovery_s:.1f} s, accepted in {_seconds(outcome.accepted_s)}"
         )
         for line in outcome.broken[:10]:
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -28,6 +28,9 @@
 with what they had met before the list showed it, each time during a trial. 53: five more, all sent
 within 3 s of the start of a control box, while all three had been killed: allowed, and kept."""
 
+PLACES = {2: 8.0}
+"""A hall that is evacuated and returned in turns, while routers and leaders are killed."""
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_in_a_short_soak(seed, tmp_path):
@@ -47,3 +50,8 @@
 @pytest.mark.parametrize("seed", CRASHES)
 def test_requests_that_end_endpoints_are_sent_to_few(seed, tmp_path):
     assert run.run_seed(seed, CRASHES[seed], tmp_path, run.Kind.CRASHES).broken == []
+
+
+@pytest.mark.parametrize("seed", PLACES)
+def test_an_evacuated_hall_gets_no_requests(seed, tmp_path):
+    assert run.run_seed(seed, PLACES[seed], tmp_path, run.Kind.PLACES).broken == []
--- a/testing/soak/troubles.py
+++ b/testing/soak/troubles.py
@@ -16,7 +16,7 @@
 
 _GAP_S = 0.6
 """Mean time between two troubles; most last longer."""
-_LONGEST_S = 3.0
+LONGEST_S = 3.0
 RESTART_S = 0.3
 """How soon the platform starts a program again that ended."""
 _DISK_GAP_S = 8.0
@@ -296,7 +296,7 @@
             if not self._planned_only and chance.random() < 0.6:
                 back_ms = chance.choice((0, 0, _CLOCK_BACK_MS))
                 trouble = Reborn(self._site, chance.choice(self._site.served), back_ms)
-            drawn.append(Timed(at_s, chance.uniform(RESTART_S, _LONGEST_S), trouble))
+            drawn.append(Timed(at_s, chance.uniform(RESTART_S, LONGEST_S), trouble))
             at_s += chance.expovariate(1 / _LIST_GAP_S)
         return drawn
 
@@ -306,7 +306,7 @@
         at_s = chance.expovariate(1 / _NARROW_GAP_S)
         while at_s < seconds_s:
             trouble = Narrow(chance.choice(self._site.lanes), self._site.link_bytes_per_s)
-            drawn.append(Timed(at_s, chance.uniform(RESTART_S, _LONGEST_S), trouble))
+            drawn.append(Timed(at_s, chance.uniform(RESTART_S, LONGEST_S), trouble))
             at_s += chance.expovariate(1 / _NARROW_GAP_S)
         return drawn
 
@@ -317,7 +317,7 @@
             kinds += [self._killed, self._paused, self._harmed, self._faulty] * 2
             kinds += [self._many_killed]
         trouble = chance.choice(kinds)(at_s)
-        for_s = chance.uniform(RESTART_S, _LONGEST_S)
+        for_s = chance.uniform(RESTART_S, LONGEST_S)
         return Timed(at_s, _LEAVING_S if isinstance(trouble, Replaced) else for_s, trouble)
 
     def _stopped(self, _at_s: float) -> Trouble:
