--- a/src/croftpulley/cli/bench.py
+++ b/src/croftpulley/cli/bench.py
@@ -9,6 +9,7 @@
 
 from croftpulley import codes, errors
 from croftpulley.bench import agreement as agreement_bench
+from croftpulley.bench import cold_starts as cold_bench
 from croftpulley.bench import control as control_bench
 from croftpulley.bench import demo as demo_bench
 from croftpulley.bench import fleet_files, scrape, table
@@ -122,6 +123,17 @@
     click.echo(table.as_json(rows) if as_json else table.plain(rows))
 
 
+@bench.command("cold")
+@_JSON
+def cold(as_json: bool) -> None:
+    """Compare ways of keeping a cold endpoint within what it takes, in virtual time.
+
+    Example: croftpulley bench cold
+    """
+    rows = cold_bench.run()
+    click.echo(table.as_json(rows) if as_json else table.plain(rows))
+
+
 @bench.command("policy")
 @click.option(
     "--deployment",
