--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -11,7 +11,14 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import actors, agreement, replica_standing, sessions, suspect_register
+from croftpulley.controllers import (
+    actors,
+    agreement,
+    in_force,
+    replica_standing,
+    sessions,
+    suspect_register,
+)
 from croftpulley.core import agreed, halls, submissions, suspects
 from croftpulley.core import sessions as box_sessions
 from croftpulley.core.replication import state as states
@@ -148,7 +155,7 @@
 
     def _wait_in_force(self, wanted: box_sessions.Known, ends_at_s: float) -> None:
         done: pykka.Future[bool] = pykka.ThreadingFuture()
-        self._sessions.tell(sessions.WhenInForce(wanted, done))
+        self._sessions.tell(in_force.WhenInForce(wanted, done))
         self._wait(done, ends_at_s)
 
     def _wait(self, future: pykka.Future[Any], ends_at_s: float) -> Any:
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -9,11 +9,9 @@
 from collections.abc import Callable, Mapping
 
 import attrs
-import pykka
 
 from croftpulley import clock as clocks
-from croftpulley import codes, errors
-from croftpulley.controllers import actors, agreement, listing, replica_standing
+from croftpulley.controllers import actors, agreement, in_force, listing, replica_standing
 from croftpulley.core import (
     agreed,
     cold,
@@ -43,14 +41,6 @@
 share of the extra is nobody else's before (`core.retry_budget`)."""
 
 
-@attrs.frozen
-class WhenInForce:
-    """Asks for a future to be set once ``wanted`` is in force at every box with a lease."""
-
-    wanted: sessions.Known
-    done: pykka.Future[bool]
-
-
 @attrs.frozen
 class PostNotes:
     """Says which parts of prompts an engine keeps."""
@@ -112,7 +102,7 @@
         self._sessions = sessions.Sessions(lease_s, margin_s)
         self._leads_term = 0
         self._leads_from_s = float("-inf")
-        self._waiting: list[WhenInForce] = []
+        self._waiting = in_force.Waiting()
         self._registering: set[str] = set()
         self._forgetting: set[str] = set()
         self._forget_at_s: dict[str, float] = {}
@@ -126,8 +116,8 @@
         match message:
             case box_messages.BoxReport():
                 return self._renew(message)
-            case WhenInForce():
-                self._waiting.append(message)
+            case in_force.WhenInForce():
+                self._waiting.add(message)
                 self._settle()
             case PostNotes(notes):
                 # Notes may be the first that is heard of a new leadership, which begins a bulletin
@@ -290,7 +280,7 @@
     def _tick(self) -> None:
         if not self._leads():
             if self._has_lost_the_lead():
-                self._refuse_waiting()
+                self._waiting.refuse()
             return
         now_s = self._clock.monotonic_s()
         for box in self._sessions.expire(now_s):
@@ -332,19 +322,10 @@
 
     def _settle(self) -> None:
         """Answer those who wait for what is in force now."""
+        if not self._leads():
+            return
         now_s = self._clock.monotonic_s()
-        waiting, self._waiting = self._waiting, []
-        for each in waiting:
-            if not self._leads() or self._sessions.waiting_for(each.wanted, now_s):
-                self._waiting.append(each)
-            else:
-                each.done.set(True)
-
-    def _refuse_waiting(self) -> None:
-        waiting, self._waiting = self._waiting, []
-        for each in waiting:
-            failure = errors.CroftpulleyError(codes.ResultCode.NOT_LEADER)
-            each.done.set_exception((type(failure), failure, None))
+        self._waiting.settle(lambda wanted: not self._sessions.waiting_for(wanted, now_s))
 
     def _status(self) -> StatusAnswer:
         if not self._leads():
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -8,7 +8,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley import errors
-from croftpulley.controllers import actors, agreement, listing, replica_standing, sessions
+from croftpulley.controllers import actors, agreement, in_force, listing, replica_standing, sessions
 from croftpulley.core import agreed, membership, submissions, versions
 from croftpulley.core import sessions as box_sessions
 from croftpulley.core.replication import state as states
@@ -124,7 +124,7 @@
 
 def waits_for(controller, version):
     done = pykka.ThreadingFuture()
-    controller.handle(sessions.WhenInForce(box_sessions.Known(version), done))
+    controller.handle(in_force.WhenInForce(box_sessions.Known(version), done))
     return done
 
 
@@ -284,7 +284,7 @@
     controller.handle(report())
     controller._agreement.read().apply(agreed.EvacuateHall("hall-b"))
     done = pykka.ThreadingFuture()
-    controller.handle(sessions.WhenInForce(box_sessions.Known(halls_revision=1), done))
+    controller.handle(in_force.WhenInForce(box_sessions.Known(halls_revision=1), done))
     told = controller.handle(report()).evacuated
     assert (told.revision, told.names) == (1, ("hall-b",))
     assert not is_in_force(done)
@@ -297,7 +297,7 @@
     controller, clock = make_leader()
     controller._agreement.read().apply(agreed.EvacuateHall("hall-b"))
     done = pykka.ThreadingFuture()
-    controller.handle(sessions.WhenInForce(box_sessions.Known(halls_revision=1), done))
+    controller.handle(in_force.WhenInForce(box_sessions.Known(halls_revision=1), done))
     clock.advance(LEASE_S)
     controller.handle(actors.Tick())
     assert not is_in_force(done)
