--- a/src/croftpulley/core/places.py
+++ b/src/croftpulley/core/places.py
@@ -23,10 +23,8 @@
 MOST_PARTS = 50_000
 """Bounds the memory of a router: about 10 MB."""
 LEAST_TOKENS = 300
-"""Shorter parts are read in less than 10 ms, by the users' sheets; nobody need look for them after
-a start."""
-LEAST_FETCHED_TOKENS = 100
-"""Fewer are read in the time that it takes to begin fetching them, 4 ms by the users' sheets."""
+"""Shorter parts are read in less than 10 ms, by the users' sheets; nobody need look for them or
+fetch them from another engine."""
 NOTES_AN_ANSWER = 1000
 """About 12 KB: a box that has just started gets the rest with its next renewals, so that neither
 its link nor the one box that answers all is busy with notes while nobody may serve yet."""
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -221,7 +221,7 @@
     ) -> Placed:
         """Work out what the engine must read, and from whom it fetches the rest."""
         most = max(held_tokens.values(), default=0)
-        if most - chosen.held_tokens < places.LEAST_FETCHED_TOKENS:
+        if most - chosen.held_tokens < places.LEAST_TOKENS:
             most = chosen.held_tokens
         reading = selection.reading(prompt, chosen, most)
         holders = sorted(key for key, tokens in held_tokens.items() if tokens == most)
