Failing test: a request to a cold endpoint that never leaves holds its place for good

Found by reading: a place of the pace is taken when an endpoint is chosen and counts until its bytes have left; a request whose time is over by then leaves none. Once for each box and cold endpoint is enough to shut the endpoint for that box.

--- /dev/null
+++ b/testing/forwarding/test_cold_departures.py
@@ -0,0 +1,42 @@
+"""Requests to cold endpoints that come to nothing give their place back."""
+
+from __future__ import annotations
+
+import pytest
+
+from croftpulley import clock as clocks
+from croftpulley import errors
+from croftpulley.controllers import router_state, traffic
+from croftpulley.core import calls, membership, retry_budget, selection
+from croftpulley.forwarding import attempt, base, place, vocabulary
+
+ENDPOINT = membership.Endpoint("e", membership.EndpointKind.ENGINE, "llm", "127.0.0.1:1", "h", "e")
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def counts(clock):
+    made = traffic.Traffic(retry_budget.Allowance(), selection.Rates(), clock)
+    clock.advance(2.0)
+    return made
+
+
+def test_a_request_whose_time_is_over_before_it_leaves_holds_no_place(counts, clock):
+    departure = counts.take_cold("e", 1)
+    placed = place.Placed(endpoint=ENDPOINT, departure=departure)
+    request = base.ForwardRequest(method="GET", target="/", headers={}, body=b"", arrived_s=0.0)
+    exchange = base.Exchange(
+        request=request,
+        facts=calls.CallFacts(request_id="r"),
+        state=router_state.RouterState(),
+        deadline_s=clock.monotonic_s(),
+    )
+    opener = attempt.Opener(None, counts, None, vocabulary.OWN, clock)
+    with pytest.raises(errors.CroftpulleyError, match="DEADLINE_PASSED"):
+        opener.open(exchange, placed, "")
+    clock.advance(1.2)
+    assert counts.may_send_cold("e", 1)
