A request to a cold endpoint that never leaves gives its place back; what was heard is kept for each pool

Found by the same reading: with two pools the kept candidates were made anew at nearly each request, since one entry served both; cold endpoints told of another list than the one held were taken for warm; a hall's return was looked at for good.

--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -320,9 +320,8 @@
             held_off=frozenset(answer.held_off),
             heard_no_leader=answer.lease_s <= 0,
             leader_address=self._leader,
-            cold=cold.told_back(self._by_key(answer.cold, answer)),
-            cold_at_s=sent_at_s,
         )
+        changed = self._with_cold(changed, answer, sent_at_s)
         if answer.evacuated is not None:
             changed = changed.with_evacuated(answer.evacuated, self._clock.monotonic_s())
             events.emit(
@@ -339,6 +338,19 @@
         self._counts.learn_notes(answer.notes)
         self._view.publish(changed)
 
+    def _with_cold(
+        self,
+        state: router_state.RouterState,
+        answer: box_messages.BoxReportAnswer,
+        sent_at_s: float,
+    ) -> router_state.RouterState:
+        """Return the state with what was told of cold endpoints; kept if it is of another list."""
+        kept = state.without_old_returns(self._clock.monotonic_s())
+        if answer.endpoints_version != self._stated.version:
+            return kept
+        told = cold.told_back(self._by_key(answer.cold, answer))
+        return attrs.evolve(kept, cold=told, cold_at_s=sent_at_s)
+
     def _by_key(
         self, numbers: tuple[int, ...], answer: box_messages.BoxReportAnswer
     ) -> dict[str, int]:
--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -70,6 +70,17 @@
                 returned_at_s[hall] = now_s
         return attrs.evolve(self, evacuated=evacuated, returned_at_s=returned_at_s)
 
+    def without_old_returns(self, now_s: float) -> RouterState:
+        """Return the state without halls whose return says nothing of cold endpoints any more."""
+        if not self.returned_at_s:
+            return self
+        returned_at_s = {
+            hall: at_s
+            for hall, at_s in self.returned_at_s.items()
+            if now_s < at_s + cold.RETURNED_S
+        }
+        return attrs.evolve(self, returned_at_s=returned_at_s)
+
     @property
     def may_be_cold(self) -> bool:
         """Tell quickly whether any endpoint may be cold."""
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -38,9 +38,8 @@
     """
 
     members: Mapping[str, membership.Endpoint]
-    state: router_state.RouterState
-    candidates: tuple[selection.Candidate, ...] = ()
-    reads: frozenset[str] = frozenset()
+    candidates: tuple[selection.Candidate, ...]
+    reads: frozenset[str]
 
     @classmethod
     def of(
@@ -60,7 +59,19 @@
             )
             for key, each in members.items()
         )
-        return cls(members, state, candidates, frozenset(reading))
+        return cls(members, candidates, frozenset(reading))
+
+
+@attrs.frozen
+class _HeardPools:
+    """What one renewal told, by the identity of the endpoints that it is about.
+
+    Each entry holds them, so that no other takes their identity. Threads may add the same entry
+    twice.
+    """
+
+    state: router_state.RouterState
+    by_members: dict[int, _Heard] = attrs.field(factory=dict)
 
 
 def _others(of_all: Mapping[str, int], own: Mapping[str, int]) -> dict[str, int]:
@@ -89,7 +100,7 @@
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._extra_share = retry_budget.ExtraShare()
         self._pace = cold.Pace.started(clock.monotonic_s())
-        self._heard = _Heard({}, router_state.RouterState())
+        self._heard = _HeardPools(router_state.RouterState())
 
     def enter(self, endpoint: str) -> None:
         """Count a request in."""
@@ -174,9 +185,7 @@
         Most are as they were heard of for all requests until the next renewal: only what this box
         itself has to do with, or what differs for a prompt, is made anew for each request.
         """
-        heard = self._heard
-        if heard.state is not state or heard.members is not members:
-            heard = self._heard = _Heard.of(members, state)
+        heard = self._heard_of(members, state)
         # What others' requests had to read has been read on since it was reported.
         age_s = self._clock.monotonic_s() - state.loads_at_s
         read_since = self._rates.read_tokens_a_ms * 1000 * age_s
@@ -187,6 +196,18 @@
                 for each in heard.candidates
             ]
 
+    def _heard_of(
+        self, members: Mapping[str, membership.Endpoint], state: router_state.RouterState
+    ) -> _Heard:
+        """Return what the last renewal told of these endpoints, made once for each pool."""
+        known = self._heard
+        if known.state is not state:
+            known = self._heard = _HeardPools(state)
+        found = known.by_members.get(id(members))
+        if found is None:
+            found = known.by_members[id(members)] = _Heard.of(members, state)
+        return found
+
     def _candidate(
         self, heard: selection.Candidate, read_since: float, held_tokens: dict[str, int]
     ) -> selection.Candidate:
--- a/src/croftpulley/forwarding/attempt.py
+++ b/src/croftpulley/forwarding/attempt.py
@@ -72,6 +72,17 @@
 
         Raises `errors.CroftpulleyError`; nothing is counted at the endpoint then.
         """
+        try:
+            return self._open(exchange, placed, last_event_id)
+        except BaseException:
+            if placed.departure is not None:
+                # Whatever has left has left by now.
+                self._counts.cold_leaves(placed.departure)
+            raise
+
+    def _open(
+        self, exchange: base.Exchange, placed: place.Placed, last_event_id: str
+    ) -> OpenAttempt:
         endpoint = placed.endpoint
         budget_s = exchange.deadline_s - self._clock.monotonic_s()
         if budget_s < LEAST_BUDGET_S:
@@ -94,8 +105,6 @@
         except BaseException:
             self._counts.end_reading(endpoint.key, placed.reading_tokens)
             self._counts.leave(endpoint.key)
-            if placed.departure is not None:
-                self._counts.cold_leaves(placed.departure)
             on_close()
             raise
         return OpenAttempt(endpoint, attempt, answer, self._counts, on_close, placed.reading_tokens)
