--- a/testing/daemons/test_cold_starts.py
+++ b/testing/daemons/test_cold_starts.py
@@ -106,6 +106,8 @@
     since = [len(each.arrivals) for each in site.workers]
     statuses = send_for(site, 0.02, 50)
     assert set(statuses) == {SERVED, COLD}
+    for worker in site.workers:
+        wait_until(lambda worker=worker: is_used(site, worker), "some of the requests go there")
     for worker, begin in zip(site.workers, since, strict=True):
         assert most_in_a_second(worker, begin) <= MOST_IN_A_SECOND
 
