The soak has endpoints that ask for rest and say that they leave, judged by what they saw

A router is excused that was started, paused or ended meanwhile, or whose way to the endpoint was harmed; the judge has tests of its own, and a way remembers when it was harmed.

--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -80,6 +80,8 @@
         """The rests that it asked for."""
         self.leaving = ""
         """What it says of leaving in all its answers; nothing if this is empty."""
+        self.told_leaving: list[Arrival] = []
+        """The requests in whose answers it said that it leaves, and when."""
 
     async def read_request(self, reader: asyncio.StreamReader) -> stub.StubRequest:
         """Read one request, or only its head if the answer is to come early."""
@@ -191,6 +193,7 @@
             lines.append(f"{self.names.proof}: {PROOF}")
         if self.leaving:
             lines.append(f"{self.names.leaving}: {self.leaving}")
+            self.told_leaving.append(Arrival(request_id, time.monotonic()))
         return ("\r\n".join(lines) + "\r\n").encode()
 
     async def _whole(
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -71,13 +71,34 @@
         lane_of: Callable[[int, int], Lane | None] = lambda _port, _listening_port: None,
     ) -> None:
         self.target = target
-        self.harm = Harm.NONE
+        self._harm = Harm.NONE
+        self._harmed_s: list[tuple[float, float]] = []
+        """From when to when it was harmed; the last one may go on."""
         self._lane = lane
         self._lane_of = lane_of
         self._loop = loop
         self._writers: set[asyncio.StreamWriter] = set()
         self.address = loop.call(self._listen())
 
+    @property
+    def harm(self) -> Harm:
+        """What happens to bytes now."""
+        return self._harm
+
+    @harm.setter
+    def harm(self, harm: Harm) -> None:
+        now_s = time.monotonic()
+        if self._harm is not Harm.NONE:
+            began_s, _ = self._harmed_s.pop()
+            self._harmed_s.append((began_s, now_s))
+        if harm is not Harm.NONE:
+            self._harmed_s.append((now_s, math.inf))
+        self._harm = harm
+
+    def was_harmed(self, since_s: float, until_s: float) -> bool:
+        """Tell whether it was harmed at some moment between two times."""
+        return any(begin <= until_s and end >= since_s for begin, end in self._harmed_s)
+
     def reset(self) -> None:
         """End every connection with a reset."""
         self._loop.call(self._reset())
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -19,7 +19,18 @@
 import attrs
 import click
 
-from soak import callers, crashing, fleet, places, promises, proxy, records, storms, troubles
+from soak import (
+    callers,
+    crashing,
+    fleet,
+    places,
+    promises,
+    proxy,
+    records,
+    rests,
+    storms,
+    troubles,
+)
 
 RECOVERY_LIMIT_S = 60.0
 """After the last trouble. Far more than is promised: the time it took is printed, not judged."""
@@ -27,6 +38,8 @@
 """For a configuration that is submitted after all troubles. Most of it is for the
 reading of a large one, which takes a control box and then the routers seconds each."""
 _ROUND_S = 0.1
+_SELDOM_KILLED_S = 4.0
+"""Mean time between two kills where routers should remember."""
 
 
 class Kind(enum.Enum):
@@ -44,6 +57,9 @@
     PLACES = "places"
     """A hall is evacuated and returned in turns, while routers and leaders are killed in series;
     every other seed has all else too. It ends evacuated."""
+    RESTS = "rests"
+    """Endpoints ask for rest, some or all of a pool, and say that they leave, while routers and
+    leaders are killed in series; every other seed has all else too."""
 
 
 @attrs.frozen
@@ -57,6 +73,8 @@
     """Arrivals beyond the first of their request, by pool."""
     ends: dict[str, int]
     """How many requests ended how, by the status or by what the caller met instead."""
+    rests: int
+    """How often endpoints asked for rest."""
     crashes: list[int]
     """How many endpoints ended under each of the requests that end them."""
     evacuations: int
@@ -99,12 +117,15 @@
             *places.sent_there(site, operator.evacuations, _slack_s(seed)),
             *places.lost(site, operator.evacuations),
         ]
+        rested = sum(len(each.stand_in.rests) for each in (*site.served, *site.past))
+        unrested = list(rests.broken(site, book))
     finally:
         site.stop()
     broken = promises.broken(book, runs)
     broken += promises.repeats_beyond_the_budget(book, arrivals, site.allowance)
     broken += crashing.sent_on(crashers.requests, arrivals, crashes, crashing.InTouch(site, book))
     broken += misplaced
+    broken += unrested
     if planned_only:
         broken += promises.lost(book, runs)
     if recovery_s > RECOVERY_LIMIT_S:
@@ -118,6 +139,7 @@
         },
         ends=dict(collections.Counter(_end(each) for each in book.asked).most_common()),
         evacuations=len(operator.evacuations),
+        rests=rested,
         crashes=sorted(collections.Counter(each.content for each in crashes).values()),
         accepted_version=book.accepted_version,
         recovery_s=recovery_s,
@@ -139,6 +161,10 @@
         drawn += troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
     if kind is Kind.STORM:
         drawn += storms.Storm(seed, site).all(seconds_s)
+    if kind is Kind.RESTS:
+        drawn += rests.Draw(seed, site).all(seconds_s)
+        # Seldom enough that routers often live as long as rests do.
+        drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
     if kind in (Kind.CRASHES, Kind.PLACES):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
     return drawn
@@ -170,6 +196,7 @@
             site.start_again(each)
     for each in site.served:
         each.stand_in.faults.clear()
+    rests.end_all(site)
     began_s = time.monotonic()
     until_served(site, book, seed)
     return time.monotonic() - began_s
@@ -242,8 +269,9 @@
         click.echo(
             f"seed {seed}: {len(outcome.broken)} broken, {outcome.requests} requests "
             f"{outcome.ends}, repeats {outcome.repeats}, crashes {outcome.crashes}, "
-            f"evacuations {outcome.evacuations}, version {outcome.accepted_version}, "
-            f"recovered in {outcome.recovery_s:.1f} s, accepted in {_seconds(outcome.accepted_s)}"
+            f"evacuations {outcome.evacuations}, rests {outcome.rests}, "
+            f"version {outcome.accepted_version}, recovered in {outcome.recovery_s:.1f} s, "
+            f"accepted in {_seconds(outcome.accepted_s)}"
         )
         for line in outcome.broken[:10]:
             click.echo(f"  broken: {line} (logs in {folder})")
--- a/testing/soak/storms.py
+++ b/testing/soak/storms.py
@@ -98,11 +98,13 @@
             at_s += for_s + _PLAY_SLACK_S
         return drawn
 
-    def kills(self, calm_s: float, seconds_s: float) -> list[troubles.Timed]:
+    def kills(
+        self, calm_s: float, seconds_s: float, gap_s: float = _KILL_GAP_S
+    ) -> list[troubles.Timed]:
         """Return kills of routers and leaders in series, from ``calm_s`` on."""
         chance = self._chance
         drawn = []
-        at_s = calm_s + chance.expovariate(1 / _KILL_GAP_S)
+        at_s = calm_s + chance.expovariate(1 / gap_s)
         while at_s < seconds_s:
             router = chance.choice(self._site.routers)
             trouble: troubles.Trouble = troubles.Killed(self._site, (router,))
@@ -111,5 +113,5 @@
             elif chance.random() < 0.2:
                 trouble = troubles.Killed(self._site, tuple(self._site.routers))
             drawn.append(troubles.Timed(at_s, troubles.RESTART_S, trouble))
-            at_s += chance.expovariate(1 / _KILL_GAP_S)
+            at_s += chance.expovariate(1 / gap_s)
         return drawn
--- a/testing/soak/test_promises.py
+++ b/testing/soak/test_promises.py
@@ -8,9 +8,10 @@
 import attrs
 import pytest
 
+import rests
 from croftpulley.core import retry_budget
 from croftpulley.fakes import forwarded
-from soak import crashing, fleet, processes, promises, records
+from soak import crashing, fleet, processes, promises, proxy, records
 
 End = records.End
 WELL = records.Asked(
@@ -154,6 +155,59 @@
     assert sent_on([*ends_s, *[6.1] * 4], ends_s, lambda arrival: arrival.at_s < 6.0) == []
 
 
+class Endpoint:
+    """What a stand-in writes down."""
+
+    def __init__(self, arrivals_s, rests=(), told_leaving_s=()):
+        self.arrivals = [forwarded.Arrival("r", at_s) for at_s in arrivals_s]
+        self.rests = [forwarded.Rest("r", at_s, rest_s) for at_s, rest_s in rests]
+        self.told_leaving = [forwarded.Arrival("r", at_s) for at_s in told_leaving_s]
+
+
+def router_of(request_id):
+    return {"r": "router-0"}[request_id]
+
+
+@pytest.mark.parametrize(
+    ("arrivals_s", "is_broken"),
+    [
+        ([1.0] * 9, False),
+        ([1.4] * 9, False),
+        ([1.6] * 2, False),
+        ([1.6] * 3, True),
+        ([3.9] * 3, True),
+        ([4.0] * 9, False),
+    ],
+)
+def test_a_rest_that_is_not_kept_is_reported(arrivals_s, is_broken):
+    endpoint = Endpoint(arrivals_s, rests=[(1.0, 3.0)])
+    assert bool(rests.broken(endpoint, router_of)) is is_broken
+    assert not rests.broken(endpoint, router_of, lambda *_: True)
+
+
+@pytest.mark.parametrize(("arrival_s", "is_broken"), [(0.5, False), (3.9, False), (4.1, True)])
+def test_a_request_to_an_endpoint_that_said_long_ago_that_it_leaves_is_reported(
+    arrival_s, is_broken
+):
+    endpoint = Endpoint([arrival_s], told_leaving_s=[1.0, 2.0])
+    assert bool(rests.sent_to_leaving(endpoint, router_of)) is is_broken
+    assert not rests.sent_to_leaving(endpoint, router_of, lambda *_: True)
+
+
+def test_a_way_remembers_when_it_was_harmed():
+    loop = proxy.Loop()
+    way = proxy.Proxy(loop)
+    before_s = time.monotonic()
+    way.harm = proxy.Harm.DELAY
+    assert way.was_harmed(before_s, time.monotonic())
+    way.harm = proxy.Harm.CUT_TO
+    way.harm = proxy.Harm.NONE
+    after_s = time.monotonic()
+    assert not way.was_harmed(before_s - 2.0, before_s - 1.0)
+    assert not way.was_harmed(after_s + 0.1, after_s + 1.0)
+    loop.stop()
+
+
 def test_a_program_was_calm_where_it_was_left_alone(tmp_path):
     program = processes.Program("router", {"box": "router-0"}, tmp_path)
     program.signal(signal.SIGSTOP)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -31,6 +31,9 @@
 PLACES = {2: 8.0}
 """A hall that is evacuated and returned in turns, while routers and leaders are killed."""
 
+RESTS = {4: 10.0}
+"""Endpoints that ask for rest and say that they leave, while routers and leaders are killed."""
+
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_in_a_short_soak(seed, tmp_path):
@@ -55,3 +58,8 @@
 @pytest.mark.parametrize("seed", PLACES)
 def test_an_evacuated_hall_gets_no_requests(seed, tmp_path):
     assert run.run_seed(seed, PLACES[seed], tmp_path, run.Kind.PLACES).broken == []
+
+
+@pytest.mark.parametrize("seed", RESTS)
+def test_endpoints_get_the_rest_that_they_ask_for(seed, tmp_path):
+    assert run.run_seed(seed, RESTS[seed], tmp_path, run.Kind.RESTS).broken == []
