Failing test: a stream that pauses is not cancelled when its caller has left

Seen by a test of permits: a caller left a stream that had not begun yet, the router noted it within 0.1 s, and went on reading until the engine's silence ended it (5 s there, 20 s by default); place and memory at the engine stay taken.

--- a/testing/forwarding/test_forwarding.py
+++ b/testing/forwarding/test_forwarding.py
@@ -320,6 +320,18 @@
     )
 
 
+def test_a_stream_that_pauses_is_cancelled_once_its_caller_has_left(make_site):
+    site = make_site(routers=1, engines=1, silence_s=60.0)
+    (engine,) = site.engines
+    engine.may_go_on.clear()
+    connection = site.connect()
+    connection.request("POST", "/stream/chat/x", b"", site.headers("gone"))
+    wait_until(lambda: engine.running, "the stream runs")
+    connection.close()
+    wait_until(lambda: not site.routers[0]._streams.open_count(), "the router has ended it")
+    engine._loop.call_soon_threadsafe(engine.may_go_on.set)
+
+
 class TestWire:
     """What a router refuses to read."""
 
