A cancelled request ends its connection also while an answer is read

Callers saw nothing; the engines worked on for who had left: a stream that had not begun, or that paused, was read on until its next event or the limit of silence (20 s), with its place taken, also after its deadline.

Cause: the library's own way to shut an answer's socket works only for connections of its pools; for ours it raised, and that was taken for 'ended meanwhile'. Ruled out: that the leaving is not noticed (event within 0.1 s, code CALLER_GONE). Change: the exchange keeps its socket and shuts that.

--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -119,6 +119,8 @@
         self._connection = urllib3.connection.HTTPConnection(
             host, int(port), timeout=target.connect_timeout_s
         )
+        self._sock: socket.socket | None = None
+        """The connection's own, which the library lets go of while its answer is still read."""
         self.response: urllib3.HTTPResponse | None = None
 
     def begin(
@@ -132,6 +134,7 @@
         try:
             self._token.check()
             self._connection.connect()
+            self._sock = self._connection.sock
             self._token.on_cancel(self.shutdown)
             self._token.check()
             response = self._send(request)
@@ -218,13 +221,11 @@
 
     def shutdown(self) -> None:
         """End reading and writing from another thread."""
-        sock = self._connection.sock
+        if self._sock is None:
+            return
         try:
-            if self.response is not None:
-                self.response.shutdown()
-            elif sock is not None:
-                sock.shutdown(2)
-        except (OSError, ValueError, RuntimeError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
             # Ended or closed by its own thread in the meantime: nothing is left to end.
             return
 
