Small pools: boxes have spare permits while room is left, and endpoints a queue that their calls' objective bears

Change: up to three spare permits a box, fewer the less room is left; what may wait at endpoints is a quarter of the objective in time, not a quarter of the slots; a request may wait for 0.4 of its caller's time, by its objective as before.

--- a/src/croftpulley/controllers/permits.py
+++ b/src/croftpulley/controllers/permits.py
@@ -73,6 +73,8 @@
     line: waiting_line.Line = attrs.field(factory=waiting_line.Line)
     woken: dict[waiting_line.Waiter, threading.Event] = attrs.field(factory=dict)
     granted: set[waiting_line.Waiter] = attrs.field(factory=set)
+    objective_s: float = float("inf")
+    """The shortest of those that its requests had."""
     heard_from: router_state.RouterState | None = None
     heard: permits.Heard | None = None
 
@@ -104,6 +106,7 @@
         waiter = _waiter(request, began_s)
         with self._lock:
             pool = self._pools.setdefault(request.pool, _Pool())
+            pool.objective_s = min(pool.objective_s, request.objective_s)
             asked = pool.line.ask(waiter, self._most(request.pool, pool, began_s), began_s)
             if asked.outcome is waiting_line.Outcome.GRANTED:
                 return Permit(request.pool, began_s)
@@ -184,7 +187,7 @@
         """Return how many permits this box has for a pool."""
         state = self._view.get()
         if pool.heard is None or pool.heard_from is not state:
-            pool.heard = self._heard(name, state, now_s)
+            pool.heard = self._heard(name, pool, state, now_s)
             pool.heard_from = state
         if not pool.heard.room:
             # No endpoint may be asked: placing the request tells its caller why.
@@ -192,7 +195,9 @@
         chance = xxhash.xxh64_intdigest(f"{self._box_name}/{name}".encode()) / _CHANCES
         return permits.whole(pool.heard.part(now_s), chance)
 
-    def _heard(self, name: str, state: router_state.RouterState, now_s: float) -> permits.Heard:
+    def _heard(
+        self, name: str, pool: _Pool, state: router_state.RouterState, now_s: float
+    ) -> permits.Heard:
         """Return what the last renewal told of a pool, less the endpoints that may not be asked."""
         of_pool = [each for each in state.endpoints if each.pool == name]
         avoided = self._counts.avoided(now_s)
@@ -202,7 +207,10 @@
         return permits.Heard(
             own=sum(state.own_loads.get(each.key, 0) for each in open_now),
             total=sum(state.loads.get(each.key, 0) for each in open_now),
-            room=permits.room(each.slots or slots for each in open_now),
+            room=permits.room(
+                (each.slots or slots for each in open_now),
+                permits.queued(pool.objective_s, pool.line.hold_s),
+            ),
             boxes=state.registered_boxes,
             at_s=state.loads_at_s,
         )
--- a/src/croftpulley/core/permits.py
+++ b/src/croftpulley/core/permits.py
@@ -3,7 +3,8 @@
 Answers more demand than a pool has room for. Boxes hear each other's loads some time after the
 fact; where all of them fill the room that they last heard of, endpoints get many times what they
 can run and turn it away. So each box takes only its part of the room: the parts of all boxes that
-heard the same come to the room, never more, and each renewal hands out anew what is left.
+heard the same come to the room, but for one or few a box, and each renewal hands out anew what is
+left.
 """
 
 from __future__ import annotations
@@ -13,23 +14,44 @@
 
 import attrs
 
-QUEUED = 0.25
-"""Of its slots that may wait beside an endpoint. An ended request is replaced at once by one that
-waits there; what waits behind a whole set of slots would pass its objective there."""
+QUEUE_PART = 0.25
+"""Of the objective that a request may wait at its endpoint: an ended request is replaced at once by
+one that waits there, and what waits longer would be late."""
+MOST_QUEUED = 1.0
+"""Of its slots that wait beside an endpoint at most, however short its requests are."""
+UNKNOWN_QUEUED = 0.25
+"""The same before any request has ended."""
+SPARE = 3.0
+"""Requests that a box may have beside its own in an idle pool. Where there are more boxes
+than slots an even part is less than one request, and two callers would meet at one box while
+the pool is idle."""
 STALE_S = 1.0
 """Loads that are older say nothing of what others have: four renewals were lost."""
 
 
-def room(slots: Iterable[int]) -> float:
+def queued(objective_s: float, hold_s: float) -> float:
+    """Return which part of its slots may wait beside an endpoint.
+
+    ``hold_s`` is how long a request lasts in the mean, 0 where that is not known.
+
+    >>> queued(0.4, 1.0), queued(0.4, 0.05), queued(0.4, 0.0)
+    (0.1, 1.0, 0.25)
+    """
+    if not hold_s:
+        return UNKNOWN_QUEUED
+    return min(MOST_QUEUED, QUEUE_PART * objective_s / hold_s)
+
+
+def room(slots: Iterable[int], waiting_part: float) -> float:
     """Return how many requests endpoints with so many slots each should have together.
 
-    An endpoint whose slots are not known (0) makes it unbounded.
+    ``waiting_part`` is from `queued`. An endpoint whose slots are not known (0) makes it unbounded.
 
-    >>> room([16, 16]), room([6, 0])
+    >>> room([16, 16], 0.25), room([6, 0], 0.25)
     (40.0, inf)
     """
     known = list(slots)
-    return sum(known) * (1 + QUEUED) if all(known) else math.inf
+    return sum(known) * (1 + waiting_part) if all(known) else math.inf
 
 
 @attrs.frozen(kw_only=True)
@@ -46,8 +68,9 @@
         """Return how many requests this box may have in the pool.
 
         Where there is room left each box gets a part of that beside what it has: one half of it
-        evenly, so that boxes without requests get some, the other half by what each has. Where
-        there is none left all share the whole room in that way.
+        evenly, so that boxes without requests get some, the other half by what each has; or its
+        spare ones, which are fewer the less room is left. Where there is none left all share the
+        whole room in that way.
 
         >>> Heard(own=3, total=30, room=50.0, boxes=10, at_s=0.0).part(0.1)
         5.0
@@ -62,7 +85,11 @@
         own = min(self.own, self.total)
         fraction = (even + own / self.total) / 2
         left = self.room - self.total
-        return own + left * fraction if left > 0 else self.room * fraction
+        if left <= 0:
+            return self.room * fraction
+        # Infinite room has no parts.
+        spare = SPARE if math.isinf(self.room) else SPARE * left / self.room
+        return own + max(left * fraction, spare)
 
 
 def whole(part: float, chance: float) -> float:
--- a/src/croftpulley/core/waiting_line.py
+++ b/src/croftpulley/core/waiting_line.py
@@ -19,7 +19,7 @@
 """How long until what a workspace got counts half: it should not pay for long for a burst."""
 OBJECTIVE_PART = 0.75
 """Of its objective that a request may wait: the rest is for running it."""
-TIME_LEFT_PART = 0.25
+TIME_LEFT_PART = 0.4
 """Of its caller's time that a request may wait: whoever is refused must still be able to return."""
 _MOST_WORKSPACES = 4096
 """Remembered of a pool, some 0.5 MB; beyond that whoever got nothing for longest is forgotten."""
@@ -30,8 +30,8 @@
 def patience_s(objective_s: float, left_s: float) -> float:
     """Return how long a request may wait for room.
 
-    >>> patience_s(0.4, 10.0), round(patience_s(0.8, 1.0), 3)
-    (0.30000000000000004, 0.25)
+    >>> round(patience_s(0.4, 10.0), 3), round(patience_s(0.8, 1.0), 3)
+    (0.3, 0.4)
     """
     return max(0.0, min(OBJECTIVE_PART * objective_s, TIME_LEFT_PART * left_s))
 
