More may wait at endpoints and less at boxes; the soak has callers who compete for few slots

A box can only serve its own line, an endpoint whoever is next of all: half of the objective in time may wait there, twice the slots at most. Before the callers were stopped first it said that not all were served a minute after the last trouble: true, and no fault with callers who compete.

--- a/src/croftpulley/controllers/permits.py
+++ b/src/croftpulley/controllers/permits.py
@@ -53,7 +53,7 @@
     since_s: float
     waited_s: float = 0.0
     figures: waiting_line.Figures | None = None
-    """Where it was waited for."""
+    """What decided when it began to wait, if it did."""
 
 
 def _waiter(request: Request, now_s: float) -> waiting_line.Waiter:
--- a/src/croftpulley/core/permits.py
+++ b/src/croftpulley/core/permits.py
@@ -14,10 +14,10 @@
 
 import attrs
 
-QUEUE_PART = 0.25
-"""Of the objective that a request may wait at its endpoint: an ended request is replaced at once by
-one that waits there, and what waits longer would be late."""
-MOST_QUEUED = 1.0
+QUEUE_PART = 0.5
+"""Of the objective that a request may wait at its endpoint, which serves the next of all boxes; a
+box serves only its own. The rest is for running it."""
+MOST_QUEUED = 2.0
 """Of its slots that wait beside an endpoint at most, however short its requests are."""
 UNKNOWN_QUEUED = 0.25
 """The same before any request has ended."""
@@ -35,7 +35,7 @@
     ``hold_s`` is how long a request lasts in the mean, 0 where that is not known.
 
     >>> queued(0.4, 1.0), queued(0.4, 0.05), queued(0.4, 0.0)
-    (0.1, 1.0, 0.25)
+    (0.2, 2.0, 0.25)
     """
     if not hold_s:
         return UNKNOWN_QUEUED
--- a/testing/soak/callers.py
+++ b/testing/soak/callers.py
@@ -15,6 +15,7 @@
 
 CALLERS = 6
 _PAUSE_S = 0.03
+_LONGEST_UNREAD_S = 1.0
 _PAUSE_AFTER_FAILURE_S = 0.2
 """A router that is down answers nobody at once."""
 _TIMEOUT_S = 6.0
@@ -33,16 +34,27 @@
 
 
 class Crowd:
-    """Starts all threads and stops them; without ``changes`` the operator only reads."""
+    """Starts all threads and stops them; without ``changes`` the operator only reads.
+
+    Of the callers ``unread_share`` do not read what they asked for.
+    """
 
     def __init__(
-        self, site: fleet.Fleet, book: records.Book, seed: int, *, changes: bool = True
+        self,
+        site: fleet.Fleet,
+        book: records.Book,
+        seed: int,
+        *,
+        changes: bool = True,
+        count: int = CALLERS,
+        unread_share: float = 0.0,
     ) -> None:
         self._changes = changes
+        self._unread_share = unread_share
         self._site = site
         self._book = book
         self._stopped = threading.Event()
-        chances = [random.Random(f"{seed} {number}") for number in range(CALLERS + 1)]
+        chances = [random.Random(f"{seed} {number}") for number in range(count + 1)]
         # Of its own: the other choices of a seed stay what they are.
         self._large_chance = random.Random(f"{seed} large")
         self._threads = [threading.Thread(target=self._operate, args=(chances[0],), daemon=True)]
@@ -79,6 +91,7 @@
                 router=router,
                 route_version=self._version(chance),
                 key_version=self._version(chance),
+                unread_s=self._unread_s(chance),
             )
             self._book.asked.append(asked)
             if asked.end is not records.End.WHOLE:
@@ -87,6 +100,12 @@
         for connection in kept.values():
             connection.close()
 
+    def _unread_s(self, chance: random.Random) -> float:
+        """Return for how long a caller does not read before it leaves; 0 if it reads."""
+        if not self._unread_share or chance.random() >= self._unread_share:
+            return 0.0
+        return chance.uniform(0.0, _LONGEST_UNREAD_S)
+
     def _version(self, chance: random.Random) -> int:
         """Return what was accepted last, or now and then one of the versions around it."""
         accepted = self._book.accepted_version
@@ -120,10 +139,12 @@
     key_version: int,
     path: str = "",
     body: bytes = b"body",
+    unread_s: float = 0.0,
 ) -> records.Asked:
     """Send one request, on the kept connection to this router if there is one.
 
-    Without a ``path`` it has one of its own.
+    Without a ``path`` it has one of its own. With ``unread_s`` the caller does not read for so
+    long, and then leaves.
     """
     accepted_version = book.accepted_version
     sent_s = time.monotonic()
@@ -139,6 +160,9 @@
         sent = True
         path = path or fleet.path_of(route_version, kind, request_id)
         connection.request("POST", path, body, _headers(request_id, key_version))
+        if unread_s:
+            time.sleep(unread_s)
+            raise http.client.HTTPException("the caller leaves")
         response = connection.getresponse()
         answer = read_answer(response)
         # Else the connection takes no further request.
@@ -184,7 +208,7 @@
     spare_routes: int = 0,
 ) -> None:
     """Submit a new version, to any box until it is acknowledged; others may race it meanwhile."""
-    version, body = _submission(book, spare_routes)
+    version, body = _submission(site, book, spare_routes)
     timeout_s = _LARGE_TIMEOUT_S if spare_routes else _OPERATOR_TIMEOUT_S
     while not stopped.wait(_OPERATOR_PAUSE_S):
         box = (leader(site) if spare_routes else None) or chance.choice(site.control)
@@ -201,7 +225,7 @@
     spare_routes: int = 0,
 ) -> records.Acceptance:
     """Submit a new version until it is acknowledged, then read back until it is there."""
-    version, body = _submission(book, spare_routes)
+    version, body = _submission(site, book, spare_routes)
     timeout_s = _LARGE_TIMEOUT_S if spare_routes else _OPERATOR_TIMEOUT_S
     began_s = time.monotonic()
     while time.monotonic() - began_s < limit_s:
@@ -230,9 +254,9 @@
     return None
 
 
-def _submission(book: records.Book, spare_routes: int) -> tuple[int, bytes]:
+def _submission(site: fleet.Fleet, book: records.Book, spare_routes: int) -> tuple[int, bytes]:
     version = book.submit()
-    document = fleet.document(version, spare_routes)
+    document = fleet.document(version, spare_routes, site.slots)
     return version, orjson.dumps({"number": version, "document": document})
 
 
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -61,15 +61,15 @@
     return f"/v{version}/{kind}/{stream}{request_id}"
 
 
-def document(version: int, spare_routes: int = 0) -> dict:
+def document(version: int, spare_routes: int = 0, slots: int = 0) -> dict:
     """Return the configuration of one version: its own routes and key, and the last one's.
 
-    ``spare_routes`` make it large; nobody uses them.
+    ``spare_routes`` make it large; nobody uses them. ``slots`` are those of each endpoint.
     """
     live = [each for each in (version - 1, version) if each > 0]
     return {
         "workspaces": [{"name": "clinic", "keys": [key_of(each) for each in live]}],
-        "pools": [{"name": ENGINE_POOL}, {"name": WORKER_POOL}],
+        "pools": [{"name": each, "slots": slots} for each in (ENGINE_POOL, WORKER_POOL)],
         "routes": [
             *(_route(each, kind) for each in live for kind in KINDS),
             *(_spare_route(version, number) for number in range(spare_routes)),
@@ -141,7 +141,7 @@
     """Three control boxes, three routers, and what they serve.
 
     Each control box sends over a link of ``link_bytes_per_s``; ``allowance`` is the budget of
-    repeats that routers share.
+    repeats that routers share. With ``slots`` of each endpoint they share room as well.
     """
 
     def __init__(
@@ -149,8 +149,10 @@
         folder: pathlib.Path,
         link_bytes_per_s: float = math.inf,
         allowance: retry_budget.Allowance | None = None,
+        slots: int = 0,
     ) -> None:
         self.folder = folder
+        self.slots = slots
         self.allowance = allowance or retry_budget.Allowance()
         self.link_bytes_per_s = link_bytes_per_s
         self.loop = proxy.Loop()
@@ -332,5 +334,6 @@
             "retry_ratio": self.allowance.ratio,
             "retry_extra": self.allowance.extra,
             "retry_window_s": self.allowance.window_s,
+            "shares_room": bool(self.slots),
         }
         return processes.Program("router", settings, self.folder)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -28,6 +28,7 @@
     proxy,
     records,
     rests,
+    room,
     storms,
     troubles,
 )
@@ -57,6 +58,9 @@
     PLACES = "places"
     """A hall is evacuated and returned in turns, while routers and leaders are killed in series;
     every other seed has all else too. It ends evacuated."""
+    ROOM = "room"
+    """Many callers, some of whom do not read, compete for few slots, while routers and leaders are
+    killed in series; every other seed has all else too."""
     RESTS = "rests"
     """Endpoints ask for rest, some or all of a pool, and say that they leave, while routers and
     leaders are killed in series; every other seed has all else too."""
@@ -75,6 +79,8 @@
     """How many requests ended how, by the status or by what the caller met instead."""
     rests: int
     """How often endpoints asked for rest."""
+    most_running: dict[str, int]
+    """How many requests the endpoints of a pool ran at once, where that was watched."""
     crashes: list[int]
     """How many endpoints ended under each of the requests that end them."""
     evacuations: int
@@ -89,9 +95,22 @@
     has_rate = seed % 3 == 2 and kind is not Kind.CRASHES
     planned_only = seed % 3 == 0 and kind is Kind.MIXED
     link_bytes_per_s = fleet.LINK_BYTES_PER_S if has_rate else math.inf
-    site = fleet.Fleet(folder, link_bytes_per_s, fleet.TIGHT if kind is Kind.STORM else None)
+    site = fleet.Fleet(
+        folder,
+        link_bytes_per_s,
+        fleet.TIGHT if kind is Kind.STORM else None,
+        room.SLOTS if kind is Kind.ROOM else 0,
+    )
     book = records.Book()
-    crowd = callers.Crowd(site, book, seed, changes=kind is not Kind.CRASHES)
+    crowd = callers.Crowd(
+        site,
+        book,
+        seed,
+        changes=kind is not Kind.CRASHES,
+        count=room.CALLERS if kind is Kind.ROOM else callers.CALLERS,
+        unread_share=room.UNREAD_SHARE if kind is Kind.ROOM else 0.0,
+    )
+    watch = room.Watch(site, runs=kind is Kind.ROOM)
     crashers = crashing.Senders(site, book, seed, runs=kind is Kind.CRASHES)
     operator = places.Operator(site, seed, runs=kind is Kind.PLACES)
     try:
@@ -100,9 +119,14 @@
         crowd.start()
         crashers.start()
         operator.start()
+        watch.start()
         troubles.play(_drawn(seed, seconds_s, site, book, kind, planned_only), seconds_s)
         crashers.stop()
         operator.stop()
+        watch.stop()
+        if kind is Kind.ROOM:
+            # While callers compete for too little room not all of them are served.
+            crowd.stop()
         recovery_s = _recover(site, book, seed)
         crowd.stop()
         spare_routes = fleet.LARGE_ROUTES if has_rate else 0
@@ -126,6 +150,7 @@
     broken += crashing.sent_on(crashers.requests, arrivals, crashes, crashing.InTouch(site, book))
     broken += misplaced
     broken += unrested
+    broken += watch.broken()
     if planned_only:
         broken += promises.lost(book, runs)
     if recovery_s > RECOVERY_LIMIT_S:
@@ -140,6 +165,7 @@
         ends=dict(collections.Counter(_end(each) for each in book.asked).most_common()),
         evacuations=len(operator.evacuations),
         rests=rested,
+        most_running=dict(watch.most),
         crashes=sorted(collections.Counter(each.content for each in crashes).values()),
         accepted_version=book.accepted_version,
         recovery_s=recovery_s,
@@ -165,7 +191,7 @@
         drawn += rests.Draw(seed, site).all(seconds_s)
         # Seldom enough that routers often live as long as rests do.
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
-    if kind in (Kind.CRASHES, Kind.PLACES):
+    if kind in (Kind.CRASHES, Kind.PLACES, Kind.ROOM):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
     return drawn
 
@@ -270,6 +296,7 @@
             f"seed {seed}: {len(outcome.broken)} broken, {outcome.requests} requests "
             f"{outcome.ends}, repeats {outcome.repeats}, crashes {outcome.crashes}, "
             f"evacuations {outcome.evacuations}, rests {outcome.rests}, "
+            f"most running {outcome.most_running}, "
             f"version {outcome.accepted_version}, recovered in {outcome.recovery_s:.1f} s, "
             f"accepted in {_seconds(outcome.accepted_s)}"
         )
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -31,6 +31,9 @@
 PLACES = {2: 8.0}
 """A hall that is evacuated and returned in turns, while routers and leaders are killed."""
 
+ROOM = {2: 8.0}
+"""Many callers, some of whom do not read, before few slots, with routers and leaders killed."""
+
 RESTS = {4: 10.0}
 """Endpoints that ask for rest and say that they leave, while routers and leaders are killed."""
 
@@ -63,3 +66,8 @@
 @pytest.mark.parametrize("seed", RESTS)
 def test_endpoints_get_the_rest_that_they_ask_for(seed, tmp_path):
     assert run.run_seed(seed, RESTS[seed], tmp_path, run.Kind.RESTS).broken == []
+
+
+@pytest.mark.parametrize("seed", ROOM)
+def test_routers_together_send_no_more_than_there_is_room_for(seed, tmp_path):
+    assert run.run_seed(seed, ROOM[seed], tmp_path, run.Kind.ROOM).broken == []
