Who waits for room is told by the urgent still to come; the room goes by the work, not by the wait

Cause 2: how long a request lasts has its wait at the endpoint in it, so the room shrank the more waited, and boxes refused what endpoints could have served in their objective; now by slots and requests there (Little's law).

Traffic: what renewals told of loads is a module of its own.

--- a/src/croftpulley/controllers/permits.py
+++ b/src/croftpulley/controllers/permits.py
@@ -203,14 +203,14 @@
         avoided = self._counts.avoided(now_s)
         open_now = [each for each in of_pool if self._is_open(each, state, avoided)]
         configured = state.tables.pools.get(name)
-        slots = configured.slots if configured else 0
+        usual = configured.slots if configured else 0
+        slots = [each.slots or usual for each in open_now]
+        total = sum(state.loads.get(each.key, 0) for each in open_now)
+        worked_s = permits.work_s(pool.line.hold_s, sum(slots), total)
         return permits.Heard(
             own=sum(state.own_loads.get(each.key, 0) for each in open_now),
-            total=sum(state.loads.get(each.key, 0) for each in open_now),
-            room=permits.room(
-                (each.slots or slots for each in open_now),
-                permits.queued(pool.objective_s, pool.line.hold_s),
-            ),
+            total=total,
+            room=permits.room(slots, permits.queued(pool.objective_s, worked_s)),
             boxes=state.registered_boxes,
             at_s=state.loads_at_s,
         )
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -9,10 +9,8 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 
-import attrs
-
 from croftpulley import clock as clocks
-from croftpulley.controllers import router_state
+from croftpulley.controllers import heard_loads, router_state
 from croftpulley.core import (
     calls,
     cold,
@@ -29,57 +27,6 @@
 
 _BLANK = records.Record()
 """What is remembered of an endpoint that nothing was sent to; never changed."""
-_FOREVER_S = float("inf")
-
-
-@attrs.frozen
-class _Heard:
-    """The endpoints in service as the last renewal told of them, without what is this box's own.
-
-    ``reads`` are those that then had prompts of others to read.
-    """
-
-    members: Mapping[str, membership.Endpoint]
-    candidates: tuple[selection.Candidate, ...]
-    reads: frozenset[str]
-
-    @classmethod
-    def of(
-        cls, members: Mapping[str, membership.Endpoint], state: router_state.RouterState
-    ) -> _Heard:
-        """Take the others' part of what all boxes have at each endpoint."""
-        loads = _others(state.loads, state.own_loads)
-        reading = _others(state.reading_tokens, state.own_reading_tokens)
-        candidates = tuple(
-            selection.Candidate(
-                name=key,
-                hall=each.hall,
-                load=loads.get(key, 0),
-                # An endpoint that is held off is avoided until that is lifted.
-                avoid_until_s=_FOREVER_S if key in state.held_off else -_FOREVER_S,
-                reading_tokens=reading.get(key, 0),
-            )
-            for key, each in members.items()
-        )
-        return cls(members, candidates, frozenset(reading))
-
-
-@attrs.frozen
-class _HeardPools:
-    """What one renewal told, by the identity of the endpoints that it is about.
-
-    Each entry holds them, so that no other takes their identity. Threads may add the same entry
-    twice.
-    """
-
-    state: router_state.RouterState
-    by_members: dict[int, _Heard] = attrs.field(factory=dict)
-
-
-def _others(of_all: Mapping[str, int], own: Mapping[str, int]) -> dict[str, int]:
-    """Return what other boxes have, where that is anything."""
-    rest = {key: count - own.get(key, 0) for key, count in of_all.items()}
-    return {key: count for key, count in rest.items() if count > 0}
 
 
 class Traffic:
@@ -104,7 +51,7 @@
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._extra_share = retry_budget.ExtraShare()
         self._pace = cold.Pace.started(clock.monotonic_s())
-        self._heard = _HeardPools(router_state.RouterState())
+        self._heard = heard_loads.HeardLoads()
         self._shares_room = shares_room
 
     def enter(self, endpoint: str) -> None:
@@ -195,7 +142,7 @@
         Most are as they were heard of for all requests until the next renewal: only what this box
         itself has to do with, or what differs for a prompt, is made anew for each request.
         """
-        heard = self._heard_of(members, state)
+        heard = self._heard.of(members, state)
         # What others' requests had to read has been read on since it was reported.
         now_s = self._clock.monotonic_s()
         age_s = now_s - state.loads_at_s
@@ -209,18 +156,6 @@
                 for each in heard.candidates
             ]
 
-    def _heard_of(
-        self, members: Mapping[str, membership.Endpoint], state: router_state.RouterState
-    ) -> _Heard:
-        """Return what the last renewal told of these endpoints, made once for each pool."""
-        known = self._heard
-        if known.state is not state:
-            known = self._heard = _HeardPools(state)
-        found = known.by_members.get(id(members))
-        if found is None:
-            found = known.by_members[id(members)] = _Heard.of(members, state)
-        return found
-
     def _candidate(
         self,
         heard: selection.Candidate,
--- a/src/croftpulley/core/permits.py
+++ b/src/croftpulley/core/permits.py
@@ -29,17 +29,28 @@
 """Loads that are older say nothing of what others have: four renewals were lost."""
 
 
-def queued(objective_s: float, hold_s: float) -> float:
+def work_s(hold_s: float, slots: int, total: int) -> float:
+    """Return how long endpoints work on a request that lasts ``hold_s`` with its wait there.
+
+    ``total`` requests are there; so many of them as there are slots are worked on.
+
+    >>> work_s(0.2, 24, 48), work_s(0.2, 24, 6)
+    (0.1, 0.2)
+    """
+    return hold_s * min(1.0, slots / total) if total else hold_s
+
+
+def queued(objective_s: float, worked_s: float) -> float:
     """Return which part of its slots may wait beside an endpoint.
 
-    ``hold_s`` is how long a request lasts in the mean, 0 where that is not known.
+    ``worked_s`` is how long it works on a request, 0 where that is not known.
 
     >>> queued(0.4, 1.0), queued(0.4, 0.05), queued(0.4, 0.0)
     (0.2, 2.0, 0.25)
     """
-    if not hold_s:
+    if not worked_s:
         return UNKNOWN_QUEUED
-    return min(MOST_QUEUED, QUEUE_PART * objective_s / hold_s)
+    return min(MOST_QUEUED, QUEUE_PART * objective_s / worked_s)
 
 
 def room(slots: Iterable[int], waiting_part: float) -> float:
--- a/src/croftpulley/core/returns.py
+++ b/src/croftpulley/core/returns.py
@@ -6,7 +6,7 @@
 """Where an endpoint takes requests now, only not one more of this box, or not this one again."""
 SPREAD = 0.2
 """Callers return within a part more of the wait, not all at its end."""
-_HONOURED = 1 / 3
+HONOURED = 1 / 3
 """Of its time that a caller waits at most before it asks again, as the users' callers do. One that
 comes back later has too little left to be served."""
 _RANKS = 10
@@ -34,5 +34,5 @@
     (1.0, 1.5, 1.1)
     """
     opens_in_s = max(opens_in_s, ELSEWHERE_S)
-    latest_s = max(opens_in_s, min(opens_in_s * (1 + spread), left_s * _HONOURED))
+    latest_s = max(opens_in_s, min(opens_in_s * (1 + spread), left_s * HONOURED))
     return round(opens_in_s + position * (latest_s - opens_in_s), 3)
--- a/src/croftpulley/core/waiting_line.py
+++ b/src/croftpulley/core/waiting_line.py
@@ -21,8 +21,10 @@
 """Of its objective that a request may wait: the rest is for running it."""
 TIME_LEFT_PART = 0.4
 """Of its caller's time that a request may wait: whoever is refused must still be able to return."""
-_MOST_WORKSPACES = 4096
-"""Remembered of a pool, some 0.5 MB; beyond that whoever got nothing for longest is forgotten."""
+RATE_HALF_LIFE_S = 1.0
+"""How long until an arrival counts half towards the rate of its rank."""
+_MOST_NAMES = 4096
+"""Workspaces remembered of a pool, some 0.5 MB; beyond that the oldest count is forgotten."""
 _HOLD_WEIGHT = 0.1
 """Of the newest request in the mean time for which requests hold their permits."""
 
@@ -63,28 +65,37 @@
     number: int = 0
 
 
-class Received:
-    """How many permits each workspace got, old ones counting less and less.
+class FadingCounts:
+    """Counts by name, old ones counting less and less.
 
-    >>> received = Received()
-    >>> received.add("a", 0.0); received.add("a", 0.0); received.add("b", HALF_LIFE_S)
-    >>> received.of("a", HALF_LIFE_S), received.of("b", HALF_LIFE_S), received.of("c", 0.0)
+    >>> counts = FadingCounts(half_life_s=2.0)
+    >>> counts.add("a", 0.0); counts.add("a", 0.0); counts.add("b", 2.0)
+    >>> counts.of("a", 2.0), counts.of("b", 2.0), counts.of("c", 0.0)
     (1.0, 1.0, 0.0)
     """
 
-    def __init__(self) -> None:
-        self._counts: dict[str, tuple[float, float]] = {}
+    def __init__(self, half_life_s: float) -> None:
+        self._half_life_s = half_life_s
+        self._counts: dict[str | int, tuple[float, float]] = {}
+
+    def of(self, name: str | int, now_s: float) -> float:
+        """Return what was counted of a name."""
+        count, at_s = self._counts.get(name, (0.0, now_s))
+        return count * math.exp2((at_s - now_s) / self._half_life_s)
 
-    def of(self, workspace: str, now_s: float) -> float:
-        """Return what a workspace got."""
-        count, at_s = self._counts.get(workspace, (0.0, now_s))
-        return count * math.exp2((at_s - now_s) / HALF_LIFE_S)
+    def per_s(self, below: int, now_s: float) -> float:
+        """Return how many a second were counted lately of all numbers below this one, at least.
 
-    def add(self, workspace: str, now_s: float) -> None:
-        """Count one permit."""
-        self._counts[workspace] = (self.of(workspace, now_s) + 1.0, now_s)
-        if len(self._counts) > _MOST_WORKSPACES:
-            del self._counts[min(self._counts, key=lambda name: self._counts[name][1])]
+        Few may be chance: half a standard deviation less is taken.
+        """
+        counted = sum(self.of(name, now_s) for name in self._counts if int(name) < below)
+        return max(0.0, counted - math.sqrt(counted) / 2) * math.log(2) / self._half_life_s
+
+    def add(self, name: str | int, now_s: float) -> None:
+        """Count one."""
+        self._counts[name] = (self.of(name, now_s) + 1.0, now_s)
+        if len(self._counts) > _MOST_NAMES:
+            del self._counts[min(self._counts, key=lambda each: self._counts[each][1])]
 
 
 class Outcome(enum.Enum):
@@ -134,7 +145,8 @@
 
     def __init__(self) -> None:
         self.in_use = 0
-        self._received = Received()
+        self._received = FadingCounts(HALF_LIFE_S)
+        self._asked = FadingCounts(RATE_HALF_LIFE_S)
         self._waiters: list[Waiter] = []
         self._numbers = itertools.count()
         self._hold_s: float | None = None
@@ -149,6 +161,7 @@
 
     def ask(self, waiter: Waiter, permits: float, now_s: float) -> Asked:
         """Give a request a permit, have it wait, or refuse it."""
+        self._asked.add(waiter.urgency, now_s)
         if self.in_use < permits and not self._waiters:
             self._use(waiter, now_s)
             return Asked(outcome=Outcome.GRANTED, figures=self._figures(waiter, permits, 0, now_s))
@@ -204,20 +217,28 @@
             in_use=self.in_use,
             waiting=sum(each is not waiter for each in self._waiters),
             ahead=ahead,
-            starts_in_s=self._starts_in_s(ahead, permits),
+            starts_in_s=self._starts_in_s(ahead, permits, waiter.urgency, now_s),
             patience_s=max(0.0, waiter.until_s - now_s),
         )
 
-    def _starts_in_s(self, ahead: int, permits: float) -> float:
-        """Return when a request can be expected to begin that has so many ahead of it."""
-        return (ahead + 1) * self.hold_s / max(1.0, permits)
+    def _starts_in_s(self, ahead: int, permits: float, urgency: int, now_s: float) -> float:
+        """Return when a request can be expected to begin that has so many ahead of it.
+
+        The more urgent that are still to come go before it too: where they take all permits that
+        are given back it does not begin.
+        """
+        if not self.hold_s:
+            return 0.0
+        free_per_s = max(1.0, permits) / self.hold_s - self._asked.per_s(urgency, now_s)
+        return (ahead + 1) / free_per_s if free_per_s > 0 else math.inf
 
     def _hopeless(self, permits: float, now_s: float) -> list[Waiter]:
         """Return those that cannot be expected to begin in time, given who goes before them."""
         hopeless = []
         ahead = 0
         for each in self._waiters:
-            if now_s + self._starts_in_s(ahead, permits) > each.until_s:
+            starts_in_s = self._starts_in_s(ahead, permits, each.urgency, now_s)
+            if now_s + starts_in_s > each.until_s:
                 hopeless.append(each)
             else:
                 ahead += 1
--- a/src/croftpulley/forwarding/admission.py
+++ b/src/croftpulley/forwarding/admission.py
@@ -75,7 +75,9 @@
         chance = xxhash.xxh64_intdigest(exchange.facts.request_id.encode()) / _CHANCES
         position = returns.place(request.urgency, chance)
         left_s = exchange.deadline_s - self._clock.monotonic_s()
-        return returns.wait_s(figures.starts_in_s, left_s, _SPREAD, position)
+        # Where no start can be expected: when there are most likely others.
+        opens_in_s = min(figures.starts_in_s, returns.HONOURED * left_s)
+        return returns.wait_s(opens_in_s, left_s, _SPREAD, position)
 
 
 def _tell(
