--- a/src/croftpulley/controllers/permits.py
+++ b/src/croftpulley/controllers/permits.py
@@ -8,16 +8,14 @@
 import threading
 
 import attrs
-import xxhash
 
 from croftpulley import cancel, codes, errors
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, router_state, traffic
-from croftpulley.core import membership, permits, waiting_line
+from croftpulley.core import membership, permits, returns, waiting_line
 
 _POLL_S = 0.1
 """How often one that waits looks whether a renewal has brought more room."""
-_CHANCES = 1 << 64
 
 
 @attrs.frozen(kw_only=True)
@@ -192,7 +190,7 @@
         if not pool.heard.room:
             # No endpoint may be asked: placing the request tells its caller why.
             return float("inf")
-        chance = xxhash.xxh64_intdigest(f"{self._box_name}/{name}".encode()) / _CHANCES
+        chance = returns.chance(f"{self._box_name}/{name}")
         return permits.whole(pool.heard.part(now_s), chance)
 
     def _heard(
--- a/src/croftpulley/core/returns.py
+++ b/src/croftpulley/core/returns.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import xxhash
+
 ELSEWHERE_S = 0.1
 """Where an endpoint takes requests now, only not one more of this box, or not this one again."""
 SPREAD = 0.2
@@ -10,6 +12,16 @@
 """Of its time that a caller waits at most before it asks again, as the users' callers do. One that
 comes back later has too little left to be served."""
 _RANKS = 10
+_CHANCES = 1 << 64
+
+
+def chance(name: str) -> float:
+    """Return a number from 0 to 1 that is always the same for a name, and other for others.
+
+    >>> 0 <= chance("a") < 1, chance("a") == chance("a"), chance("a") == chance("b")
+    (True, True, False)
+    """
+    return xxhash.xxh64_intdigest(name.encode()) / _CHANCES
 
 
 def place(urgency: int, chance: float) -> float:
--- a/src/croftpulley/forwarding/admission.py
+++ b/src/croftpulley/forwarding/admission.py
@@ -5,7 +5,6 @@
 import logging
 
 import attrs
-import xxhash
 
 from croftpulley import clock as clocks
 from croftpulley import errors
@@ -15,7 +14,6 @@
 from croftpulley.observe import events, metrics
 
 _LOG = logging.getLogger(__name__)
-_CHANCES = 1 << 64
 _SPREAD = 1.0
 """Of the time until there should be room: the least urgent return after twice as long."""
 
@@ -72,7 +70,7 @@
         self, exchange: base.Exchange, request: permits.Request, figures: waiting_line.Figures
     ) -> float:
         """Return when there should be room: the more urgent return first, not all together."""
-        chance = xxhash.xxh64_intdigest(exchange.facts.request_id.encode()) / _CHANCES
+        chance = returns.chance(exchange.facts.request_id)
         position = returns.place(request.urgency, chance)
         left_s = exchange.deadline_s - self._clock.monotonic_s()
         # Where no start can be expected: when there are most likely others.
--- a/src/croftpulley/forwarding/refusals.py
+++ b/src/croftpulley/forwarding/refusals.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-import xxhash
-
 from croftpulley import codes, errors
 from croftpulley.core import returns
 from croftpulley.forwarding import base, headers, service
 
-_CHANCES = 1 << 64
-
 
 def none_open(
     exchange: base.Exchange, survey: service.Survey, passed_over: set[str]
@@ -59,7 +55,7 @@
 
 def come_back_s(exchange: base.Exchange, survey: service.Survey) -> float:
     """Return when the caller should come back: once the pool takes requests, urgent ones first."""
-    chance = xxhash.xxh64_intdigest(exchange.facts.request_id.encode()) / _CHANCES
+    chance = returns.chance(exchange.facts.request_id)
     position = returns.place(headers.urgency(exchange), chance)
     left_s = exchange.deadline_s - survey.now_s
     return returns.wait_s(survey.opens_in_s, left_s, returns.SPREAD, position)
