Room does not shrink by what one box suspects; a quarter of the objective may be waited at endpoints

Endpoints that rest, leave or are held off by all boxes' outcomes are no room, as before; where a request goes still avoids what the box suspects.

--- a/src/croftpulley/controllers/permits.py
+++ b/src/croftpulley/controllers/permits.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import threading
+from collections.abc import Set
 
 import attrs
 
@@ -185,7 +186,7 @@
         """Return how many permits this box has for a pool."""
         state = self._view.get()
         if pool.heard is None or pool.heard_from is not state:
-            pool.heard = self._heard(name, pool, state, now_s)
+            pool.heard = self._heard(name, pool, state)
             pool.heard_from = state
         if not pool.heard.room:
             # No endpoint may be asked: placing the request tells its caller why.
@@ -193,13 +194,11 @@
         chance = returns.chance(f"{self._box_name}/{name}")
         return permits.whole(pool.heard.part(now_s), chance)
 
-    def _heard(
-        self, name: str, pool: _Pool, state: router_state.RouterState, now_s: float
-    ) -> permits.Heard:
+    def _heard(self, name: str, pool: _Pool, state: router_state.RouterState) -> permits.Heard:
         """Return what the last renewal told of a pool, less the endpoints that may not be asked."""
         of_pool = [each for each in state.endpoints if each.pool == name]
-        avoided = self._counts.avoided(now_s)
-        open_now = [each for each in of_pool if self._is_open(each, state, avoided)]
+        withdrawn = self._counts.withdrawn().keys()
+        open_now = [each for each in of_pool if self._is_open(each, state, withdrawn)]
         configured = state.tables.pools.get(name)
         usual = configured.slots if configured else 0
         slots = [each.slots or usual for each in open_now]
@@ -215,7 +214,8 @@
 
     @staticmethod
     def _is_open(
-        endpoint: membership.Endpoint, state: router_state.RouterState, avoided: set[str]
+        endpoint: membership.Endpoint, state: router_state.RouterState, withdrawn: Set[str]
     ) -> bool:
+        # What this box alone suspects is room all the same: one that turned it away was full.
         is_out = endpoint.leaving or endpoint.hall in state.evacuated.names
-        return not (is_out or endpoint.key in state.held_off or endpoint.key in avoided)
+        return not (is_out or endpoint.key in state.held_off or endpoint.key in withdrawn)
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -252,11 +252,6 @@
             record = self._records.get(endpoint)
             return record is not None and record.withdrawal.binds(now_s)
 
-    def avoided(self, now_s: float) -> set[str]:
-        """Return the endpoints that should not be asked now, by what this box met or was told."""
-        with self._lock:
-            return self._records.avoided(now_s)
-
     def sent(self, endpoint: str) -> None:
         """Note that a request has left for an endpoint."""
         now_s = self._clock.monotonic_s()
--- a/src/croftpulley/core/permits.py
+++ b/src/croftpulley/core/permits.py
@@ -14,7 +14,7 @@
 
 import attrs
 
-QUEUE_PART = 0.5
+QUEUE_PART = 0.25
 """Of the objective that a request may wait at its endpoint, which serves the next of all boxes; a
 box serves only its own. The rest is for running it."""
 MOST_QUEUED = 2.0
@@ -46,7 +46,7 @@
     ``worked_s`` is how long it works on a request, 0 where that is not known.
 
     >>> queued(0.4, 1.0), queued(0.4, 0.05), queued(0.4, 0.0)
-    (0.2, 2.0, 0.25)
+    (0.1, 2.0, 0.25)
     """
     if not worked_s:
         return UNKNOWN_QUEUED
--- a/src/croftpulley/core/records.py
+++ b/src/croftpulley/core/records.py
@@ -166,14 +166,6 @@
             if each.withdrawal.binds(now_s)
         }
 
-    def avoided(self, now_s: float) -> set[str]:
-        """Return the lives that should not be asked now, by what this box met or was told."""
-        return {
-            key
-            for key, each in self._records.items()
-            if each.trust.avoid_until_s > now_s or each.withdrawal.binds(now_s)
-        }
-
     def resting_s(self, now_s: float) -> dict[str, float]:
         """Return for how long endpoints want no requests that asked for rest."""
         left = {key: each.withdrawal.rest_until_s - now_s for key, each in self._records.items()}
--- a/testing/controllers/test_permits.py
+++ b/testing/controllers/test_permits.py
@@ -137,6 +137,11 @@
         box.permits.take(box.request(objective_s=0.01))
 
 
+def test_an_endpoint_that_this_box_alone_suspects_is_room_all_the_same(box):
+    box.counts.failed("e")
+    assert len(box.take(MOST)) == MOST
+
+
 def test_without_loads_for_long_a_box_has_its_even_part(box):
     box.know(registered_boxes=5, loads={"e": 50}, own_loads={"e": 40}, endpoints=(endpoint(),) * 1)
     old_s = box.clock.monotonic_s() - 60.0
