Boxes have a few permits in a pool that is not full; a permit is not refused by rank again

Now three while any room is left, one when there is none. An idle small pool gave one as well. Cause 2: a test of waiting, failing in one of five runs beside load (503 to the less urgent of two that waited): with a permit it came to an engine at its slots, and core/room.py refuses there by rank. Where boxes share room an endpoint has three times its slots at most, for all ranks. The test stays as it was.

--- a/src/croftpulley/core/permits.py
+++ b/src/croftpulley/core/permits.py
@@ -21,10 +21,9 @@
 """Of its slots that wait beside an endpoint at most, however short its requests are."""
 UNKNOWN_QUEUED = 0.25
 """The same before any request has ended."""
-SPARE = 3.0
-"""Requests that a box may have beside its own in an idle pool. Where there are more boxes
-than slots an even part is less than one request, and two callers would meet at one box while
-the pool is idle."""
+FEW = 3.0
+"""Requests that a box may always have while any room is left. Where there are more boxes than slots
+an even part is less than one, and callers would wait for each other in a box beside idle slots."""
 STALE_S = 1.0
 """Loads that are older say nothing of what others have: four renewals were lost."""
 
@@ -79,9 +78,8 @@
         """Return how many requests this box may have in the pool.
 
         Where there is room left each box gets a part of that beside what it has: one half of it
-        evenly, so that boxes without requests get some, the other half by what each has; or its
-        spare ones, which are fewer the less room is left. Where there is none left all share the
-        whole room in that way.
+        evenly, so that boxes without requests get some, the other half by what each has; and
+        each may have a few. Where there is none left all share the whole room in that way.
 
         >>> Heard(own=3, total=30, room=50.0, boxes=10, at_s=0.0).part(0.1)
         5.0
@@ -91,16 +89,14 @@
         5.0
         """
         even = 1 / max(1, self.boxes)
-        if now_s >= self.at_s + STALE_S or not self.total:
+        if now_s >= self.at_s + STALE_S:
             return self.room * even
         own = min(self.own, self.total)
-        fraction = (even + own / self.total) / 2
+        fraction = (even + own / self.total) / 2 if self.total else even
         left = self.room - self.total
         if left <= 0:
             return self.room * fraction
-        # Infinite room has no parts.
-        spare = SPARE if math.isinf(self.room) else SPARE * left / self.room
-        return own + max(left * fraction, spare)
+        return max(own + left * fraction, min(FEW, own + left))
 
 
 def whole(part: float, chance: float) -> float:
--- a/src/croftpulley/core/room.py
+++ b/src/croftpulley/core/room.py
@@ -11,6 +11,8 @@
 _EXTRA = 0.5
 """Of its slots that the most urgent requests may wait beside it; the least urgent may not."""
 _LEAST_URGENT = 9
+_MOST = 3
+"""Times its slots that an endpoint has at most where boxes share the room of pools."""
 
 
 def most_load(slots: int, urgency: int) -> float:
@@ -25,3 +27,12 @@
     if not slots:
         return float("inf")
     return slots * (1 + _EXTRA * (_LEAST_URGENT - urgency) / _LEAST_URGENT)
+
+
+def most_at_all(slots: int) -> float:
+    """Return how many requests an endpoint may have where boxes share the room of its pool.
+
+    >>> most_at_all(4), most_at_all(0)
+    (12.0, inf)
+    """
+    return float(_MOST * slots) if slots else float("inf")
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -89,10 +89,19 @@
             members=members,
             held_tokens=held_tokens,
             candidates=self._counts.candidates(members.in_service, state, held_tokens),
-            most_load=_most_load(exchange, state),
+            most_load=self._most_load(exchange, state),
             now_s=self._clock.monotonic_s(),
         )
 
+    def _most_load(self, exchange: base.Exchange, state: router_state.RouterState) -> float:
+        """Return how many requests one endpoint may have for this one to go there."""
+        pool = state.tables.pools.get(exchange.pool)
+        slots = pool.slots if pool else 0
+        if self._counts.shares_room:
+            # Who has a permit was let in by rank; what it is for must not be refused again.
+            return room.most_at_all(slots)
+        return room.most_load(slots, headers.urgency(exchange))
+
     def _open(self, survey: service.Survey, passed_over: set[str]) -> list[selection.Candidate]:
         """Return the endpoints that may be sent one more request now."""
         state, now_s = survey.state, survey.now_s
@@ -218,11 +227,6 @@
         )
 
 
-def _most_load(exchange: base.Exchange, state: router_state.RouterState) -> float:
-    pool = state.tables.pools.get(exchange.pool)
-    return room.most_load(pool.slots if pool else 0, headers.urgency(exchange))
-
-
 def _prompt(exchange: base.Exchange) -> selection.Prompt | None:
     """Return the prompt of a request whose beginning others share."""
     if not exchange.facts.shared or not exchange.known_route.sticky:
--- a/testing/core/test_permits.py
+++ b/testing/core/test_permits.py
@@ -20,8 +20,8 @@
 @given(st.lists(st.integers(0, 60), min_size=1, max_size=80))
 def test_boxes_that_heard_the_same_have_no_more_than_the_room_together(owns):
     parts = [heard(owns, index).part(0.1) for index in range(len(owns))]
-    left = max(0.0, ROOM - sum(owns))
-    assert sum(parts) <= ROOM + permits.SPARE * len(owns) * left / ROOM + 1e-9
+    few = min(permits.FEW, max(0.0, ROOM - sum(owns)))
+    assert sum(parts) <= ROOM + few * len(owns) + 1e-9
 
 
 @pytest.mark.parametrize("boxes", [1, 12, 80])
@@ -37,9 +37,9 @@
             for each, chance in zip(told, chances, strict=True)
         ]
     # Each box may always have one.
-    # Each box may always have one, and spare ones while room is left.
-    assert 0.8 * room <= sum(owns) <= max(1.1 * room, boxes + room)
-    assert max(owns) <= 2.5 * room / boxes + permits.SPARE
+    # Each box may always have one, and a few while room is left.
+    assert 0.8 * room <= sum(owns) <= max(1.1 * room, permits.FEW * boxes + room)
+    assert max(owns) <= 2.5 * room / boxes + permits.FEW
 
 
 def test_a_box_alone_with_demand_gets_the_room_of_the_others():
@@ -49,6 +49,17 @@
     assert owns[0] >= 90
 
 
+@pytest.mark.parametrize("total", [0, 12])
+def test_callers_of_one_box_need_not_wait_for_each_other_beside_idle_slots(total):
+    told = permits.Heard(own=0, total=total, room=30.0, boxes=80, at_s=0.0)
+    assert permits.whole(told.part(0.1), 0.99) == permits.FEW
+
+
+def test_a_full_pool_leaves_each_of_many_boxes_one():
+    told = permits.Heard(own=1, total=80, room=30.0, boxes=80, at_s=0.0)
+    assert permits.whole(told.part(0.1), 0.99) == 1
+
+
 @pytest.mark.parametrize("own", [0, 5, 10**9])
 @pytest.mark.parametrize("total", [0, 1, 10**12])
 def test_whatever_was_told_a_box_has_some_permits_and_never_more_than_the_room(own, total):
--- a/testing/soak/room.py
+++ b/testing/soak/room.py
@@ -39,7 +39,7 @@
     def broken(self) -> list[str]:
         """Return the pools that had more than all routers may have there."""
         most = fleet.ENDPOINTS * SLOTS * (1 + permits.MOST_QUEUED)
-        most += fleet.ROUTERS * permits.SPARE
+        most += fleet.ROUTERS * permits.FEW
         return [
             f"{pool} ran {count} requests at once, {most:.0f} are allowed"
             for pool, count in self.most.items()
