Last read: one bound of what waits at an endpoint; how old loads fade stands beside the choice that uses it

core/room.py had three times the slots as a constant of its own, which is 1 + MOST_QUEUED of core/permits.py: it calls that now. kept_since stood in core/waiting_line.py, which does not use it. A loop in explain that ended at its first turn is a condition.

--- a/src/croftpulley/core/room.py
+++ b/src/croftpulley/core/room.py
@@ -8,11 +8,11 @@
 
 from __future__ import annotations
 
+from croftpulley.core import permits
+
 _EXTRA = 0.5
 """Of its slots that the most urgent requests may wait beside it; the least urgent may not."""
 _LEAST_URGENT = 9
-_MOST = 3
-"""Times its slots that an endpoint has at most where boxes share the room of pools."""
 
 
 def most_load(slots: int, urgency: int) -> float:
@@ -35,4 +35,4 @@
     >>> most_at_all(4), most_at_all(0)
     (12.0, inf)
     """
-    return float(_MOST * slots) if slots else float("inf")
+    return slots * (1 + permits.MOST_QUEUED) if slots else float("inf")
--- a/src/croftpulley/core/selection.py
+++ b/src/croftpulley/core/selection.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Sequence
 
 import attrs
@@ -153,11 +154,22 @@
     return ranked[costs_ms.index(min(costs_ms))]
 
 
+def kept_since(age_s: float, hold_s: float) -> float:
+    """Return how much of the loads that were heard some time ago still holds.
+
+    That is the part of the requests there which has not ended, where one lasts for ``hold_s``.
+
+    >>> kept_since(0.0, 0.1), round(kept_since(0.2, 0.1), 2), kept_since(0.2, 0.0)
+    (1.0, 0.14, 0.0)
+    """
+    return math.exp(-max(0.0, age_s) / hold_s) if hold_s else 0.0
+
+
 def evenly(key: str, candidates: Sequence[Candidate], kept: float) -> Candidate:
     """Choose among endpoints whose loads by others were heard some time ago.
 
     Where requests end sooner than loads are told, the endpoint that looked idle has long got those
-    of all boxes that heard so. ``kept`` is the part of what was heard that still holds: by so much
+    of all boxes that heard so. ``kept`` is from `kept_since`: by so much
     differences count, and one of less than a request is none. Among those alike the request's own
     hash decides, so that boxes do not all choose the same.
 
--- a/src/croftpulley/core/waiting_line.py
+++ b/src/croftpulley/core/waiting_line.py
@@ -38,17 +38,6 @@
     return max(0.0, min(OBJECTIVE_PART * objective_s, TIME_LEFT_PART * left_s))
 
 
-def kept_since(age_s: float, hold_s: float) -> float:
-    """Return how much of the loads that were heard some time ago still holds.
-
-    That is the part of the requests there which has not ended, where one lasts for ``hold_s``.
-
-    >>> kept_since(0.0, 0.1), round(kept_since(0.2, 0.1), 2), kept_since(0.2, 0.0)
-    (1.0, 0.14, 0.0)
-    """
-    return math.exp(-max(0.0, age_s) / hold_s) if hold_s else 0.0
-
-
 @attrs.define(eq=False, kw_only=True)
 class Waiter:
     """One request that waits; ``until_s`` is when it gives up.
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -8,7 +8,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, permits, router_state, traffic
-from croftpulley.core import cold, membership, places, room, selection, waiting_line
+from croftpulley.core import cold, membership, places, room, selection
 from croftpulley.forwarding import base, headers, refusals, service, steer
 from croftpulley.observe import events
 
@@ -172,7 +172,7 @@
         if not self._counts.shares_room:
             return selection.least_busy(request_id, candidates, self._hall)
         age_s = self._clock.monotonic_s() - self._view.get().loads_at_s
-        kept = waiting_line.kept_since(age_s, self._permits.hold_s(exchange.pool))
+        kept = selection.kept_since(age_s, self._permits.hold_s(exchange.pool))
         return selection.evenly(request_id, candidates, kept)
 
     def _held_tokens(self, exchange: base.Exchange, members: service.Members) -> dict[str, int]:
--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -234,8 +234,9 @@
 
 def _no_capacity(around: _Around) -> _Cause:
     problem = around.last.fields.get("problem", "")
-    for line in around.of(events.Event.ROOM_REFUSED):
-        fields = line.fields
+    refused = around.of(events.Event.ROOM_REFUSED)
+    if refused:
+        fields = refused[-1].fields
         return (
             f"Refused, not run: {problem}. It had waited {fields.get('waited_s')} s; with "
             f"{fields.get('ahead')} ahead of it a start was expected in {fields.get('starts_in_s')}"
--- a/testing/core/test_even_choice.py
+++ b/testing/core/test_even_choice.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from croftpulley.core import selection, waiting_line
+from croftpulley.core import selection
 
 BOXES = 80
 SLOTS = 6
@@ -61,7 +61,7 @@
 
 
 def evenly(key, candidates, age_s):
-    return selection.evenly(key, candidates, waiting_line.kept_since(age_s, WORK_S))
+    return selection.evenly(key, candidates, selection.kept_since(age_s, WORK_S))
 
 
 def least_busy(key, candidates, age_s):
@@ -88,7 +88,7 @@
         selection.Candidate(name="idle", hall="a", load=2),
         selection.Candidate(name="busy", hall="a", load=40),
     ]
-    kept = waiting_line.kept_since(0.1, 0.5)
+    kept = selection.kept_since(0.1, 0.5)
     assert {selection.evenly(str(key), heard, kept).name for key in range(50)} == {"idle"}
 
 
