--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -19,7 +19,7 @@
 from croftpulley import errors
 from croftpulley.controllers import actors, router_state
 from croftpulley.core import attempts, doubts, membership, suspects
-from croftpulley.endpoints import presence
+from croftpulley.endpoints import dialing
 from croftpulley.observe import events, metrics
 from croftpulley.transport import box_messages, json_codec, links
 
@@ -299,11 +299,13 @@
         connect_timeout_s: float,
         timeout_s: float,
         counters: metrics.Metrics,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
         super().__init__()
         self._suspicion = suspicion
         self._view = view
         self._connect_timeout_s = connect_timeout_s
+        self._dialer = dialer
         self._links = links.Links(timeout_s, counters)
         self._looked: dict[str, None] = {}
 
@@ -319,7 +321,7 @@
                 # Requests that were under way together break off together: one look does.
                 if endpoint.key not in self._looked:
                     self._looked[endpoint.key] = None
-                    look(self._suspicion, endpoint, self._connect_timeout_s)
+                    look(self._suspicion, endpoint, self._connect_timeout_s, self._dialer)
             case _Report():
                 self._report()
             case actors.Tick():
@@ -345,9 +347,14 @@
             self._suspicion.reported(report)
 
 
-def look(suspicion: Suspicion, endpoint: membership.Endpoint, timeout_s: float) -> None:
+def look(
+    suspicion: Suspicion,
+    endpoint: membership.Endpoint,
+    timeout_s: float,
+    dialer: dialing.Dialer,
+) -> None:
     """Look whether an endpoint is still there, and take what that shows."""
-    suspicion.looked(endpoint, listens=presence.listens(endpoint.address, timeout_s))
+    suspicion.looked(endpoint, listens=dialer.listens(endpoint.address, timeout_s))
 
 
 def new_trial() -> str:
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -23,6 +23,7 @@
 )
 from croftpulley.core import halls, membership, retry_budget, selection
 from croftpulley.daemons import entry_box
+from croftpulley.endpoints import dialing
 from croftpulley.forwarding import (
     admission,
     chain,
@@ -80,8 +81,10 @@
         settings: schema.RouterSettings,
         interface: callers.CallerInterface | None = None,
         clock: clocks.Clock | None = None,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
         self._settings = settings
+        self._dialer = dialer
         self._interface = interface or callers.OwnCallerInterface()
         self._clock = clock or clocks.SystemClock()
         self._regions = halls.Regions(settings.regions)
@@ -124,6 +127,7 @@
             settings.connect_timeout_s,
             settings.renew_timeout_s,
             self._counters,
+            self._dialer,
         )
         for each in self._servers:
             each.start()
@@ -256,7 +260,7 @@
             ),
             relay=relay.Relay(
                 placement,
-                sender.DirectSender(settings.connect_timeout_s, settings.silence_s),
+                sender.DirectSender(settings.connect_timeout_s, settings.silence_s, self._dialer),
                 self._traffic,
                 self._make_gate(),
                 departures.LastLook(self._view, self._traffic, pools, self._counters, self._clock),
@@ -272,7 +276,12 @@
             self._suspicion, self._view, settings.renew_timeout_s, self._counters
         )
         return suspects.Gate(
-            self._suspicion, trials, settings.connect_timeout_s, self._counters, self._clock
+            self._suspicion,
+            trials,
+            settings.connect_timeout_s,
+            self._counters,
+            self._clock,
+            self._dialer,
         )
 
     def _make_directory_http(self) -> server.HttpServer:
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -21,6 +21,7 @@
 
 from croftpulley import cancel, codes, errors
 from croftpulley.core import attempts
+from croftpulley.endpoints import dialing
 
 TRANSPORT_ERRORS = (
     OSError,
@@ -110,12 +111,14 @@
         attempt: attempts.Attempt,
         token: cancel.CancelToken,
         failures: FailureCodes,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
         host, _, port = target.address.rpartition(":")
         self._target = target
         self._attempt = attempt
         self._token = token
         self._failures = failures
+        self._dialer = dialer
         self._connection = urllib3.connection.HTTPConnection(
             host, int(port), timeout=target.connect_timeout_s
         )
@@ -133,7 +136,7 @@
         """
         try:
             self._token.check()
-            self._connection.connect()
+            self._dialer.dial(self._connection)
             self._sock = self._connection.sock
             self._token.on_cancel(self.shutdown)
             self._token.check()
--- a/src/croftpulley/forwarding/sender.py
+++ b/src/croftpulley/forwarding/sender.py
@@ -9,7 +9,7 @@
 
 from croftpulley import cancel, codes, errors
 from croftpulley.core import attempts, membership, verdicts
-from croftpulley.endpoints import connection
+from croftpulley.endpoints import connection, dialing
 from croftpulley.forwarding import base
 
 _READ_SIZE_BYTES = 65_536
@@ -75,9 +75,15 @@
 class DirectSender(Sender):
     """Sends straight to the endpoint, over a connection of its own."""
 
-    def __init__(self, connect_timeout_s: float, silence_timeout_s: float) -> None:
+    def __init__(
+        self,
+        connect_timeout_s: float,
+        silence_timeout_s: float,
+        dialer: dialing.Dialer = dialing.DIRECT,
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._silence_timeout_s = silence_timeout_s
+        self._dialer = dialer
 
     def send(self, order: Order, attempt: attempts.Attempt, token: cancel.CancelToken) -> Answer:
         """Send an attempt."""
@@ -87,7 +93,9 @@
             self._silence_timeout_s,
             order.arrival_limit_s,
         )
-        exchange = connection.Exchange(target, attempt, token, connection.WORKER_FAILURES)
+        exchange = connection.Exchange(
+            target, attempt, token, connection.WORKER_FAILURES, self._dialer
+        )
         request = connection.HttpRequest(
             order.method,
             order.target,
--- a/src/croftpulley/forwarding/suspects.py
+++ b/src/croftpulley/forwarding/suspects.py
@@ -13,6 +13,7 @@
 from croftpulley.controllers import suspicion
 from croftpulley.core import attempts, doubts, membership, verdicts
 from croftpulley.core import suspects as core
+from croftpulley.endpoints import dialing
 from croftpulley.forwarding import base
 from croftpulley.observe import events, metrics
 
@@ -35,7 +36,9 @@
         connect_timeout_s: float,
         counters: metrics.Metrics,
         clock: clocks.Clock,
+        dialer: dialing.Dialer = dialing.DIRECT,
     ) -> None:
+        self._dialer = dialer
         self._known = known
         self._trials = trials
         self._connect_timeout_s = connect_timeout_s
@@ -91,7 +94,7 @@
             return
         for endpoint in exchange.state.endpoints:
             if endpoint.key in unclear:
-                suspicion.look(self._known, endpoint, self._connect_timeout_s)
+                suspicion.look(self._known, endpoint, self._connect_timeout_s, self._dialer)
 
     def _begin_trial(self, exchange: base.Exchange, standing: suspicion.Standing) -> None:
         left_s = max(0.0, exchange.deadline_s - self._clock.monotonic_s())
--- a/testing/site_of_routers.py
+++ b/testing/site_of_routers.py
@@ -5,6 +5,7 @@
 import http.client
 import pathlib
 import socket
+from collections.abc import Sequence
 from typing import Any
 
 import attrs
@@ -12,6 +13,7 @@
 from croftpulley import clock as clocks
 from croftpulley.core import membership
 from croftpulley.daemons import replica, router
+from croftpulley.endpoints import dialing
 from croftpulley.fakes import forwarded
 from croftpulley.platform import callers, names, operators, stand_ins
 from croftpulley.settings import schema
@@ -115,6 +117,7 @@
         lease_s: float = 0.8,
         election_s: float = 0.3,
         halls: dict[str, str] | None = None,
+        dialers: Sequence[dialing.Dialer] = (),
         **changes: Any,
     ) -> None:
         self.folder = folder
@@ -137,6 +140,8 @@
         self.control: list[replica.ReplicaDaemon | None] = [None] * control
         for number in range(control):
             self.start_control(number, first_start=True)
+        self.dialers = {f"router-{n}": each for n, each in enumerate(dialers)}
+        """The links to endpoints of routers, by their names; the others have their own."""
         self.routers = [self.start_router(f"router-{n}") for n in range(routers)]
         self.operator = stand_ins.Operator(tuple(self.operators))
 
@@ -236,7 +241,10 @@
             "retry_ratio": 10.0,
         }
         daemon = router.RouterDaemon(
-            schema.RouterSettings(**(wanted | self.changes)), callers.PlatformCallers(), clock
+            schema.RouterSettings(**(wanted | self.changes)),
+            callers.PlatformCallers(),
+            clock,
+            self.dialers.get(name, dialing.DIRECT),
         )
         daemon.start()
         return daemon
