A test of an operator's row waits until every router has heard of the second end

The third send came to a router that had not heard of the second end yet (the report and the next renewal take some tens of ms), so it needed no trial; three ends before the fleet knows are what users allow, and other tests of this file bound them. The row's check is the same; what leads to it is now one order of events.

--- a/testing/daemons/test_crashing_requests.py
+++ b/testing/daemons/test_crashing_requests.py
@@ -233,6 +233,9 @@
 
 
 def test_an_operator_lists_what_is_refused_and_clears_it(site):
+    send_in_turn(site, rounds=suspects.SUSPECTED_CRASHES)
+    for router in site.routers:
+        wait_until(lambda router=router: suspected(router), "every router has heard of both ends")
     send_in_turn(site)
 
     def run(*arguments):
