A refused connection shows an endpoint's end only while another one can be reached: all others are tried

The first mend tried three of the listed endpoints, which may be three that have ended too. Tests of what a cut must not teach: outcomes, trust, ends.

--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -30,8 +30,9 @@
 PUT_OFF_S = 0.25
 """Between two asks of a router for a trial of one request, where none is granted: a suspect that
 comes a thousand times a second asks the leading control box four times."""
-_OTHERS_TRIED = 3
-"""Endpoints that a look at one that refuses connections tries beside it."""
+_SILENT_TRIED = 2
+"""Other endpoints of which nothing comes back, before a look takes this box for cut off; each takes
+the whole time for a connection."""
 MOST_PENDING = 5000
 """Ends, and as many trials and clearings, that wait to be reported while nobody leads, about 1 MB;
 the oldest go first."""
@@ -373,8 +374,15 @@
 def _reaches_one(
     endpoints: list[membership.Endpoint], timeout_s: float, dialer: dialing.Dialer
 ) -> bool:
-    some = random.sample(endpoints, min(_OTHERS_TRIED, len(endpoints)))
-    return any(dialer.listens(each.address, timeout_s) for each in some)
+    silent = 0
+    for each in random.sample(endpoints, len(endpoints)):
+        listens = dialer.listens(each.address, timeout_s)
+        if listens:
+            return True
+        silent += listens is None
+        if silent == _SILENT_TRIED:
+            break
+    return False
 
 
 def new_trial() -> str:
--- /dev/null
+++ b/testing/controllers/test_reach.py
@@ -0,0 +1,103 @@
+"""What a router's own connections say of its ways to pools, and what a cut must not teach."""
+
+from __future__ import annotations
+
+import pytest
+
+import cut_links
+from croftpulley import clock as clocks
+from croftpulley.controllers import actors, reach, router_state, suspicion, traffic
+from croftpulley.core import attempts, doubts, membership, retry_budget, selection
+from croftpulley.observe import metrics
+
+ALLOWANCE = retry_budget.Allowance(ratio=0.2, extra=10, window_s=10)
+
+
+def worker(name, pool="desk", address="127.0.0.1:1"):
+    return membership.Endpoint(name, membership.EndpointKind.WORKER, pool, address, "hall-a", name)
+
+
+WORKERS = tuple(worker(name) for name in ("w1", "w2", "w3"))
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def counts(clock):
+    return traffic.Traffic(ALLOWANCE, selection.Rates(), clock)
+
+
+@pytest.fixture
+def known(counts, clock):
+    view = actors.View(router_state.RouterState(endpoints=WORKERS))
+    return reach.Reach(view, counts, metrics.Metrics(()), clock)
+
+
+def lose(known):
+    for each in WORKERS[:2]:
+        known.unreached(each)
+        known.failed(each)
+
+
+def test_a_pool_is_lost_once_two_of_its_endpoints_in_a_row_cannot_be_reached(known):
+    known.unreached(WORKERS[0])
+    assert known.lost == frozenset()
+    known.unreached(WORKERS[0])
+    assert known.lost == frozenset()
+    known.unreached(WORKERS[1])
+    assert known.lost == {"desk"}
+
+
+def test_one_that_is_reached_in_between_shows_that_the_others_are_to_blame(known):
+    known.unreached(WORKERS[0])
+    known.connected(WORKERS[2])
+    known.unreached(WORKERS[1])
+    assert known.lost == frozenset()
+
+
+def test_failures_while_the_way_is_lost_are_reported_of_nobody(known, counts):
+    lose(known)
+    known.failed(WORKERS[2])
+    known.connected(WORKERS[0])
+    known.connected(WORKERS[1])
+    known.answered(WORKERS[2])
+    assert counts.take_outcomes() == {}
+
+
+def test_a_failure_is_reported_once_another_endpoint_of_the_pool_has_answered(known, counts):
+    known.unreached(WORKERS[0])
+    known.failed(WORKERS[0])
+    assert counts.take_outcomes() == {}
+    known.answered(WORKERS[0])
+    assert counts.take_outcomes() == {}
+    known.answered(WORKERS[1])
+    assert counts.take_outcomes() == {"w1": (0, 1)}
+
+
+def test_after_a_cut_no_endpoint_is_avoided_for_what_was_met_in_it(known, counts, clock):
+    lose(known)
+    known.connected(WORKERS[0])
+    known.connected(WORKERS[1])
+    state = router_state.RouterState(endpoints=WORKERS)
+    members = {each.key: each for each in WORKERS}
+    avoided = [each.avoid_until_s for each in counts.candidates(members, state, {})]
+    assert max(avoided) <= clock.monotonic_s()
+
+
+def test_a_refused_connection_ends_an_endpoint_only_while_another_one_is_reached(clock):
+    links = cut_links.Links()
+    listed = [worker(f"w{n}", address=f"127.0.0.1:{n}") for n in range(1, 7)]
+    suspected = suspicion.Suspicion(clock, metrics.Metrics(()))
+    request = doubts.Named("a-fingerprint", "clinic")
+    attempt = attempts.Attempt(1, "w1", attempts.Phase.SENT, in_doubt=True)
+    suspected.end(listed[0], request, attempt, doubts.Ending.BROKE)
+    links.cut = cut_links.Cut.REFUSED
+    suspicion.look(suspected, listed[0], listed, 0.1, links)
+    assert suspected.standing("a-fingerprint").crashes == 0
+    links.answers = {listed[5].address}
+    suspicion.look(suspected, listed[0], listed, 0.1, links)
+    assert suspected.standing("a-fingerprint").crashes == 1
+    links.stop()
--- a/testing/cut_links.py
+++ b/testing/cut_links.py
@@ -26,12 +26,14 @@
 class Links(dialing.Dialer):
     """Links that pass connections on until they are cut.
 
-    ``spared`` are addresses to which they pass all the same.
+    ``spared`` are addresses to which they pass all the same, ``answers`` those where somebody is
+    taken to listen whatever is there.
     """
 
     def __init__(self) -> None:
         self.cut = Cut.NONE
         self.spared: set[str] = set()
+        self.answers: set[str] = set()
         self.dialled: list[str] = []
         """The address of every connection that was asked for."""
         self.open: list[socket.socket] = []
@@ -53,6 +55,8 @@
         self.open.append(connection.sock)
 
     def listens(self, address: str, timeout_s: float) -> bool | None:
+        if address in self.answers:
+            return True
         cut = Cut.NONE if address in self.spared else self.cut
         if cut is Cut.NONE:
             return dialing.DIRECT.listens(address, timeout_s)
