Pools whose connections stay mute are known by what others are answered, and requests go by way of other boxes

Two endpoints silent for 0.5 s, none of the pool heard since, others' answers told by the leader, and the endpoints' silence when asked whether they are well come to a mute way. Where nobody else takes a request it is sent all the same: endpoints may just be slow. Tests failing before: mute; besides, what a hop may do, one hop only, cancels over two boxes, nobody reaches a pool.

--- a/src/croftpulley/controllers/reach.py
+++ b/src/croftpulley/controllers/reach.py
@@ -12,6 +12,7 @@
 import urllib3.connection
 
 from croftpulley import clock as clocks
+from croftpulley import errors
 from croftpulley.controllers import actors, router_state, traffic
 from croftpulley.core import membership
 from croftpulley.core import reach as core
@@ -20,6 +21,8 @@
 from croftpulley.observe import events, metrics
 
 _LOG = logging.getLogger(__name__)
+TICKS_A_QUESTION = 4
+"""Ticks between two questions to an endpoint whether it is well, while the way there is mute."""
 TRY_TIMEOUT_S = 0.2
 """How long a try of a lost way may take: many round trips within a region."""
 
@@ -41,12 +44,24 @@
         self._lock = threading.Lock()
         self._pools: dict[str, core.PoolReach] = {}
         self._lost: frozenset[str] = frozenset()
+        self._answered: set[str] = set()
 
     @property
     def lost(self) -> frozenset[str]:
         """The pools of which no endpoint can be reached from here."""
         return self._lost
 
+    def is_refused(self, pool: str) -> bool:
+        """Tell whether not even connections are made to a pool's endpoints."""
+        known = self._pools.get(pool)
+        return known is not None and known.is_lost
+
+    def take_answered(self) -> tuple[str, ...]:
+        """Return the pools that have answered since the last call."""
+        with self._lock:
+            taken, self._answered = self._answered, set()
+        return tuple(sorted(taken))
+
     def unreached(self, endpoint: membership.Endpoint) -> None:
         """Note that no connection to an endpoint was made."""
         now_s = self._clock.monotonic_s()
@@ -57,6 +72,28 @@
         if is_new:
             self._tell(events.Event.POOL_OUT_OF_REACH, endpoint, is_lost=True)
 
+    def asked(self, endpoint: membership.Endpoint) -> None:
+        """Note a connection over which an endpoint's answer is awaited."""
+        with self._lock:
+            self._pool(endpoint).asked(endpoint.key, self._clock.monotonic_s())
+
+    def silent(self, pool: str) -> list[membership.Endpoint]:
+        """Return the endpoints of a pool whose silence makes the way there doubtful."""
+        known = self._pools.get(pool)
+        if known is None or known.is_lost or known.is_mute:
+            return []
+        of_pool = {each.key: each for each in self._view.get().endpoints if each.pool == pool}
+        with self._lock:
+            silent = known.silent(len(of_pool), self._clock.monotonic_s())
+        return [of_pool[key] for key in silent if key in of_pool]
+
+    def mute(self, endpoint: membership.Endpoint) -> None:
+        """Take it that connections to a pool's endpoints, such as this one, say nothing."""
+        with self._lock:
+            self._pool(endpoint).mute()
+            self._know_lost()
+        self._tell(events.Event.POOL_OUT_OF_REACH, endpoint, is_lost=True)
+
     def connected(self, endpoint: membership.Endpoint) -> None:
         """Note that a connection to an endpoint was made."""
         if endpoint.pool not in self._pools:
@@ -66,10 +103,7 @@
             is_back = self._pool(endpoint).connected(now_s)
             self._know_lost()
         if is_back:
-            self._counts.trust_again(
-                each.key for each in self._view.get().endpoints if each.pool == endpoint.pool
-            )
-            self._tell(events.Event.POOL_REACHED_AGAIN, endpoint, is_lost=False)
+            self._is_back(endpoint)
 
     def failed(self, endpoint: membership.Endpoint) -> None:
         """Note an attempt that ended without a word of its endpoint, which is avoided a while.
@@ -82,18 +116,30 @@
 
     def answered(self, endpoint: membership.Endpoint) -> None:
         """Note that the head of an endpoint's answer is there."""
-        if endpoint.pool not in self._pools:
-            return
         with self._lock:
-            failed = self._pool(endpoint).answered(endpoint.key, self._clock.monotonic_s())
+            known = self._pool(endpoint)
+            was_mute = known.is_mute
+            failed = known.answered(endpoint.key, self._clock.monotonic_s())
+            self._answered.add(endpoint.pool)
+            self._know_lost()
+        if was_mute:
+            self._is_back(endpoint)
         for key in failed:
             self._counts.erred(key)
 
+    def _is_back(self, endpoint: membership.Endpoint) -> None:
+        """Avoid nobody for what was met while the way was lost."""
+        of_pool = [each.key for each in self._view.get().endpoints if each.pool == endpoint.pool]
+        self._counts.trust_again(of_pool)
+        self._tell(events.Event.POOL_REACHED_AGAIN, endpoint, is_lost=False)
+
     def _pool(self, endpoint: membership.Endpoint) -> core.PoolReach:
         return self._pools.setdefault(endpoint.pool, core.PoolReach())
 
     def _know_lost(self) -> None:
-        self._lost = frozenset(name for name, each in self._pools.items() if each.is_lost)
+        self._lost = frozenset(
+            name for name, each in self._pools.items() if each.is_lost or each.is_mute
+        )
 
     def _tell(self, event: events.Event, endpoint: membership.Endpoint, *, is_lost: bool) -> None:
         self._counters.out_of_reach(endpoint.pool, is_lost)
@@ -103,6 +149,7 @@
             level=logging.WARNING,
             pool=endpoint.pool,
             endpoint=endpoint.key,
+            are_connections_made=not self.is_refused(endpoint.pool),
             lost=sorted(self._lost),
         )
 
@@ -123,6 +170,7 @@
             self._known.unreached(self._endpoint)
             raise
         self._known.connected(self._endpoint)
+        self._known.asked(self._endpoint)
 
     def listens(self, address: str, timeout_s: float) -> bool | None:
         """Connect and close."""
@@ -150,12 +198,41 @@
         self._tries = 0
 
     def handle(self, message: object) -> None:
-        """Try once."""
+        """Look once."""
+        self._tries += 1
         for pool in sorted(self._known.lost):
-            of_pool = [each for each in self._view.get().endpoints if each.pool == pool]
-            if not of_pool:
-                continue
-            endpoint = of_pool[self._tries % len(of_pool)]
+            self._try(pool)
+        for pool in sorted(self._view.get().answering - self._known.lost):
+            self._doubt(pool)
+
+    def _try(self, pool: str) -> None:
+        """Try whether the way to a pool is there again."""
+        of_pool = [each for each in self._view.get().endpoints if each.pool == pool]
+        if not of_pool:
+            return
+        endpoint = of_pool[self._tries % len(of_pool)]
+        if self._known.is_refused(pool):
             way = NotingDialer(endpoint, self._known, self._dialer)
             way.listens(endpoint.address, TRY_TIMEOUT_S)
-        self._tries += 1
+        elif self._tries % TICKS_A_QUESTION == 0:
+            self._answers(endpoint)
+
+    def _doubt(self, pool: str) -> None:
+        """Find out whether endpoints are silent that answer others, or the way to them is."""
+        silent = self._known.silent(pool)[: core.LEAST_FAILED]
+        if silent and not any(self._answers(each) for each in silent):
+            self._known.mute(silent[0])
+
+    def _answers(self, endpoint: membership.Endpoint) -> bool:
+        """Ask an endpoint whether it is well; any answer shows that the way is there."""
+        pool = self._view.get().tables.pools.get(endpoint.pool)
+        path = pool.health_path if pool else "/"
+        target = connections.Target(endpoint.address, TRY_TIMEOUT_S, TRY_TIMEOUT_S)
+        request = connections.HttpRequest("GET", path, content_type=None)
+        try:
+            connections.whole(target, request, connections.WORKER_FAILURES, dialer=self._dialer)
+        except errors.CroftpulleyError:
+            # What a failure says is that nothing was heard.
+            return False
+        self._known.answered(endpoint)
+        return True
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -231,6 +231,7 @@
             leaving=self._counts.said_leaving(known.endpoints),
             resting_s=own_loads.resting_s,
             unreached=tuple(sorted(self._reach.lost)),
+            answered=self._reach.take_answered(),
         )
         try:
             body = self._links.to(address).post(
@@ -325,6 +326,7 @@
             heard_at_s=sent_at_s,
             held_off=frozenset(answer.held_off),
             unreached={pool: frozenset(names) for pool, names in answer.unreached.items()},
+            answering=frozenset(answer.answering),
             heard_no_leader=answer.lease_s <= 0,
             leader_address=self._leader,
             registered_boxes=answer.registered_boxes or known.registered_boxes,
--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -20,7 +20,8 @@
     that granted the last lease. ``evacuated`` are the halls whose endpoints get no requests, and
     ``returned_at_s`` says when this box learned that halls are in service again. ``cold`` says how
     many requests a second this box may send to each cold endpoint, as told at ``cold_at_s``.
-    ``unreached`` are the boxes that reach no endpoint of a pool, by pools.
+    ``unreached`` are the boxes that reach no endpoint of a pool, by pools, and ``answering`` the
+    pools of which other boxes had answers lately.
     ``registered_boxes`` is how many routers the fleet has, as last told with a lease.
     """
 
@@ -49,6 +50,7 @@
     cold_at_s: float = float("-inf")
     registered_boxes: int = 0
     unreached: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    answering: frozenset[str] = frozenset()
 
     @property
     def is_cut_off(self) -> bool:
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -14,6 +14,7 @@
 from croftpulley.controllers import actors, agreement, in_force, listing, replica_standing
 from croftpulley.core import (
     agreed,
+    answering,
     cold,
     listed_counts,
     membership,
@@ -128,6 +129,7 @@
         self._forget_at_s: dict[str, float] = {}
         self._bulletin = places.Bulletin()
         self._outcomes = outcomes.Outcomes()
+        self._answering = answering.Answering()
         self._order = _Order()
         self._boxes: versions.Versioned[tuple[membership.Box, ...]] = versions.Versioned(())
 
@@ -192,6 +194,7 @@
         now_s = self._clock.monotonic_s()
         self._bulletin.post(places.each_note(report.notes))
         self._outcomes.add(report.outcomes, now_s)
+        self._answering.note(report.box.name, report.answered, now_s)
         if report.leaving:
             self._tell_leaving(report.leaving)
         newest = state.submissions.held.version
@@ -264,6 +267,7 @@
             next_note=page.next_number,
             held_off=self._outcomes.held(self._clock.monotonic_s()),
             unreached=self._sessions.unreached(),
+            answering=self._answering.by_others(report.box.name, self._clock.monotonic_s()),
             suspects=state.suspects.bulletin.since(report.suspects_revision, self._clock.wall_s()),
             evacuated=state.evacuated.unless(report.halls_revision),
         )
@@ -317,6 +321,7 @@
         self._boxes.set(self._sessions.boxes(now_s))
         self._forget(now_s)
         self._allotments.forget(now_s)
+        self._answering.forget(now_s)
         self._judge(now_s)
         self._settle()
 
--- a/src/croftpulley/core/reach.py
+++ b/src/croftpulley/core/reach.py
@@ -15,6 +15,9 @@
 """Connections in a row before it is there again: a link that comes and goes is left alone."""
 REMEMBERED_S = 5.0
 """What failed longer ago says nothing of the way now."""
+SILENT_S = 0.5
+"""How long nothing may come back over connections to several endpoints before the way is doubted:
+most answers begin sooner, and a doubt alone decides nothing."""
 AWAITED_S = 2.0
 """How long it is open whether a failure was its endpoint's: until another of the pool answers."""
 
@@ -39,6 +42,10 @@
     """
 
     is_lost: bool = False
+    """No connection is made."""
+    is_mute: bool = False
+    """Connections are made, and nothing comes back over them."""
+    _silent_since_s: dict[str, float] = attrs.field(factory=dict)
     _unreached_at_s: dict[str, float] = attrs.field(factory=dict)
     _reached_count: int = 0
     _open: list[Failure] = attrs.field(factory=list)
@@ -73,9 +80,26 @@
         self._unreached_at_s.clear()
         return True
 
+    def asked(self, endpoint: str, now_s: float) -> None:
+        """Note a connection over which an answer is awaited."""
+        self._silent_since_s.setdefault(endpoint, now_s)
+
+    def silent(self, size: int, now_s: float) -> list[str]:
+        """Return the endpoints that have been silent for long, if they are enough for a doubt.
+
+        ``size`` is how many endpoints the pool has. No other one has answered since either.
+        """
+        silent = [key for key, at_s in self._silent_since_s.items() if at_s + SILENT_S <= now_s]
+        return silent if len(silent) >= max(1, min(LEAST_FAILED, size)) else []
+
+    def mute(self) -> None:
+        """Take the way to be mute: endpoints that were asked whether they are well said nothing."""
+        self.is_mute = True
+        self._open.clear()
+
     def failed(self, endpoint: str, now_s: float) -> None:
         """Note an attempt that ended without a word of its endpoint."""
-        if not self.is_lost:
+        if not (self.is_lost or self.is_mute):
             self._open.append(Failure(endpoint, now_s))
 
     def answered(self, endpoint: str, now_s: float) -> list[str]:
@@ -83,6 +107,8 @@
 
         Those are the ones that came before, at other endpoints, each as often as it failed.
         """
+        self.is_mute = False
+        self._silent_since_s.clear()
         recent = [each for each in self._open if now_s < each.at_s + AWAITED_S]
         self._open = [each for each in recent if each.endpoint == endpoint]
         return [each.endpoint for each in recent if each.endpoint != endpoint]
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -286,13 +286,14 @@
     failures: FailureCodes,
     attempt: attempts.Attempt | None = None,
     token: cancel.CancelToken | None = None,
+    dialer: dialing.Dialer = dialing.DIRECT,
 ) -> tuple[urllib3.HTTPResponse, bytes]:
     """Make a whole exchange and return the answer and its body.
 
     Raises `errors.CroftpulleyError`, also when the body is shorter than the answer's length.
     """
     attempt = attempt or attempts.Attempt(1, target.address)
-    exchange = Exchange(target, attempt, token or cancel.CancelToken(), failures)
+    exchange = Exchange(target, attempt, token or cancel.CancelToken(), failures, dialer)
     try:
         response = exchange.begin(request)
         try:
--- a/src/croftpulley/forwarding/by_peer.py
+++ b/src/croftpulley/forwarding/by_peer.py
@@ -21,7 +21,9 @@
     def handle(self, exchange: base.Exchange, proceed: base.Proceed) -> base.ForwardReply:
         """Return the answer, whoever had it."""
         if self._is_lost(exchange):
-            return self._elsewhere(exchange)
+            reply = self._taken_elsewhere(exchange)
+            if reply is not None:
+                return reply
         try:
             return proceed(exchange)
         except errors.CroftpulleyError:
@@ -40,6 +42,19 @@
         is_free = exchange.token.reason is None and not exchange.trial
         return self._is_lost(exchange) and is_unsent and is_free
 
+    def _taken_elsewhere(self, exchange: base.Exchange) -> base.ForwardReply | None:
+        """Return another box's answer, ``None`` if this one should ask endpoints all the same.
+
+        Where nobody else takes the request, and connections are made, endpoints may just be slow.
+        """
+        try:
+            return self._elsewhere(exchange)
+        except errors.CroftpulleyError as failure:
+            is_for_us = failure.code is codes.ResultCode.OUT_OF_REACH and exchange.hop is None
+            if not is_for_us or self._known.is_refused(exchange.pool):
+                raise
+        return None
+
     def _elsewhere(self, exchange: base.Exchange) -> base.ForwardReply:
         if exchange.hop is None:
             return self._ways.reply(exchange)
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -32,7 +32,8 @@
     ``suspects_revision`` is that of the suspects that it knows, ``halls_revision`` that of the
     evacuated halls that it obeys. ``leaving`` are endpoints that said so themselves and that it was
     not told of, ``resting_s`` those that want nothing from this box, and for how long.
-    ``unreached`` are the pools of which it reaches no endpoint.
+    ``unreached`` are the pools of which it reaches no endpoint, ``answered`` those of which it had
+    answers since the report before.
     """
 
     box: membership.Box
@@ -50,6 +51,7 @@
     leaving: tuple[str, ...] = ()
     resting_s: dict[str, float] = attrs.field(factory=dict)
     unreached: tuple[str, ...] = ()
+    answered: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
@@ -70,7 +72,8 @@
     after the end of its lease. ``evacuated`` are the halls whose endpoints get no requests.
     ``cold`` says, in the order of the list, which endpoints are cold and how many requests the box
     may send there in any second, one more than that (`core.cold`). ``unreached`` are the boxes that
-    reach no endpoint of a pool, by pools.
+    reach no endpoint of a pool, by pools, and ``answering`` the pools of which other boxes had
+    answers lately.
     """
 
     lease_s: float = 0.0
@@ -93,6 +96,7 @@
     evacuated: halls.Evacuated | None = None
     cold: tuple[int, ...] = ()
     unreached: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    answering: tuple[str, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/daemons/test_cut_links.py
+++ b/testing/daemons/test_cut_links.py
@@ -9,12 +9,15 @@
 from __future__ import annotations
 
 import itertools
+from concurrent import futures
 
 import pytest
 
 import cut_links
 import site_of_routers as sites
 from conftest import wait_until
+from croftpulley.fakes import faults
+from croftpulley.forwarding import hops
 
 _NUMBERS = itertools.count()
 PATHS = ("/cancel/x", "/confirm/x", "/stream/note/x", "/stream/chat/x")
@@ -97,3 +100,109 @@
         )
 
     wait_until(goes_direct, "the router asks every endpoint itself again")
+
+
+def test_where_connections_are_made_and_stay_mute_requests_go_by_way_of_another(site, links):
+    links[0].cut = cut_links.Cut.MUTE
+    with futures.ThreadPoolExecutor(8) as pool:
+        # What is under way when the links fall silent is lost, or late, as with any endpoint.
+        under_way = [pool.submit(send, site, site.routers[0]) for _ in range(4)]
+        wait_until(lambda: bool(answered_elsewhere(site)), "others have answers")
+        wait_until(lambda: "desk" in site.routers[0]._reach.lost, "the pool is out of reach")
+        assert set(statuses(site, site.routers[0], paths=("/cancel/x", "/confirm/x"))) == {200}
+        futures.wait(under_way)
+
+
+def answered_elsewhere(site):
+    """Have another router be answered, and return what the cut one was told of that."""
+    assert send(site, site.routers[1]).status == 200
+    return site.routers[0]._view.get().answering
+
+
+def test_a_pool_that_is_mute_for_all_is_nobodys_lost_link(site, links):
+    for each in links:
+        each.cut = cut_links.Cut.MUTE
+    answers = [send(site, router) for router in site.routers for _ in range(2)]
+    assert {each.status for each in answers} <= {502, 504}
+    assert {router._reach.lost for router in site.routers} == {frozenset()}
+
+
+def hand_over(site, router, path="/cancel/x", **headers):
+    """Send a request to where a router takes those of other boxes."""
+    told = {hops.BOX: "router-9", hops.VERSION: "0", **headers}
+    return site.ask(
+        "GET",
+        path,
+        address=router._peer_http.address,
+        request_id=f"hop/{next(_NUMBERS)}",
+        headers=told,
+    )
+
+
+def test_whoever_hands_a_request_over_may_do_no_more_than_a_caller(site):
+    router = site.routers[0]
+    assert hand_over(site, router).status == 200
+    assert hand_over(site, router, **{sites.names.VOCABULARY.key: "no-key"}).status == 401
+    assert hand_over(site, router, path="/nowhere").status == 404
+
+
+def test_an_endpoint_is_told_nothing_of_a_hop(site, links):
+    links[0].cut = cut_links.Cut.REFUSED
+    send(site, site.routers[0])
+    (_, run), *_ = site.runs()
+    assert not [name for name in run.headers if name.startswith("x-hop")]
+
+
+def test_a_router_that_was_handed_a_request_hands_it_to_nobody(site, links):
+    links[1].cut = cut_links.Cut.REFUSED
+    statuses(site, site.routers[1], count=1, paths=("/cancel/x",))
+    before = len(site.runs())
+    answer = hand_over(site, site.routers[1])
+    assert answer.status == 503
+    assert answer.headers[hops.REFUSED] == "OUT_OF_REACH"
+    assert len(site.runs()) == before
+
+
+def test_a_router_with_an_older_configuration_takes_no_request(site):
+    answer = hand_over(site, site.routers[0], **{hops.VERSION: "99"})
+    assert answer.status == 503
+    assert answer.headers[hops.REFUSED] == "NO_CONFIGURATION"
+
+
+@pytest.mark.parametrize("cut", UNSENT_CUTS)
+def test_where_no_router_reaches_an_endpoint_callers_are_refused_and_nothing_has_run(
+    site, links, cut
+):
+    for each in links:
+        each.cut = cut
+    for router in site.routers:
+        statuses(site, router, count=2, paths=("/cancel/x",))
+    answer = send(site, site.routers[0])
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert site.runs() == []
+
+
+def test_a_caller_that_leaves_ends_the_work_at_an_endpoint_behind_another_router(site, links):
+    links[0].cut = cut_links.Cut.REFUSED
+    statuses(site, site.routers[0], count=1, paths=("/cancel/x",))
+    for each in site.workers:
+        each.faults.add(faults.Fault.SILENT)
+    connection = site.connect(site.routers[0].caller_address)
+    connection.request("GET", "/confirm/x", None, site.headers("leaves"))
+    wait_until(lambda: any(each.running for each in site.workers), "it runs")
+    connection.close()
+    wait_until(lambda: any("leaves" in each.cancelled for each in site.workers), "it is cancelled")
+
+
+def test_a_stream_by_way_of_another_router_passes_on_each_event_as_it_comes(site, links):
+    links[0].cut = cut_links.Cut.REFUSED
+    statuses(site, site.routers[0], count=1, paths=("/stream/chat/x",))
+    for each in site.engines:
+        each.may_go_on.clear()
+    connection = site.connect(site.routers[0].caller_address)
+    connection.request("GET", "/stream/chat/y", None, site.headers("paused"))
+    for each in site.engines:
+        each._loop.call_soon_threadsafe(each.may_go_on.set)
+    assert sites.read(connection.getresponse()).body.count(b"data:") == 5
+    connection.close()
