--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections
 import sys
 import time
 
@@ -82,6 +83,10 @@
         """What it says of leaving in all its answers; nothing if this is empty."""
         self.load = ""
         """What it tells of its load in all its answers, with ``{running}`` in it; or nothing."""
+        self.brittle: int | None = None
+        """How many requests it may turn away in a second, as all its answers say: beyond that it
+        ends. Without it, it turns away any number."""
+        self._turned_away_at_s: collections.deque[float] = collections.deque()
         self.told_leaving: list[Arrival] = []
         """The requests in whose answers it said that it leaves, and when."""
 
@@ -104,6 +109,7 @@
             await self._decline(request, connection, 503)
             return
         if self.running >= self.most_at_once:
+            self._turn_away()
             await self._decline(request, connection, 503)
             return
         fault = self.faults.take()
@@ -166,6 +172,16 @@
         await connection.reader.read()
         self.cancelled.append(request.headers[self.names.request_id])
 
+    def _turn_away(self) -> None:
+        """Count a request turned away for want of room; it may be one too many."""
+        now_s = time.monotonic()
+        turned_away = self._turned_away_at_s
+        turned_away.append(now_s)
+        while turned_away[0] <= now_s - 1.0:
+            turned_away.popleft()
+        if self.brittle is not None and len(turned_away) > self.brittle:
+            self.crash()
+
     async def _decline(
         self, request: stub.StubRequest, connection: stub.StubConnection, status: int
     ) -> None:
@@ -193,6 +209,8 @@
         lines = [f"HTTP/1.1 {status} Fake", f"{self.names.request_id}: {request_id}"]
         if fault is not faults.Fault.NO_PROOF:
             lines.append(f"{self.names.proof}: {PROOF}")
+        if self.brittle is not None:
+            lines.append(f"{self.names.brittle}: {self.brittle}")
         if self.load:
             lines.append(f"{self.names.load}: {self.load.format(running=self.running)}")
         if self.leaving:
--- a/src/croftpulley/forwarding/vocabulary.py
+++ b/src/croftpulley/forwarding/vocabulary.py
@@ -47,6 +47,8 @@
     """The endpoint ends soon and wants no more requests."""
     load: str = "x-load"
     """What runs and waits there, its slots, and how long work takes (`core.told_load`)."""
+    brittle: str = "x-brittle"
+    """It ends where it has to turn away more requests in a second than this says."""
 
 
 OWN = Vocabulary()
--- a/src/croftpulley/platform/names.py
+++ b/src/croftpulley/platform/names.py
@@ -28,6 +28,7 @@
     leaving="server-leaving",
     # What work takes there, in hundredths of the usual time, is told where machines are shared.
     load="croftpulley-instance-load",
+    brittle="server-brittle",
 )
 
 BORN = "born"
