The soak cuts the links of single routers to all endpoints, judged by who is served

Its proxies stood before each endpoint for all boxes alike, so no run could cut one box: that is why the fault was missed there. Kind cuts: mute, reset and one-way cuts of one router or two of three, in series; every other seed beside all other troubles (safety only). Stand-ins answer a question whether they are well, which is no request. An attempt that broke off without a word counts as silence at once.

--- a/src/croftpulley/core/reach.py
+++ b/src/croftpulley/core/reach.py
@@ -98,7 +98,9 @@
         self._open.clear()
 
     def failed(self, endpoint: str, now_s: float) -> None:
-        """Note an attempt that ended without a word of its endpoint."""
+        """Note an attempt that ended without a word of its endpoint, or within its answer."""
+        # Broken off without a word it is as good as silent.
+        self._silent_since_s[endpoint] = now_s - SILENT_S
         if not (self.is_lost or self.is_mute):
             self._open.append(Failure(endpoint, now_s))
 
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -13,6 +13,8 @@
 from croftpulley.forwarding import vocabulary
 from croftpulley.settings import schema
 
+HEALTH_PATH = "/health"
+"""By default of configurations; asked for without the id of a request it says that it is well."""
 STREAM_MARK = "/stream/"
 """Paths that hold this are answered with an event stream."""
 EVENTS = 5
@@ -87,6 +89,8 @@
         """How many requests it may turn away in a second, as all its answers say: beyond that it
         ends. Without it, it turns away any number."""
         self._turned_away_at_s: collections.deque[float] = collections.deque()
+        self.health_checks = 0
+        """Questions whether it is well; they are no arrivals of requests."""
         self.told_leaving: list[Arrival] = []
         """The requests in whose answers it said that it leaves, and when."""
 
@@ -101,6 +105,10 @@
     async def answer(self, request: stub.StubRequest, connection: stub.StubConnection) -> None:
         """Answer one request."""
         request_id = request.headers.get(self.names.request_id, "")
+        if not request_id and request.path == HEALTH_PATH:
+            self.health_checks += 1
+            await self._whole(request, connection, 200, b"well")
+            return
         self.arrivals.append(Arrival(request_id, time.monotonic(), content_of(request)))
         if request.headers.get(self.names.expected_incarnation) != self.incarnation:
             await self._decline(request, connection, 421)
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -9,6 +9,7 @@
 import random
 import shutil
 import time
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -141,7 +142,8 @@
     """Three control boxes, three routers, and what they serve.
 
     Each control box sends over a link of ``link_bytes_per_s``; ``allowance`` is the budget of
-    repeats that routers share. With ``slots`` of each endpoint they share room as well.
+    repeats that routers share. With ``slots`` of each endpoint they share room as well, with
+    ``cuts`` the links of single routers to endpoints may be harmed.
     """
 
     def __init__(
@@ -150,8 +152,13 @@
         link_bytes_per_s: float = math.inf,
         allowance: retry_budget.Allowance | None = None,
         slots: int = 0,
+        *,
+        cuts: bool = False,
     ) -> None:
         self.folder = folder
+        self.cuts: dict[int, proxy.Harm] = {}
+        """What harms the links of single routers to endpoints, by their numbers."""
+        self._cut_of = self._harm_of if cuts else None
         self.slots = slots
         self.allowance = allowance or retry_budget.Allowance()
         self.link_bytes_per_s = link_bytes_per_s
@@ -220,7 +227,7 @@
         made = forwarded.ForwardedEndpoint(schema.FakeSettings(name=name, address=ANY_PORT))
         made.pause_s = WORK_S
         made.start()
-        way = proxy.Proxy(self.loop, made.address)
+        way = proxy.Proxy(self.loop, made.address, cut_of=self._cut_of)
         self.served.append(Served(made, pool, way, born_ms=born_ms, hall=hall))
 
     def restart_endpoint(self, served: Served, back_ms: int) -> None:
@@ -290,6 +297,14 @@
             crash for each in (*self.served, *self.past) for crash in list(each.stand_in.crashes)
         ]
 
+    def _harm_of(self, port: int, listening_port: int) -> Callable[[], proxy.Harm]:
+        """Return what tells how the links of the router that connects are harmed now."""
+        name = processes.socket_between(port, listening_port)
+        for number, router in enumerate(self.routers):
+            if router.holds(name):
+                return lambda: self.cuts.get(number, proxy.Harm.NONE)
+        return lambda: proxy.Harm.NONE
+
     def _lane_of(self, port: int, listening_port: int) -> proxy.Lane | None:
         """Return the lane of the control box that connects, if it is one."""
         name = processes.socket_between(port, listening_port)
--- a/testing/soak/proxy.py
+++ b/testing/soak/proxy.py
@@ -30,6 +30,8 @@
     """Nothing comes back from the server."""
     SILENT = "silent"
     """Nothing goes either way, and new connections get no answer."""
+    RESET = "reset"
+    """Connections end with a reset, new ones as soon as they are made."""
 
 
 DELAY_S = 0.08
@@ -60,7 +62,7 @@
     """Passes connections on to ``target``, which may change while it runs.
 
     ``lane`` is the link of the target, for its answers; ``lane_of`` finds the link of the process
-    that connects, from the ports of both ends.
+    that connects, from the ports of both ends; ``cut_of`` finds what harms that process alone.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         target: str = "",
         lane: Lane | None = None,
         lane_of: Callable[[int, int], Lane | None] = lambda _port, _listening_port: None,
+        cut_of: Callable[[int, int], Callable[[], Harm]] | None = None,
     ) -> None:
         self.target = target
         self._harm = Harm.NONE
@@ -76,6 +79,7 @@
         """From when to when it was harmed; the last one may go on."""
         self._lane = lane
         self._lane_of = lane_of
+        self._cut_of = cut_of
         self._loop = loop
         self._writers: set[asyncio.StreamWriter] = set()
         self.address = loop.call(self._listen())
@@ -112,22 +116,26 @@
             abort(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while self.harm is Harm.SILENT:
+        port = writer.get_extra_info("peername")[1]
+        listening_port = writer.get_extra_info("sockname")[1]
+        cut = self._cut_of(port, listening_port) if self._cut_of else _uncut
+        if cut() is Harm.RESET:
+            abort(writer)
+            return
+        while Harm.SILENT in (self.harm, cut()):
             await asyncio.sleep(_POLL_S)
-        host, _, port = self.target.rpartition(":")
+        host, _, target_port = self.target.rpartition(":")
         try:
-            there, back = await asyncio.open_connection(host, int(port))
+            there, back = await asyncio.open_connection(host, int(target_port))
         except OSError:
             # The server is down: the caller sees that nobody listens, as without a proxy.
             abort(writer)
             return
         self._writers |= {writer, back}
-        port = writer.get_extra_info("peername")[1]
-        listening_port = writer.get_extra_info("sockname")[1]
         lane = self._lane_of(port, listening_port)
         pumps = (
-            asyncio.ensure_future(self._pump(reader, back, _HELD_TO, lane)),
-            asyncio.ensure_future(self._pump(there, writer, _HELD_FROM, self._lane)),
+            asyncio.ensure_future(self._pump(reader, back, _HELD_TO, lane, cut)),
+            asyncio.ensure_future(self._pump(there, writer, _HELD_FROM, self._lane, cut)),
         )
         await asyncio.wait(pumps)
         self._writers -= {writer, back}
@@ -140,13 +148,16 @@
         writer: asyncio.StreamWriter,
         held_by: tuple[Harm, ...],
         lane: Lane | None,
+        cut: Callable[[], Harm],
     ) -> None:
         """Pass bytes one way; a reset on one side is a reset on the other."""
         try:
             while data := await reader.read(_CHUNK_BYTES):
                 if self.harm is Harm.DELAY:
                     await asyncio.sleep(DELAY_S)
-                while self.harm in held_by:
+                if cut() is Harm.RESET:
+                    raise ConnectionResetError
+                while self.harm in held_by or cut() in held_by:
                     await asyncio.sleep(_POLL_S)
                 await _send(data, writer, lane)
             if writer.can_write_eof():
@@ -155,6 +166,10 @@
             abort(writer)
 
 
+def _uncut() -> Harm:
+    return Harm.NONE
+
+
 async def _send(data: bytes, writer: asyncio.StreamWriter, lane: Lane | None) -> None:
     """Write, over a lane slice by slice."""
     size_bytes = _SLICE_BYTES if lane is not None else len(data)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -22,6 +22,7 @@
 from soak import (
     callers,
     crashing,
+    cuts,
     fleet,
     places,
     promises,
@@ -61,6 +62,9 @@
     ROOM = "room"
     """Many callers, some of whom do not read, compete for few slots, while routers and leaders are
     killed in series; every other seed has all else too."""
+    CUTS = "cuts"
+    """The links of one router or two to all endpoints are cut, in series; every other seed has all
+    else too, and is not judged by who is served."""
     RESTS = "rests"
     """Endpoints ask for rest, some or all of a pool, and say that they leave, while routers and
     leaders are killed in series; every other seed has all else too."""
@@ -100,6 +104,7 @@
         link_bytes_per_s,
         fleet.TIGHT if kind is Kind.STORM else None,
         room.SLOTS if kind is Kind.ROOM else 0,
+        cuts=kind is Kind.CUTS,
     )
     book = records.Book()
     crowd = callers.Crowd(
@@ -120,7 +125,8 @@
         crashers.start()
         operator.start()
         watch.start()
-        troubles.play(_drawn(seed, seconds_s, site, book, kind, planned_only), seconds_s)
+        played = _drawn(seed, seconds_s, site, book, kind, planned_only)
+        troubles.play(played, seconds_s)
         crashers.stop()
         operator.stop()
         watch.stop()
@@ -151,6 +157,8 @@
     broken += misplaced
     broken += unrested
     broken += watch.broken()
+    if kind is Kind.CUTS and seed % 2 == 0:
+        broken += cuts.unserved(book, played)
     if planned_only:
         broken += promises.lost(book, runs)
     if recovery_s > RECOVERY_LIMIT_S:
@@ -191,6 +199,8 @@
         drawn += rests.Draw(seed, site).all(seconds_s)
         # Seldom enough that routers often live as long as rests do.
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
+    if kind is Kind.CUTS:
+        drawn += cuts.drawn(seed, site, seconds_s)
     if kind in (Kind.CRASHES, Kind.PLACES, Kind.ROOM):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
     return drawn
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -34,6 +34,9 @@
 ROOM = {2: 8.0}
 """Many callers, some of whom do not read, before few slots, with routers and leaders killed."""
 
+CUTS = {2: 12.0}
+"""Links of single routers to all endpoints are cut, one after the other."""
+
 RESTS = {4: 10.0}
 """Endpoints that ask for rest and say that they leave, while routers and leaders are killed."""
 
@@ -63,6 +66,11 @@
     assert run.run_seed(seed, PLACES[seed], tmp_path, run.Kind.PLACES).broken == []
 
 
+@pytest.mark.parametrize("seed", CUTS)
+def test_callers_of_routers_without_links_to_endpoints_are_served(seed, tmp_path):
+    assert run.run_seed(seed, CUTS[seed], tmp_path, run.Kind.CUTS).broken == []
+
+
 @pytest.mark.parametrize("seed", RESTS)
 def test_endpoints_get_the_rest_that_they_ask_for(seed, tmp_path):
     assert run.run_seed(seed, RESTS[seed], tmp_path, run.Kind.RESTS).broken == []
