Connections that break off without a word make a way doubtful too; the soak finds a router's links sooner

Two causes, by the logs. One is the soak's own: its proxies looked up who connects in a list of thousands of closed connections, which held the loop that carries all links, so that control boxes heard nothing of each other for 6 s and every lease ran out. The other is ours: at reset links an attempt is in doubt, not unsent, so only silence counted; a pool with few requests was found lost seconds later, the other not at all. Now two endpoints that broke off count as well, the two that are asked are one of those and another of the pool, and while one pool's way is lost the others' is looked at.

--- a/src/croftpulley/controllers/reach.py
+++ b/src/croftpulley/controllers/reach.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import threading
 
 import urllib3.connection
@@ -77,15 +78,23 @@
         with self._lock:
             self._pool(endpoint).asked(endpoint.key, self._clock.monotonic_s())
 
-    def silent(self, pool: str) -> list[membership.Endpoint]:
-        """Return the endpoints of a pool whose silence makes the way there doubtful."""
-        known = self._pools.get(pool)
-        if known is None or known.is_lost or known.is_mute:
-            return []
-        of_pool = {each.key: each for each in self._view.get().endpoints if each.pool == pool}
+    def doubtful(self, pool: str) -> list[membership.Endpoint]:
+        """Return the endpoints of a pool that make the way there doubtful, if any do.
+
+        Those are the ones that break off or are silent while others have answers of the pool, and
+        any that have told nothing lately while the way to another pool is lost.
+        """
+        state = self._view.get()
+        of_pool = {each.key: each for each in state.endpoints if each.pool == pool}
         with self._lock:
-            silent = known.silent(len(of_pool), self._clock.monotonic_s())
-        return [of_pool[key] for key in silent if key in of_pool]
+            known = self._pools.setdefault(pool, core.PoolReach())
+            doubtful = []
+            if pool in state.answering:
+                size = len(of_pool)
+                doubtful = known.broken(size) or known.silent(size, self._clock.monotonic_s())
+            if not doubtful and self._lost:
+                doubtful = known.untold(of_pool, self._clock.monotonic_s())
+        return [of_pool[key] for key in doubtful if key in of_pool]
 
     def mute(self, endpoint: membership.Endpoint) -> None:
         """Take it that connections to a pool's endpoints, such as this one, say nothing."""
@@ -202,12 +211,16 @@
         self._tries += 1
         for pool in sorted(self._known.lost):
             self._try(pool)
-        for pool in sorted(self._view.get().answering - self._known.lost):
+        pools = {each.pool for each in self._view.get().endpoints}
+        for pool in sorted(pools - self._known.lost):
             self._doubt(pool)
 
+    def _of_pool(self, pool: str) -> list[membership.Endpoint]:
+        return [each for each in self._view.get().endpoints if each.pool == pool]
+
     def _try(self, pool: str) -> None:
         """Try whether the way to a pool is there again."""
-        of_pool = [each for each in self._view.get().endpoints if each.pool == pool]
+        of_pool = self._of_pool(pool)
         if not of_pool:
             return
         endpoint = of_pool[self._tries % len(of_pool)]
@@ -218,10 +231,15 @@
             self._answers(endpoint)
 
     def _doubt(self, pool: str) -> None:
-        """Find out whether endpoints are silent that answer others, or the way to them is."""
-        silent = self._known.silent(pool)[: core.LEAST_FAILED]
-        if silent and not any(self._answers(each) for each in silent):
-            self._known.mute(silent[0])
+        """Find out whether endpoints say nothing of which there is doubt."""
+        doubtful = self._known.doubtful(pool)
+        if not doubtful:
+            return
+        # Those may have ended: another one that answers shows that the way is there.
+        others = [each for each in self._of_pool(pool) if each not in doubtful]
+        asked = random.sample(doubtful, 1) + random.sample(others or doubtful, 1)
+        if not any(self._answers(each) for each in asked):
+            self._known.mute(asked[0])
 
     def _answers(self, endpoint: membership.Endpoint) -> bool:
         """Ask an endpoint whether it is well; any answer shows that the way is there."""
--- a/src/croftpulley/core/answering.py
+++ b/src/croftpulley/core/answering.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-RECENT_S = 1.0
-"""How long an answer says that its pool answers: a few renewals."""
+RECENT_S = 2.0
+"""How long an answer says that its pool answers: some renewals, and few requests a second."""
 
 
 @attrs.define
@@ -20,7 +20,7 @@
 
     >>> heard = Answering()
     >>> heard.note("box-1", ["llm"], 0.0)
-    >>> heard.by_others("box-2", 0.5), heard.by_others("box-1", 0.5), heard.by_others("box-2", 1.5)
+    >>> heard.by_others("box-2", 0.5), heard.by_others("box-1", 0.5), heard.by_others("box-2", 2.5)
     (('llm',), (), ())
     """
 
--- a/src/croftpulley/core/reach.py
+++ b/src/croftpulley/core/reach.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import attrs
 
 LEAST_FAILED = 2
@@ -18,6 +20,8 @@
 SILENT_S = 0.5
 """How long nothing may come back over connections to several endpoints before the way is doubted:
 most answers begin sooner, and a doubt alone decides nothing."""
+UNTOLD_S = 1.0
+"""After so long without an answer of a pool its way is doubted as well where another's is lost."""
 AWAITED_S = 2.0
 """How long it is open whether a failure was its endpoint's: until another of the pool answers."""
 
@@ -46,6 +50,9 @@
     is_mute: bool = False
     """Connections are made, and nothing comes back over them."""
     _silent_since_s: dict[str, float] = attrs.field(factory=dict)
+    _answered_at_s: float = float("-inf")
+    _broken: set[str] = attrs.field(factory=set)
+    """Endpoints whose attempts ended without a word since any of the pool has answered."""
     _unreached_at_s: dict[str, float] = attrs.field(factory=dict)
     _reached_count: int = 0
     _open: list[Failure] = attrs.field(factory=list)
@@ -60,7 +67,7 @@
         self._unreached_at_s = {
             key: at_s for key, at_s in self._unreached_at_s.items() if now_s < at_s + REMEMBERED_S
         }
-        if self.is_lost or len(self._unreached_at_s) < min(LEAST_FAILED, size):
+        if self.is_lost or len(self._unreached_at_s) < _least(size):
             return False
         self.is_lost = True
         # The failures were the way's, not the endpoints'.
@@ -89,8 +96,17 @@
 
         ``size`` is how many endpoints the pool has. No other one has answered since either.
         """
-        silent = [key for key, at_s in self._silent_since_s.items() if at_s + SILENT_S <= now_s]
-        return silent if len(silent) >= max(1, min(LEAST_FAILED, size)) else []
+        since_s = self._silent_since_s.items()
+        silent = [key for key, at_s in since_s if at_s + SILENT_S <= now_s]
+        return silent if len(silent) >= _least(size) else []
+
+    def untold(self, endpoints: Iterable[str], now_s: float) -> list[str]:
+        """Return these endpoints if none of the pool has answered lately, asked or not."""
+        return list(endpoints) if self._answered_at_s + UNTOLD_S <= now_s else []
+
+    def broken(self, size: int) -> list[str]:
+        """Return the endpoints whose attempts ended without a word, if enough for a doubt."""
+        return sorted(self._broken) if len(self._broken) >= _least(size) else []
 
     def mute(self) -> None:
         """Take the way to be mute: endpoints that were asked whether they are well said nothing."""
@@ -99,8 +115,7 @@
 
     def failed(self, endpoint: str, now_s: float) -> None:
         """Note an attempt that ended without a word of its endpoint, or within its answer."""
-        # Broken off without a word it is as good as silent.
-        self._silent_since_s[endpoint] = now_s - SILENT_S
+        self._broken.add(endpoint)
         if not (self.is_lost or self.is_mute):
             self._open.append(Failure(endpoint, now_s))
 
@@ -110,7 +125,14 @@
         Those are the ones that came before, at other endpoints, each as often as it failed.
         """
         self.is_mute = False
+        self._answered_at_s = now_s
         self._silent_since_s.clear()
+        self._broken.clear()
         recent = [each for each in self._open if now_s < each.at_s + AWAITED_S]
         self._open = [each for each in recent if each.endpoint == endpoint]
         return [each.endpoint for each in recent if each.endpoint != endpoint]
+
+
+def _least(size: int) -> int:
+    """Return how many of a pool's endpoints, of which there are ``size``, speak for the way."""
+    return max(1, min(LEAST_FAILED, size))
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -124,7 +125,9 @@
 
 def socket_between(port: int, listening_port: int) -> str:
     """Return the kernel's name of the socket at ``port`` that is connected to the other one."""
-    for line in _CONNECTIONS.read_text().splitlines()[1:]:
+    wanted = re.compile(rf"^ *\d+: \w+:{port:04X} \w+:{listening_port:04X} .*$", re.MULTILINE)
+    # Thousands of closed connections may be listed: most lines are never split.
+    for line in wanted.findall(_CONNECTIONS.read_text()):
         fields = line.split()
         ports = [int(fields[each].rpartition(":")[2], 16) for each in (_LOCAL, _REMOTE)]
         if ports == [port, listening_port]:
