explain tells a request that went by way of another box; the limits for callers and the checks of ways in modules of their own

A refusal at a box that was handed a request was taken for the caller's end. Tests: both boxes' lines; permits beside boxes that have lost the pool and before brittle endpoints.

--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -15,6 +15,7 @@
     listing,
     permits,
     reach,
+    reach_checks,
     renewal,
     router_state,
     streams,
@@ -23,7 +24,7 @@
     withdrawals,
 )
 from croftpulley.core import halls, membership, retry_budget, selection
-from croftpulley.daemons import entry_box
+from croftpulley.daemons import caller_limits, entry_box
 from croftpulley.endpoints import dialing
 from croftpulley.forwarding import (
     admission,
@@ -43,7 +44,7 @@
 from croftpulley.http import forward_app, health_app, hop_app, server, wsgi
 from croftpulley.interfaces import callers
 from croftpulley.observe import events, metrics
-from croftpulley.settings import fleet, schema
+from croftpulley.settings import schema
 
 _LOG = logging.getLogger(__name__)
 _SPARE_THREADS = 8
@@ -157,8 +158,8 @@
         )
         sweeper = streams.StreamController.start(self._streams)
         rests = withdrawals.WithdrawalController.start(self._traffic, self._view, self._counters)
-        limiter = _LimitsController.start(self._view, self._forwarding, self._counters)
-        reaching = reach.ReachController.start(self._reach, self._view, self._dialer)
+        limiter = caller_limits.CallerLimits.start(self._view, self._forwarding, self._counters)
+        reaching = reach_checks.ReachChecks.start(self._reach, self._view, self._dialer)
         self._controllers += [reader, sweeper, limiter, suspecting, rests, reaching]
         self._renewal.tell(actors.Tick())
         self._tickers = [
@@ -386,31 +387,3 @@
             "evacuated": list(known.evacuated.names),
             "retry_share": self._traffic.retry_share(),
         }
-
-
-class _LimitsController(actors.Controller):
-    """Applies the configuration's limits on what callers may send, once they change, and tells of
-    what callers leave unread.
-    """
-
-    def __init__(
-        self,
-        view: actors.View[router_state.RouterState],
-        servers: tuple[server.HttpServer, ...],
-        counters: metrics.Metrics,
-    ) -> None:
-        super().__init__()
-        self._counters = counters
-        self._view = view
-        self._servers = servers
-        self._limits: fleet.WireLimits | None = None
-
-    def handle(self, message: object) -> None:
-        """Look once."""
-        self._counters.unread(sum(each.unread_bytes for each in self._servers))
-        configuration = self._view.get().configuration
-        if configuration.version and configuration.limits != self._limits:
-            self._limits = configuration.limits
-            for each in self._servers:
-                each.set_limits(configuration.limits)
-            events.emit(_LOG, events.Event.LIMITS_IN_USE, limits=repr(configuration.limits))
--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -92,12 +92,22 @@
     return Story(tuple(lines), cause)
 
 
+_ENDS = frozenset({events.Event.REQUEST_REFUSED, events.Event.REQUEST_ANSWERED})
+
+
+def _is_at_peer(line: Line) -> bool:
+    """Tell whether a box wrote this of a request that another one had handed it."""
+    return bool(line.fields.get("hop_from"))
+
+
 class _Around:
     """A request's lines, and what its last box wrote before and after."""
 
     def __init__(self, own: list[Line], ordered: list[Line]) -> None:
         self.own = own
-        self.last = own[-1]
+        # What a box wrote that was handed the request ended there; the caller's end came after.
+        ends = [line for line in own if line.event in _ENDS and not _is_at_peer(line)]
+        self.last = ends[-1] if ends else own[-1]
         self._box = [line for line in ordered if line.box == self.last.box]
         self._ordered = ordered
 
@@ -150,14 +160,28 @@
 
 
 def _cause(around: _Around) -> _Cause:
-    refused = around.of(events.Event.REQUEST_REFUSED)
-    answered = around.of(events.Event.REQUEST_ANSWERED)
-    if refused:
-        code = str(refused[-1].fields.get("code", ""))
-        return _REFUSALS.get(code, _other_refusal)(around)
-    if answered:
-        return _answered(around, answered[-1])
-    return _no_end(around)
+    if around.last.event == events.Event.REQUEST_REFUSED:
+        code = str(around.last.fields.get("code", ""))
+        cause, because = _REFUSALS.get(code, _other_refusal)(around)
+    elif around.last.event == events.Event.REQUEST_ANSWERED:
+        cause, because = _answered(around, around.last)
+    else:
+        cause, because = _no_end(around)
+    told, lost = _hop(around)
+    return cause + told, [*because, *lost]
+
+
+def _hop(around: _Around) -> _Cause:
+    """Say by which box the request went; nothing if it went by none."""
+    hopped = around.of(events.Event.REQUEST_HOPPED)
+    if not hopped:
+        return "", []
+    fields = hopped[-1].fields
+    return (
+        f" It went by way of {fields.get('peer')}, as {hopped[-1].box} reached no endpoint of pool "
+        f"{fields.get('pool')!r}.",
+        around.before(events.Event.POOL_OUT_OF_REACH),
+    )
 
 
 def _held_back(around: _Around) -> _Cause:
@@ -189,6 +213,12 @@
     )
 
 
+def _out_of_reach(around: _Around) -> _Cause:
+    because = around.before(events.Event.POOL_OUT_OF_REACH)
+    because += around.of(events.Event.HOP_FAILED)
+    return f"Refused, not run: {around.last.fields.get('problem', '')}.", because
+
+
 def _no_configuration(around: _Around) -> _Cause:
     because = around.before(events.Event.DAEMON_STARTED)
     return "Refused, not run: the box had just started and knew no configuration yet.", because
@@ -328,6 +358,7 @@
     "REQUEST_CRASHES": _crashes,
     "REQUEST_ON_TRIAL": _on_trial,
     "DECLINED": _declined,
+    "OUT_OF_REACH": _out_of_reach,
     "CALLER_GONE": _caller_gone,
     "DEADLINE_PASSED": _deadline,
 }
--- a/testing/controllers/test_permits.py
+++ b/testing/controllers/test_permits.py
@@ -154,3 +154,16 @@
 def test_a_pool_without_an_endpoint_to_ask_is_not_waited_for(box):
     box.know(endpoints=())
     assert len(box.take(3 * MOST)) == 3 * MOST
+
+
+def test_boxes_that_have_lost_a_pool_leave_their_part_to_the_others(box):
+    box.know(registered_boxes=2, unreached={"llm": frozenset({"other"})})
+    assert len(box.take(MOST)) == MOST
+
+
+def test_brittle_endpoints_have_no_queue(box):
+    box.counts.hear_brittle(endpoint(), 3)
+    box.know()
+    assert len(box.take(SLOTS)) == SLOTS
+    with pytest.raises(permits.NoPermitError):
+        box.permits.take(box.request(objective_s=0.01))
--- a/testing/observe/test_explain.py
+++ b/testing/observe/test_explain.py
@@ -227,6 +227,16 @@
     assert "a start was expected in 0.6 s, and it could wait 0.3 s" in told.cause
 
 
+def test_a_request_handed_over_is_told_with_both_boxes():
+    lost = text("10:00:00", Event.POOL_OUT_OF_REACH, pool="llm", lost=["llm"])
+    elsewhere = refused("OUT_OF_REACH", hop_from="router-0")
+    fields = {"request_id": ID, "peer": "router-2", "pool": "llm"}
+    hopped = text("10:00:02", Event.REQUEST_HOPPED, **fields)
+    told = story(lost, elsewhere, hopped, answered())
+    assert "by way of router-2" in told.cause
+    assert "Refused" not in told.cause
+
+
 def test_an_id_that_nobody_logged_is_not_explained_away():
     told = story(text("10:00:01", Event.LOG_LINES_LEFT_OUT, lines=30), chosen(request_id="other"))
     assert "No process wrote a line" in told.cause
