A request that is bound to regions is handed to boxes there only

A hop took any box that reaches the pool, so the body of a request with homes could cross to a box of another region. The test gets 200 by way of such a box with the two lines taken out, 503 with them.

--- a/src/croftpulley/core/halls.py
+++ b/src/croftpulley/core/halls.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
+from typing import TypeVar
 
 import attrs
 
@@ -67,6 +68,9 @@
     return frozenset.intersection(*binding) if binding else None
 
 
+Placed = TypeVar("Placed", membership.Box, membership.Endpoint)
+
+
 @attrs.frozen
 class Regions:
     """The region of each hall; a hall that the settings do not name lies in none."""
@@ -77,13 +81,11 @@
         """Return a hall's region, empty if it is not known."""
         return self.by_hall.get(hall, "")
 
-    def at_home(
-        self, endpoints: Iterable[membership.Endpoint], homes: frozenset[str] | None
-    ) -> list[membership.Endpoint]:
-        """Return the endpoints in ``homes``; all where nothing binds."""
+    def at_home(self, placed: Iterable[Placed], homes: frozenset[str] | None) -> list[Placed]:
+        """Return the endpoints or boxes in ``homes``; all where nothing binds."""
         if homes is None:
-            return list(endpoints)
-        return [each for each in endpoints if self.of(each.hall) in homes]
+            return list(placed)
+        return [each for each in placed if self.of(each.hall) in homes]
 
     def ordered(
         self, boxes: Iterable[membership.Box], caller: Caller, homes: frozenset[str]
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -308,6 +308,7 @@
         return hops.Hops(
             settings.box,
             settings.hall,
+            self._regions,
             self._view,
             settings.silence_s,
             self._interface.names,
--- a/src/croftpulley/forwarding/hops.py
+++ b/src/croftpulley/forwarding/hops.py
@@ -14,7 +14,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, router_state
-from croftpulley.core import attempts, membership, peers
+from croftpulley.core import attempts, halls, membership, peers
 from croftpulley.endpoints import connection
 from croftpulley.forwarding import attempt, base, headers, sender, vocabulary
 from croftpulley.observe import events, metrics
@@ -72,6 +72,7 @@
         self,
         box: str,
         hall: str,
+        regions: halls.Regions,
         view: actors.View[router_state.RouterState],
         silence_timeout_s: float,
         names: vocabulary.Vocabulary,
@@ -79,6 +80,8 @@
         clock: clocks.Clock,
     ) -> None:
         self._box = box
+        self._region = regions.of(hall)
+        self._regions = regions
         self._view = view
         self._silence_timeout_s = silence_timeout_s
         self._names = names
@@ -106,6 +109,10 @@
         state = self._view.get()
         unreached = state.unreached.get(exchange.pool, frozenset())
         reaching = [each for each in state.boxes if each.name not in unreached]
+        homes = exchange.home_regions
+        if homes is not None:
+            # The request is here already; it goes on to no other region but its homes.
+            reaching = self._regions.at_home(reaching, homes | {self._region})
         now_s = self._clock.monotonic_s()
         return self._peers.choose(exchange.facts.request_id, reaching, now_s)[:MOST_ASKED]
 
--- a/testing/daemons/test_homes.py
+++ b/testing/daemons/test_homes.py
@@ -11,6 +11,7 @@
 import orjson
 import pytest
 
+import cut_links
 import site_of_routers as sites
 from conftest import wait_until
 from croftpulley.platform import names
@@ -113,3 +114,21 @@
     path = f"/resolution?name={sites.HOST}&region={region}&zone=hall-x"
     answer = site.ask("GET", path, address=site.routers[0].directory_address)
     return orjson.loads(answer.body)["addresses"]
+
+
+def test_a_box_without_links_hands_a_request_to_no_box_outside_of_its_homes(make_site):
+    links = cut_links.Links()
+    near = {"worker-1": "hall-b", "engine-1": "hall-b"}
+    site = make_site(
+        hall="hall-b", regions=REGIONS, halls=near, dialers=[links], **sites.default_terms()
+    )
+    submit(site, 5, ["there"], [])
+    site.changes["hall"] = "hall-a"
+    site.routers.append(site.start_router("router-1"))
+    wait_until(site.is_ready, "the other box is ready")
+    wait_until(lambda: len(site.routers[0]._view.get().boxes) == 2, "it is known")
+    links.cut = cut_links.Cut.REFUSED
+    assert ask(site) == (503, [])
+    submit(site, 6, ["there", "here"], [])
+    wait_until(lambda: ask(site)[0] == 200, "the other box may serve it")
+    links.stop()
