--- a/src/croftpulley/controllers/permits.py
+++ b/src/croftpulley/controllers/permits.py
@@ -211,7 +211,7 @@
             total=total,
             room=permits.room(slots, 0.0 if is_brittle else queued),
             few=permits.FEW_BRITTLE if is_brittle else permits.FEW,
-            boxes=state.registered_boxes - len(state.unreached.get(name, ())),
+            boxes=state.registered_boxes - state.unreached.get(name, 0),
             at_s=state.loads_at_s,
         )
 
--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -20,8 +20,9 @@
     that granted the last lease. ``evacuated`` are the halls whose endpoints get no requests, and
     ``returned_at_s`` says when this box learned that halls are in service again. ``cold`` says how
     many requests a second this box may send to each cold endpoint, as told at ``cold_at_s``.
-    ``unreached`` are the boxes that reach no endpoint of a pool, by pools, and ``answering`` the
-    pools of which other boxes had answers lately.
+    ``unreached`` is how many boxes reach no endpoint of a pool, by pools, ``reaching`` some that do
+    for each pool that this one has lost, and ``answering`` are the pools of which other boxes had
+    answers lately.
     ``registered_boxes`` is how many routers the fleet has, as last told with a lease.
     """
 
@@ -49,7 +50,8 @@
     cold: dict[str, int] = attrs.field(factory=dict)
     cold_at_s: float = float("-inf")
     registered_boxes: int = 0
-    unreached: dict[str, frozenset[str]] = attrs.field(factory=dict)
+    unreached: dict[str, int] = attrs.field(factory=dict)
+    reaching: dict[str, frozenset[str]] = attrs.field(factory=dict)
     answering: frozenset[str] = frozenset()
 
     @property
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import random
 from collections.abc import Callable, Mapping
 
 import attrs
@@ -32,6 +33,8 @@
 LIST_FRESH_S = 2.0
 """A list read longer ago may be from a former leadership of this box, or from its start: boxes that
 have one keep theirs until it is read anew, which the leader does each 0.5 s."""
+MOST_TOLD = 16
+"""Boxes of which one is told that has lost a pool: enough to spread its requests over."""
 LOADS_AWAITED_S = 0.5
 """How long a leader that has just come tells no loads while it has not heard every registered box:
 two renewals. Until then routers keep those that they were told last, at most 1 s old; the sum of
@@ -130,6 +133,7 @@
         self._bulletin = places.Bulletin()
         self._outcomes = outcomes.Outcomes()
         self._answering = answering.Answering()
+        self._unreached: dict[str, frozenset[str]] = {}
         self._order = _Order()
         self._boxes: versions.Versioned[tuple[membership.Box, ...]] = versions.Versioned(())
 
@@ -266,7 +270,8 @@
             notes=places.by_engine(notes),
             next_note=page.next_number,
             held_off=self._outcomes.held(self._clock.monotonic_s()),
-            unreached=self._sessions.unreached(),
+            unreached={pool: len(names) for pool, names in self._unreached.items()},
+            reaching={pool: self._some_reaching(pool) for pool in report.unreached},
             answering=self._answering.by_others(report.box.name, self._clock.monotonic_s()),
             suspects=state.suspects.bulletin.since(report.suspects_revision, self._clock.wall_s()),
             evacuated=state.evacuated.unless(report.halls_revision),
@@ -290,6 +295,12 @@
             }
         )
 
+    def _some_reaching(self, pool: str) -> tuple[str, ...]:
+        """Return some boxes that have not lost a pool, others at each renewal."""
+        lost = self._unreached.get(pool, frozenset())
+        reaching = [box.name for box in self._boxes.value if box.name not in lost]
+        return tuple(random.sample(reaching, min(MOST_TOLD, len(reaching))))
+
     def _are_loads_whole(self) -> bool:
         is_new = self._clock.monotonic_s() - self._leads_from_s < LOADS_AWAITED_S
         return not (is_new and self._sessions.awaits_boxes)
@@ -322,6 +333,7 @@
         self._forget(now_s)
         self._allotments.forget(now_s)
         self._answering.forget(now_s)
+        self._unreached = self._sessions.unreached()
         self._judge(now_s)
         self._settle()
 
--- a/src/croftpulley/core/sessions.py
+++ b/src/croftpulley/core/sessions.py
@@ -186,13 +186,13 @@
         """Return what all boxes that have renewed have at each endpoint."""
         return Load(self._in_flight.counts(), self._reading_tokens.counts())
 
-    def unreached(self) -> dict[str, tuple[str, ...]]:
+    def unreached(self) -> dict[str, frozenset[str]]:
         """Return the boxes that reach no endpoint of a pool, by pools."""
-        found: dict[str, tuple[str, ...]] = {}
-        for name, session in sorted(self._sessions.items()):
+        found: dict[str, set[str]] = {}
+        for name, session in self._sessions.items():
             for pool in session.load.unreached:
-                found[pool] = (*found.get(pool, ()), name)
-        return found
+                found.setdefault(pool, set()).add(name)
+        return {pool: frozenset(names) for pool, names in found.items()}
 
     def resting_s(self, now_s: float) -> dict[str, dict[str, float]]:
         """Return which endpoints want nothing from which boxes, and for how long from now."""
--- a/src/croftpulley/forwarding/hops.py
+++ b/src/croftpulley/forwarding/hops.py
@@ -107,8 +107,8 @@
 
     def _choose(self, exchange: base.Exchange) -> list[membership.Box]:
         state = self._view.get()
-        unreached = state.unreached.get(exchange.pool, frozenset())
-        reaching = [each for each in state.boxes if each.name not in unreached]
+        told = state.reaching.get(exchange.pool)
+        reaching = [each for each in state.boxes if told is None or each.name in told]
         homes = exchange.home_regions
         if homes is not None:
             # The request is here already; it goes on to no other region but its homes.
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -71,9 +71,9 @@
     ``registered_boxes`` share the extra of retry budgets; each stays registered for ``kept_s``
     after the end of its lease. ``evacuated`` are the halls whose endpoints get no requests.
     ``cold`` says, in the order of the list, which endpoints are cold and how many requests the box
-    may send there in any second, one more than that (`core.cold`). ``unreached`` are the boxes that
-    reach no endpoint of a pool, by pools, and ``answering`` the pools of which other boxes had
-    answers lately.
+    may send there in any second, one more than that (`core.cold`). ``unreached`` is how many
+    boxes reach no endpoint of a pool, by pools, ``reaching`` some that do, for each pool that the
+    router itself has lost, and ``answering`` the pools of which other boxes had answers lately.
     """
 
     lease_s: float = 0.0
@@ -95,7 +95,8 @@
     suspects: suspects.Change | None = None
     evacuated: halls.Evacuated | None = None
     cold: tuple[int, ...] = ()
-    unreached: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
+    unreached: dict[str, int] = attrs.field(factory=dict)
+    reaching: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     answering: tuple[str, ...] = ()
 
 
--- a/testing/controllers/test_permits.py
+++ b/testing/controllers/test_permits.py
@@ -157,7 +157,7 @@
 
 
 def test_boxes_that_have_lost_a_pool_leave_their_part_to_the_others(box):
-    box.know(registered_boxes=2, unreached={"llm": frozenset({"other"})})
+    box.know(registered_boxes=2, unreached={"llm": 1})
     assert len(box.take(MOST)) == MOST
 
 
