A box that was handed a request tries one endpoint and gives it back

The request was handed to the other cut router, which did not know yet and waited for two connections, 0.5 s each; by then the hop's connection had been silent for the second that this test allows, and the caller got 502, outcome unknown, for a request that nobody had been sent. With the usual 20 s it would have been 1 s late. Now the first endpoint that cannot be reached ends it there, and a third box is asked.

--- a/src/croftpulley/forwarding/by_peer.py
+++ b/src/croftpulley/forwarding/by_peer.py
@@ -35,16 +35,12 @@
         return exchange.pool in self._known.lost
 
     def _may_hand_over(self, exchange: base.Exchange) -> bool:
-        """Tell whether no endpoint that was asked could be reached, and another box may reach it.
-
-        One that was handed a request gives it back only where it has lost the pool itself: else
-        the endpoints are likely gone, and a third box would try in vain as well.
-        """
+        """Tell whether no endpoint that was asked could be reached, and another box may reach it."""
         log = exchange.attempts.attempts
         is_unsent = bool(log) and all(each.phase is attempts.Phase.UNSENT for each in log)
         # A suspect is tried by the box that has the permission.
         is_free = exchange.token.reason is None and not exchange.trial
-        return is_unsent and is_free and (exchange.hop is None or self._is_lost(exchange))
+        return is_unsent and is_free
 
     def _taken_elsewhere(self, exchange: base.Exchange) -> base.ForwardReply | None:
         """Return another box's answer, ``None`` if this one should ask endpoints all the same.
--- a/src/croftpulley/forwarding/retry.py
+++ b/src/croftpulley/forwarding/retry.py
@@ -54,8 +54,10 @@
         if not self._placement.has_other(exchange, tried):
             return False
         if log and log[-1].phase is attempts.Phase.UNSENT:
-            # Where the way is lost, the others cannot be reached either.
-            return exchange.pool not in self._reach.lost
+            # Where the way is lost, the others cannot be reached either. A request that another box
+            # handed over goes back to it, which asks a third one: this box may have lost the way
+            # as well, and not know yet.
+            return exchange.hop is None and exchange.pool not in self._reach.lost
         exchange.repeat = self._counts.take_repeat(exchange.pool)
         if not exchange.repeat.is_granted:
             failures.log_held_back(exchange)
--- a/testing/daemons/test_cut_links.py
+++ b/testing/daemons/test_cut_links.py
@@ -204,3 +204,14 @@
         each._loop.call_soon_threadsafe(each.may_go_on.set)
     assert sites.read(connection.getresponse()).body.count(b"data:") == 5
     connection.close()
+
+
+def test_a_router_that_was_handed_a_request_tries_one_endpoint_and_gives_it_back(site, links):
+    """It may be cut as well and not know yet: each endpoint more would cost a whole timeout."""
+    links[1].cut = cut_links.Cut.HANGING
+    links[1].dialled.clear()
+    answer = hand_over(site, site.routers[1])
+    assert answer.headers[hops.REFUSED] == "OUT_OF_REACH"
+    assert (
+        len([each for each in links[1].dialled if each in {w.address for w in site.workers}]) == 1
+    )
