--- a/src/croftpulley/forwarding/by_peer.py
+++ b/src/croftpulley/forwarding/by_peer.py
@@ -35,7 +35,7 @@
         return exchange.pool in self._known.lost
 
     def _may_hand_over(self, exchange: base.Exchange) -> bool:
-        """Tell whether no endpoint that was asked could be reached, and another box may reach it."""
+        """Tell whether no endpoint that was asked was reached, and another box may reach one."""
         log = exchange.attempts.attempts
         is_unsent = bool(log) and all(each.phase is attempts.Phase.UNSENT for each in log)
         # A suspect is tried by the box that has the permission.
