--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -41,7 +41,7 @@
     steer,
     suspects,
 )
-from croftpulley.http import forward_app, health_app, hop_app, server, wsgi
+from croftpulley.http import forward_app, health_app, server, wsgi
 from croftpulley.interfaces import callers
 from croftpulley.observe import events, metrics
 from croftpulley.settings import schema
@@ -245,7 +245,7 @@
         address = self._settings.peer_address
         if not address:
             return None
-        return self._make_forward_http(hop_app.HopApp, address, hops.HEADERS_ADDED)
+        return self._make_forward_http(forward_app.HopApp, address, hops.HEADERS_ADDED)
 
     def _make_forward_http(
         self, kind: type[forward_app.ForwardApp], address: str, headers_added: int = 0
--- a/src/croftpulley/http/forward_app.py
+++ b/src/croftpulley/http/forward_app.py
@@ -4,10 +4,12 @@
 
 import logging
 
+import attrs
+
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, router_state
-from croftpulley.forwarding import base, headers, vocabulary
+from croftpulley.forwarding import base, headers, hops, vocabulary
 from croftpulley.http import wsgi
 from croftpulley.observe import events
 
@@ -93,6 +95,30 @@
         )
 
 
+class HopApp(ForwardApp):
+    """The same for requests that other boxes hand over, on an address of its own.
+
+    Answers as if the caller had come here; says where another box should be asked.
+    """
+
+    def _exchange(self, request: wsgi.Request) -> base.Exchange:
+        given = {
+            name: value
+            for name, value in request.headers.items()
+            if name not in (hops.BOX, hops.VERSION)
+        }
+        exchange = super()._exchange(attrs.evolve(request, headers=given))
+        exchange.hop = hops.read(request.headers)
+        return exchange
+
+    def _refusal(self, exchange: base.Exchange, failure: errors.CroftpulleyError) -> wsgi.Response:
+        response = super()._refusal(exchange, failure)
+        if not hops.is_for_others(exchange, failure):
+            return response
+        told = (hops.REFUSED, failure.code.name)
+        return attrs.evolve(response, headers=(*response.headers, told))
+
+
 def _check_target(target: str) -> None:
     if not target.startswith("/"):
         raise errors.CroftpulleyError(
