--- a/testing/daemons/test_cut_links.py
+++ b/testing/daemons/test_cut_links.py
@@ -35,7 +35,10 @@
 
 @pytest.fixture
 def site(make_site, links):
-    return make_site(routers=3, engines=3, workers=3, dialers=links, silence_s=1.0)
+    made = make_site(routers=3, engines=3, workers=3, dialers=links, silence_s=1.0)
+    for router in made.routers:
+        wait_until(lambda router=router: len(router._view.get().boxes) == 3, "all are known")
+    return made
 
 
 def send(site, router, path="/cancel/x", **wanted):
