Log lines tell the version of an endpoint's software, and what a caller takes up

Endpoints carry the version now; events 300, 301, 308, 309 and 320 have it, 301 also that which began the answer, 320 the event behind which and the id from which a caller goes on.

--- a/src/croftpulley/controllers/listing.py
+++ b/src/croftpulley/controllers/listing.py
@@ -175,4 +175,5 @@
             leaving = after.leaving if after else True
             each = after or before
             pool = each.pool if each else ""
-            events.emit(_LOG, event, endpoint=key, pool=pool, leaving=leaving)
+            version = each.version if each else ""
+            events.emit(_LOG, event, endpoint=key, pool=pool, version=version, leaving=leaving)
--- a/src/croftpulley/core/calls.py
+++ b/src/croftpulley/core/calls.py
@@ -22,6 +22,8 @@
     budget_s: float | None = None
     prompt: tuple[PromptPart, ...] = ()
     last_event_id: str = ""
+    resumes: str = ""
+    """The id of the request that brought the first event of the stream that this one takes up."""
 
     @property
     def shared(self) -> tuple[PromptPart, ...]:
--- a/src/croftpulley/core/membership.py
+++ b/src/croftpulley/core/membership.py
@@ -33,9 +33,10 @@
     ``name`` stays the same over restarts where the list says so. ``incarnation`` is what the
     endpoint itself answers to; a request that expects another one is not run there. ``born_ms`` is
     the Unix time of its start, where the list tells: then a restart may keep both. ``slots`` is how
-    many requests it runs at once, 0 if the list does not tell. ``key`` names one life of the
-    endpoint, whichever way the list tells lives apart: all that is remembered of an endpoint is
-    kept by its key, and ends with it. Leaving is sticky within one life.
+    many requests it runs at once, 0 if the list does not tell. ``version`` is that of its software,
+    empty where the list tells none. ``key`` names one life of the endpoint, whichever way the list
+    tells lives apart: all that is remembered of an endpoint is kept by its key, and ends with it.
+    Leaving is sticky within one life.
     """
 
     name: str
@@ -47,6 +48,7 @@
     leaving: bool = False
     born_ms: int | None = None
     slots: int = 0
+    version: str = ""
     key: str = attrs.field(init=False, repr=False)
 
     @key.default
--- a/src/croftpulley/forwarding/event_stream.py
+++ b/src/croftpulley/forwarding/event_stream.py
@@ -35,6 +35,7 @@
         cutter = event_cut.EventCutter()
         cutter.last_id = exchange.facts.last_event_id
         begun = False
+        begun_version = current.endpoint.version
         try:
             while True:
                 try:
@@ -54,7 +55,7 @@
                     self._retry.go_on_or_raise(exchange, failure, tried)
                 cutter.drop_partial()
                 current = self._failover.begin(exchange, tried, cutter.last_id)
-                _log_resumed(exchange, current, cutter.last_id)
+                _log_resumed(exchange, current, cutter.last_id, begun_version)
         finally:
             current.close()
 
@@ -74,11 +75,15 @@
         )
 
 
-def _log_resumed(exchange: base.Exchange, current: attempt.OpenAttempt, after_event: str) -> None:
+def _log_resumed(
+    exchange: base.Exchange, current: attempt.OpenAttempt, after_event: str, begun_version: str
+) -> None:
     events.emit(
         _LOG,
         events.Event.ANSWER_RESUMED,
         request_id=exchange.facts.request_id,
         endpoint=current.endpoint.key,
+        version=current.endpoint.version,
+        begun_version=begun_version,
         after_event=after_event,
     )
--- a/src/croftpulley/forwarding/failures.py
+++ b/src/croftpulley/forwarding/failures.py
@@ -46,6 +46,7 @@
         fingerprint=exchange.fingerprint,
         engine=endpoint.key,
         address=endpoint.address,
+        version=endpoint.version,
         code=failure.code.name,
         run_state=failure.run_state.label,
         problem=failure.detail,
--- a/src/croftpulley/forwarding/headers.py
+++ b/src/croftpulley/forwarding/headers.py
@@ -20,6 +20,7 @@
         budget_s=calls.parse_budget_s(headers.get(names.budget_ms, "")),
         prompt=calls.parse_prompt(headers.get(names.prompt_parts, "")),
         last_event_id=headers.get(names.last_event_id, ""),
+        resumes=headers.get(names.resumes, ""),
     )
 
 
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -133,7 +133,7 @@
             placed = Placed(endpoint=survey.members.by_key[chosen.name])
         else:
             placed = self._placed(prompt, chosen, survey.held_tokens, survey.members)
-        self._log(exchange, chosen, candidates, survey.now_s)
+        self._log(exchange, placed.endpoint, chosen, candidates, survey.now_s)
         return placed
 
     def _may_be_sent(
@@ -205,6 +205,7 @@
     def _log(
         self,
         exchange: base.Exchange,
+        endpoint: membership.Endpoint,
         chosen: selection.Candidate,
         candidates: list[selection.Candidate],
         now_s: float,
@@ -216,6 +217,9 @@
             fingerprint=exchange.fingerprint,
             route=exchange.route_name,
             endpoint=chosen.name,
+            version=endpoint.version,
+            after_event=exchange.facts.last_event_id,
+            resumes=exchange.facts.resumes,
             load=chosen.load,
             mean_load=round(sum(each.load for each in candidates) / len(candidates), 2),
             reading_tokens=round(chosen.reading_tokens),
--- a/src/croftpulley/forwarding/vocabulary.py
+++ b/src/croftpulley/forwarding/vocabulary.py
@@ -14,6 +14,8 @@
     prompt_parts: str = "x-prompt-parts"
     """The parts of the prompt in order: ``ID:TOKENS,ID:TOKENS``."""
     last_event_id: str = "last-event-id"
+    resumes: str = "x-resumes"
+    """The id of the request that brought the first event of a stream which is taken up."""
     # Set by the caller for this box, and not passed on.
     key: str = "x-key"
     # Set by the caller and set anew towards the endpoint.
--- a/src/croftpulley/platform/instances.py
+++ b/src/croftpulley/platform/instances.py
@@ -149,6 +149,7 @@
         _STATES[value["state"]],
         value.get(names.BORN),
         _slots(value["slots"]),
+        value["version"],
     )
 
 
--- a/src/croftpulley/platform/names.py
+++ b/src/croftpulley/platform/names.py
@@ -9,6 +9,7 @@
     request_id="croftpulley-attempt-id",
     prompt_parts="croftpulley-prompt-prefix",
     last_event_id="last-event-id",
+    resumes="resumes",
     key="croftpulley-credential",
     # Not a point in time but what is left of it, in milliseconds.
     budget_ms="croftpulley-deadline-ms",
--- a/src/croftpulley/platform/stand_ins.py
+++ b/src/croftpulley/platform/stand_ins.py
@@ -16,6 +16,8 @@
 from croftpulley.platform import names
 from croftpulley.settings import schema
 
+DEFAULT_VERSION = "v1"
+"""Of the software of endpoints of which tests say nothing else."""
 _PAGE_SIZE = 2
 """Small, so that a few endpoints take several pages."""
 
@@ -69,7 +71,7 @@
         "service": endpoint.pool,
         "address": endpoint.address,
         "zone": endpoint.hall,
-        "version": "v1",
+        "version": endpoint.version or DEFAULT_VERSION,
         "slots": endpoint.slots,
         "state": "draining" if endpoint.leaving else "ready",
         "coldRemainingMs": cold_ms,
--- a/testing/platform/test_instances.py
+++ b/testing/platform/test_instances.py
@@ -30,7 +30,17 @@
 
 
 def endpoint(name, leaving=False, kind=membership.EndpointKind.WORKER, born_ms=None):
-    return membership.Endpoint(name, kind, "desk", "127.0.0.1:1", "hall-a", name, leaving, born_ms)
+    return membership.Endpoint(
+        name,
+        kind,
+        "desk",
+        "127.0.0.1:1",
+        "hall-a",
+        name,
+        leaving,
+        born_ms,
+        version=stand_ins.DEFAULT_VERSION,
+    )
 
 
 def entry(**changes):
