A stream that goes on within one answer stays at the version that began it

Cause: a stream that breaks off is placed like a new request among all endpoints of its pool; the version was read nowhere. Ruled out: an endpoint that changed its version under one id (all three cases have two ids). Change: the first event that a caller may have seen binds the exchange to its pool and version; placement, the question whether another may be asked, and the last look before the bytes leave go by that. Where no endpoint of the version is left the answer breaks off, never with a completed end. Callers that take a stream up in a try of their own are still placed anywhere: next.

--- a/src/croftpulley/forwarding/base.py
+++ b/src/croftpulley/forwarding/base.py
@@ -10,7 +10,15 @@
 
 from croftpulley import cancel, errors
 from croftpulley.controllers import router_state
-from croftpulley.core import attempts, calls, fingerprints, halls, retry_budget, tables
+from croftpulley.core import (
+    attempts,
+    calls,
+    fingerprints,
+    halls,
+    origins,
+    retry_budget,
+    tables,
+)
 from croftpulley.filters import steps
 from croftpulley.settings import fleet
 
@@ -72,6 +80,7 @@
     attempts: attempts.AttemptLog = attrs.field(factory=attempts.AttemptLog)
     repeat: retry_budget.Decision | None = None
     hop: Hop | None = None
+    origin: origins.Origin | None = None
     trial: str = ""
     attempts_before_trial: int = 0
     at_end: contextlib.ExitStack = attrs.field(factory=contextlib.ExitStack)
@@ -86,8 +95,15 @@
     @property
     def pool(self) -> str:
         """The pool that the request goes to, for the steps after the one that finds its route."""
+        if self.origin is not None:
+            return self.origin.pool
         return tables.pool_for(self.known_route, self.facts.request_id)
 
+    @property
+    def version(self) -> str | None:
+        """The version of endpoints that may be asked, ``None``: any."""
+        return self.origin.version if self.origin is not None else None
+
     @property
     def home_regions(self) -> frozenset[str] | None:
         """Where it may run, by its route and its workspace; ``None``: anywhere."""
--- a/src/croftpulley/forwarding/departures.py
+++ b/src/croftpulley/forwarding/departures.py
@@ -84,9 +84,15 @@
     def _bar(self, exchange: base.Exchange, placed: place.Placed) -> service.Bar | None:
         state = self._view.get()
         endpoint = placed.endpoint
-        members = self._service.members(state, exchange.pool, exchange.home_regions)
-        if endpoint.key not in members.in_service:
+        members = self._service.members(
+            state, exchange.pool, exchange.home_regions, exchange.version
+        )
+        listed = members.in_service.get(endpoint.key)
+        if listed is None:
             return service.bar_by_list(members, state, endpoint.key)
+        if listed.version != endpoint.version:
+            # What the answer is remembered by would not be what wrote it.
+            return service.Bar.OTHER_VERSION
         now_s = self._clock.monotonic_s()
         if self._counts.is_withdrawn(endpoint.key):
             return service.Bar.WITHDRAWN
--- a/src/croftpulley/forwarding/event_stream.py
+++ b/src/croftpulley/forwarding/event_stream.py
@@ -7,7 +7,7 @@
 
 from croftpulley import codes, errors
 from croftpulley.controllers import traffic
-from croftpulley.core import event_cut
+from croftpulley.core import event_cut, origins
 from croftpulley.forwarding import attempt, base, failover, retry
 from croftpulley.observe import events
 
@@ -35,12 +35,13 @@
         cutter = event_cut.EventCutter()
         cutter.last_id = exchange.facts.last_event_id
         begun = False
-        begun_version = current.endpoint.version
         try:
             while True:
                 try:
                     for whole in _whole_events(cutter, current):
-                        begun = True
+                        if not begun:
+                            begun = True
+                            _bind(exchange, current)
                         current.prompt_is_read()
                         yield whole
                     self._counts.answered(current.endpoint.key)
@@ -55,7 +56,7 @@
                     self._retry.go_on_or_raise(exchange, failure, tried)
                 cutter.drop_partial()
                 current = self._failover.begin(exchange, tried, cutter.last_id)
-                _log_resumed(exchange, current, cutter.last_id, begun_version)
+                _log_resumed(exchange, current, cutter.last_id)
         finally:
             current.close()
 
@@ -75,15 +76,19 @@
         )
 
 
-def _log_resumed(
-    exchange: base.Exchange, current: attempt.OpenAttempt, after_event: str, begun_version: str
-) -> None:
+def _bind(exchange: base.Exchange, current: attempt.OpenAttempt) -> None:
+    """Have all further attempts go where the first event came from."""
+    if exchange.origin is None:
+        exchange.origin = origins.Origin(exchange.pool, current.endpoint.version)
+
+
+def _log_resumed(exchange: base.Exchange, current: attempt.OpenAttempt, after_event: str) -> None:
     events.emit(
         _LOG,
         events.Event.ANSWER_RESUMED,
         request_id=exchange.facts.request_id,
         endpoint=current.endpoint.key,
         version=current.endpoint.version,
-        begun_version=begun_version,
+        begun_version=exchange.version,
         after_event=after_event,
     )
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -82,7 +82,9 @@
     ) -> service.Survey:
         """Return the endpoints in service for a request, those that were asked already too."""
         state = state or self._view.get()
-        members = self._service.members(state, exchange.pool, exchange.home_regions)
+        members = self._service.members(
+            state, exchange.pool, exchange.home_regions, exchange.version
+        )
         held_tokens = self._held_tokens(exchange, members)
         return service.Survey(
             state=state,
--- a/src/croftpulley/forwarding/service.py
+++ b/src/croftpulley/forwarding/service.py
@@ -22,6 +22,8 @@
     LEAVING = "leaving"
     """By the list."""
     EVACUATED = "evacuated"
+    OTHER_VERSION = "other_version"
+    """Its software is not of the version that wrote the stream's first event."""
     WITHDRAWN = "withdrawn"
     """By its own words: it wants rest, or leaves."""
     COLD = "cold"
@@ -32,11 +34,13 @@
 class Members:
     """The endpoints of a pool that requests with the same homes may be asked of, by their keys.
 
-    ``by_key`` has all that are listed, ``in_service`` those that may get requests.
+    ``by_key`` has all that are listed, ``in_service`` those that may get requests. ``version`` is
+    the one that binds, ``None`` if none does.
     """
 
     by_key: dict[str, membership.Endpoint]
     in_service: dict[str, membership.Endpoint]
+    version: str | None = None
 
 
 class Service:
@@ -49,24 +53,32 @@
         self._regions = regions
         self._endpoints: tuple[membership.Endpoint, ...] = ()
         self._evacuated = halls.Evacuated()
-        self._members: dict[tuple[str, frozenset[str] | None], Members] = {}
+        self._members: dict[tuple[str, frozenset[str] | None, str | None], Members] = {}
 
     def members(
-        self, state: router_state.RouterState, pool: str, homes: frozenset[str] | None
+        self,
+        state: router_state.RouterState,
+        pool: str,
+        homes: frozenset[str] | None,
+        version: str | None = None,
     ) -> Members:
-        """Return the members of a pool for requests that run in ``homes`` only."""
+        """Return the members of a pool for requests that run in ``homes``, at ``version``, only."""
         if self._endpoints is not state.endpoints or self._evacuated is not state.evacuated:
             self._members = {}
             self._endpoints = state.endpoints
             self._evacuated = state.evacuated
-        found = self._members.get((pool, homes))
+        found = self._members.get((pool, homes, version))
         if found is None:
-            found = self._look_up(state, pool, homes)
-            self._members[pool, homes] = found
+            found = self._look_up(state, pool, homes, version)
+            self._members[pool, homes, version] = found
         return found
 
     def _look_up(
-        self, state: router_state.RouterState, pool: str, homes: frozenset[str] | None
+        self,
+        state: router_state.RouterState,
+        pool: str,
+        homes: frozenset[str] | None,
+        version: str | None,
     ) -> Members:
         of_pool = [each for each in state.endpoints if each.pool == pool]
         by_key = {each.key: each for each in self._regions.at_home(of_pool, homes)}
@@ -74,9 +86,9 @@
         in_service = {
             key: each
             for key, each in by_key.items()
-            if not each.leaving and each.hall not in evacuated
+            if not each.leaving and each.hall not in evacuated and version in (None, each.version)
         }
-        return Members(by_key, in_service)
+        return Members(by_key, in_service, version)
 
 
 def bar_by_list(members: Members, state: router_state.RouterState, key: str) -> Bar:
@@ -84,6 +96,8 @@
     endpoint = members.by_key.get(key)
     if endpoint is None:
         return Bar.UNLISTED
+    if members.version not in (None, endpoint.version):
+        return Bar.OTHER_VERSION
     return Bar.EVACUATED if endpoint.hall in state.evacuated.names else Bar.LEAVING
 
 
@@ -136,6 +150,12 @@
         return errors.CroftpulleyError(
             code, "this box has no list of endpoints yet", retry_after_s=UNLISTED_RETRY_S
         )
+    if members.version is not None:
+        return errors.CroftpulleyError(
+            code,
+            f"pool {pool!r} has no endpoint that may be asked of version {members.version!r}, "
+            "which began the stream",
+        )
     in_halls = {each.hall for each in members.by_key.values()}
     evacuated = sorted(in_halls & set(state.evacuated.names))
     if evacuated:
