--- a/testing/controllers/test_reach.py
+++ b/testing/controllers/test_reach.py
@@ -58,6 +58,12 @@
     assert known.lost == frozenset()
 
 
+def test_the_first_connection_that_is_made_shows_that_the_way_is_there_again(known):
+    lose(known)
+    known.connected(WORKERS[2])
+    assert known.lost == frozenset()
+
+
 def test_failures_while_the_way_is_lost_are_reported_of_nobody(known, counts):
     lose(known)
     known.failed(WORKERS[2])
--- a/testing/cut_links.py
+++ b/testing/cut_links.py
@@ -27,13 +27,14 @@
     """Links that pass connections on until they are cut.
 
     ``spared`` are addresses to which they pass all the same, ``answers`` those where somebody is
-    taken to listen whatever is there.
+    taken to listen whatever is there, and ``down`` those that are cut by themselves.
     """
 
     def __init__(self) -> None:
         self.cut = Cut.NONE
         self.spared: set[str] = set()
         self.answers: set[str] = set()
+        self.down: dict[str, Cut] = {}
         self.dialled: list[str] = []
         """The address of every connection that was asked for."""
         self.open: list[socket.socket] = []
@@ -43,7 +44,7 @@
     def dial(self, connection: urllib3.connection.HTTPConnection) -> None:
         address = f"{connection.host}:{connection.port}"
         self.dialled.append(address)
-        cut = Cut.NONE if address in self.spared else self.cut
+        cut = self._cut_to(address)
         if cut is Cut.REFUSED:
             raise urllib3.exceptions.NewConnectionError(connection, "refused")
         if cut is Cut.HANGING:
@@ -57,11 +58,18 @@
     def listens(self, address: str, timeout_s: float) -> bool | None:
         if address in self.answers:
             return True
-        cut = Cut.NONE if address in self.spared else self.cut
+        cut = self._cut_to(address)
         if cut is Cut.NONE:
             return dialing.DIRECT.listens(address, timeout_s)
+        if cut is Cut.HANGING:
+            self._mended.wait(timeout_s)
         return {Cut.REFUSED: False, Cut.HANGING: None, Cut.MUTE: True}[cut]
 
+    def _cut_to(self, address: str) -> Cut:
+        if address in self.spared:
+            return Cut.NONE
+        return self.cut if self.cut is not Cut.NONE else self.down.get(address, Cut.NONE)
+
     def reset(self) -> None:
         """End every connection that is open."""
         for sock in self.open:
