A pool is out of reach once others of it, tried all at once, are not reached either

Cause: two endpoints in a row that could not be reached counted as the end of the way; with half of a pool down that is one request in four. Ruled out: the hop itself, which only follows that word. Change: two in a row raise a doubt. Then up to 16 others of the pool are tried at once, 0.2 s long; one that listens shows the way, and holds for 0.5 s. The first connection shows that a lost way is there again (four are tried at each tick), two where it was lost again within 5 s. An endpoint that refuses connections says nothing of whether connections are mute; eight are asked before a way is taken for mute. A box that was handed a request goes on to other endpoints if it reached one lately, and one that did so hands nothing over.

--- a/src/croftpulley/controllers/reach.py
+++ b/src/croftpulley/controllers/reach.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import logging
+import random
 import threading
 
 import urllib3.connection
@@ -20,6 +21,8 @@
 from croftpulley.observe import events, metrics
 
 _LOG = logging.getLogger(__name__)
+LOOK_TIMEOUT_S = 0.2
+"""How long a look at endpoints may take: many round trips within a region."""
 
 
 class Reach:
@@ -51,18 +54,44 @@
         known = self._pools.get(pool)
         return known is not None and known.is_lost
 
+    def is_reached(self, pool: str) -> bool:
+        """Tell whether some endpoint of a pool was reached lately."""
+        known = self._pools.get(pool)
+        return known is not None and known.is_reached(self._clock.monotonic_s())
+
     def take_answered(self) -> tuple[str, ...]:
         """Return the pools that have answered since the last call."""
         with self._lock:
             taken, self._answered = self._answered, set()
         return tuple(sorted(taken))
 
-    def unreached(self, endpoint: membership.Endpoint) -> None:
-        """Note that no connection to an endpoint was made."""
-        now_s = self._clock.monotonic_s()
-        size = sum(each.pool == endpoint.pool for each in self._view.get().endpoints)
+    def unreached(self, endpoint: membership.Endpoint, dialer: dialing.Dialer) -> None:
+        """Note that no connection to an endpoint was made; look at others where that is a doubt."""
+        others = [
+            each
+            for each in self._view.get().endpoints
+            if each.pool == endpoint.pool and each.key != endpoint.key
+        ]
+        with self._lock:
+            known = self._pool(endpoint)
+            now_s = self._clock.monotonic_s()
+            is_in_doubt = known.unreached(endpoint.key, len(others) + 1, now_s)
+        if is_in_doubt:
+            self._look(endpoint, others, dialer)
+
+    def _look(
+        self,
+        endpoint: membership.Endpoint,
+        others: list[membership.Endpoint],
+        dialer: dialing.Dialer,
+    ) -> None:
+        """Find out whether any other endpoint of a pool is reached; the way is lost if none is."""
+        looked_at = random.sample(others, min(core.MOST_LOOKED_AT, len(others)))
+        addresses = [each.address for each in looked_at]
+        is_reached = dialer.first_to_listen(addresses, LOOK_TIMEOUT_S) is not None
         with self._lock:
-            is_new = self._pool(endpoint).unreached(endpoint.key, size, now_s)
+            now_s = self._clock.monotonic_s()
+            is_new = self._pool(endpoint).looked(is_reached=is_reached, now_s=now_s)
             self._know_lost()
         if is_new:
             self._tell(events.Event.POOL_OUT_OF_REACH, endpoint, is_lost=True)
@@ -99,8 +128,6 @@
 
     def connected(self, endpoint: membership.Endpoint) -> None:
         """Note that a connection to an endpoint was made."""
-        if endpoint.pool not in self._pools:
-            return
         now_s = self._clock.monotonic_s()
         with self._lock:
             is_back = self._pool(endpoint).connected(now_s)
@@ -170,7 +197,7 @@
         try:
             self._dialer.dial(connection)
         except connections.TRANSPORT_ERRORS:
-            self._known.unreached(self._endpoint)
+            self._known.unreached(self._endpoint, self._dialer)
             raise
         self._known.connected(self._endpoint)
         self._known.asked(self._endpoint)
@@ -180,6 +207,4 @@
         listens = self._dialer.listens(address, timeout_s)
         if listens:
             self._known.connected(self._endpoint)
-        else:
-            self._known.unreached(self._endpoint)
         return listens
--- a/src/croftpulley/controllers/reach_checks.py
+++ b/src/croftpulley/controllers/reach_checks.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import queue
 import random
+import threading
 
 from croftpulley import errors
 from croftpulley.controllers import actors, reach, router_state
@@ -12,12 +14,14 @@
 
 TICKS_A_QUESTION = 4
 """Ticks between two questions to an endpoint whether it is well, while the way there is mute."""
-TRY_TIMEOUT_S = 0.2
-"""How long a try of a lost way may take: many round trips within a region."""
+MOST_ASKED = 8
+"""Endpoints beside a doubtful one that are asked whether they are well: some may have ended."""
+TRIED_AT_ONCE = 4
+"""Endpoints of a lost pool that are tried at one tick: with half of them down one is reached."""
 
 
 class ReachChecks(actors.Controller):
-    """Tries one endpoint of each lost pool at each tick, one after another."""
+    """Tries some endpoints of each lost pool at each tick, in turn."""
 
     def __init__(
         self,
@@ -48,12 +52,22 @@
         of_pool = self._of_pool(pool)
         if not of_pool:
             return
-        endpoint = of_pool[self._tries % len(of_pool)]
         if self._known.is_refused(pool):
-            way = reach.NotingDialer(endpoint, self._known, self._dialer)
-            way.listens(endpoint.address, TRY_TIMEOUT_S)
+            self._connect(of_pool)
         elif self._tries % TICKS_A_QUESTION == 0:
-            self._answers(endpoint)
+            self._answers(of_pool[self._tries % len(of_pool)])
+
+    def _connect(self, of_pool: list[membership.Endpoint]) -> None:
+        """Connect to the next endpoints in turn; the first that listens shows the way."""
+        start = self._tries * TRIED_AT_ONCE
+        count = min(TRIED_AT_ONCE, len(of_pool))
+        tried = {
+            each.address: each
+            for each in (of_pool[(start + n) % len(of_pool)] for n in range(count))
+        }
+        address = self._dialer.first_to_listen(tuple(tried), reach.LOOK_TIMEOUT_S)
+        if address is not None:
+            self._known.connected(tried[address])
 
     def _doubt(self, pool: str) -> None:
         """Find out whether endpoints say nothing of which there is doubt."""
@@ -62,15 +76,27 @@
             return
         # Those may have ended: another one that answers shows that the way is there.
         others = [each for each in self._of_pool(pool) if each not in doubtful]
-        asked = random.sample(doubtful, 1) + random.sample(others or doubtful, 1)
-        if not any(self._answers(each) for each in asked):
+        asked = random.sample(doubtful, 1)
+        asked += random.sample(others or doubtful, min(MOST_ASKED, len(others or doubtful)))
+        if not self._any_answers(asked):
             self._known.mute(asked[0])
 
+    def _any_answers(self, endpoints: list[membership.Endpoint]) -> bool:
+        """Ask endpoints all at once; return once one has answered, or none has."""
+        answers: queue.SimpleQueue[bool] = queue.SimpleQueue()
+
+        def ask(endpoint: membership.Endpoint) -> None:
+            answers.put(self._answers(endpoint))
+
+        for each in endpoints:
+            threading.Thread(target=ask, args=(each,), name="ask", daemon=True).start()
+        return any(answers.get() for _ in endpoints)
+
     def _answers(self, endpoint: membership.Endpoint) -> bool:
         """Ask an endpoint whether it is well; any answer shows that the way is there."""
         pool = self._view.get().tables.pools.get(endpoint.pool)
         path = pool.health_path if pool else "/"
-        target = connections.Target(endpoint.address, TRY_TIMEOUT_S, TRY_TIMEOUT_S)
+        target = connections.Target(endpoint.address, reach.LOOK_TIMEOUT_S, reach.LOOK_TIMEOUT_S)
         request = connections.HttpRequest("GET", path, content_type=None)
         try:
             connections.whole(target, request, connections.WORKER_FAILURES, dialer=self._dialer)
--- a/src/croftpulley/endpoints/dialing.py
+++ b/src/croftpulley/endpoints/dialing.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import abc
+import queue
 import socket
+import threading
+from collections.abc import Sequence
 
 import urllib3.connection
 
@@ -23,6 +26,21 @@
         link refuses no connection.
         """
 
+    def first_to_listen(self, addresses: Sequence[str], timeout_s: float) -> str | None:
+        """Try addresses all at once; return the first where somebody listens, if any does."""
+        found: queue.SimpleQueue[str | None] = queue.SimpleQueue()
+
+        def look(address: str) -> None:
+            found.put(address if self.listens(address, timeout_s) else None)
+
+        for address in addresses:
+            threading.Thread(target=look, args=(address,), name="look", daemon=True).start()
+        for _ in addresses:
+            listening = found.get()
+            if listening is not None:
+                return listening
+        return None
+
 
 class DirectDialer(Dialer):
     """Connects straight to addresses."""
--- a/src/croftpulley/forwarding/by_peer.py
+++ b/src/croftpulley/forwarding/by_peer.py
@@ -35,12 +35,15 @@
         return exchange.pool in self._known.lost
 
     def _may_hand_over(self, exchange: base.Exchange) -> bool:
-        """Tell whether no endpoint that was asked was reached, and another box may reach one."""
+        """Tell whether no endpoint that was asked was reached, and another box may reach one.
+
+        Where this box reached any other endpoint lately, those that were asked have ended.
+        """
         log = exchange.attempts.attempts
         is_unsent = bool(log) and all(each.phase is attempts.Phase.UNSENT for each in log)
         # A suspect is tried by the box that has the permission.
         is_free = exchange.token.reason is None and not exchange.trial
-        return is_unsent and is_free
+        return is_unsent and is_free and not self._known.is_reached(exchange.pool)
 
     def _taken_elsewhere(self, exchange: base.Exchange) -> base.ForwardReply | None:
         """Return another box's answer, ``None`` if this one should ask endpoints all the same.
--- a/src/croftpulley/forwarding/retry.py
+++ b/src/croftpulley/forwarding/retry.py
@@ -54,16 +54,24 @@
         if not self._placement.has_other(exchange, tried):
             return False
         if log and log[-1].phase is attempts.Phase.UNSENT:
-            # Where the way is lost, the others cannot be reached either. A request that another box
-            # handed over goes back to it, which asks a third one: this box may have lost the way
-            # as well, and not know yet.
-            return exchange.hop is None and exchange.pool not in self._reach.lost
+            return self._reaches_others(exchange)
         exchange.repeat = self._counts.take_repeat(exchange.pool)
         if not exchange.repeat.is_granted:
             failures.log_held_back(exchange)
         self._counters.repeat(exchange.repeat.is_granted)
         return exchange.repeat.is_granted
 
+    def _reaches_others(self, exchange: base.Exchange) -> bool:
+        """Tell whether another endpoint may be reached where one was not.
+
+        Where the way is lost none is. A request that another box handed over goes back to it, which
+        asks a third one: this box may have lost the way as well and not know yet, unless it has
+        reached some endpoint of the pool lately.
+        """
+        if exchange.pool in self._reach.lost:
+            return False
+        return exchange.hop is None or self._reach.is_reached(exchange.pool)
+
     def go_on_or_raise(
         self, exchange: base.Exchange, failure: errors.CroftpulleyError, tried: set[str]
     ) -> None:
--- a/testing/controllers/test_reach.py
+++ b/testing/controllers/test_reach.py
@@ -8,6 +8,8 @@
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, reach, router_state, suspicion, traffic
 from croftpulley.core import attempts, doubts, membership, retry_budget, selection
+from croftpulley.core import reach as core
+from croftpulley.endpoints import dialing
 from croftpulley.observe import metrics
 
 ALLOWANCE = retry_budget.Allowance(ratio=0.2, extra=10, window_s=10)
@@ -17,7 +19,21 @@
     return membership.Endpoint(name, membership.EndpointKind.WORKER, pool, address, "hall-a", name)
 
 
-WORKERS = tuple(worker(name) for name in ("w1", "w2", "w3"))
+class Nobody(dialing.Dialer):
+    """Links over which nobody is reached, but for addresses that are."""
+
+    def __init__(self, *reached):
+        self.reached = reached
+
+    def dial(self, connection):
+        raise NotImplementedError
+
+    def listens(self, address, timeout_s):
+        return address in self.reached
+
+
+CUT = Nobody()
+WORKERS = tuple(worker(f"w{n}", address=f"127.0.0.1:{n}") for n in (1, 2, 3))
 
 
 @pytest.fixture
@@ -38,23 +54,41 @@
 
 def lose(known):
     for each in WORKERS[:2]:
-        known.unreached(each)
+        known.unreached(each, CUT)
         known.failed(each)
 
 
 def test_a_pool_is_lost_once_two_of_its_endpoints_in_a_row_cannot_be_reached(known):
-    known.unreached(WORKERS[0])
+    known.unreached(WORKERS[0], CUT)
     assert known.lost == frozenset()
-    known.unreached(WORKERS[0])
+    known.unreached(WORKERS[0], CUT)
     assert known.lost == frozenset()
-    known.unreached(WORKERS[1])
+    known.unreached(WORKERS[1], CUT)
     assert known.lost == {"desk"}
 
 
+def test_a_pool_is_not_lost_while_another_of_its_endpoints_can_be_reached(known):
+    for _ in range(3):
+        known.unreached(WORKERS[0], Nobody(WORKERS[2].address))
+        known.unreached(WORKERS[1], Nobody(WORKERS[2].address))
+    assert known.lost == frozenset()
+
+
+def test_a_way_that_comes_and_goes_is_there_once_two_connections_are_made(known, clock):
+    lose(known)
+    known.connected(WORKERS[0])
+    clock.advance(core.LOOKED_S)
+    lose(known)
+    known.connected(WORKERS[0])
+    assert known.lost == {"desk"}
+    known.connected(WORKERS[0])
+    assert known.lost == frozenset()
+
+
 def test_one_that_is_reached_in_between_shows_that_the_others_are_to_blame(known):
-    known.unreached(WORKERS[0])
+    known.unreached(WORKERS[0], CUT)
     known.connected(WORKERS[2])
-    known.unreached(WORKERS[1])
+    known.unreached(WORKERS[1], CUT)
     assert known.lost == frozenset()
 
 
@@ -74,7 +108,7 @@
 
 
 def test_a_failure_is_reported_once_another_endpoint_of_the_pool_has_answered(known, counts):
-    known.unreached(WORKERS[0])
+    known.unreached(WORKERS[0], CUT)
     known.failed(WORKERS[0])
     assert counts.take_outcomes() == {}
     known.answered(WORKERS[0])
