Soak kind versions: engines are rolled forth and back while callers take streams up at other routers

Answers of the other callers are checked without the version in their events, and for holding one of them.

--- a/src/croftpulley/endpoints/http_platform.py
+++ b/src/croftpulley/endpoints/http_platform.py
@@ -48,6 +48,9 @@
         value = entry.get(name)
         if not isinstance(value, str):
             return lists.wrong_field(name, value, "a string")
+    version = entry.get("version")
+    if version is not None and not isinstance(version, str):
+        return lists.wrong_field("version", version, "a string")
     born_ms = entry.get("born_ms")
     if born_ms is not None and type(born_ms) is not int:
         return lists.wrong_field("born_ms", born_ms, "a whole number")
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -216,11 +216,12 @@
         for each in self._ports:
             each.close()
 
-    def add_endpoint(self, pool: str) -> None:
-        """Start one more endpoint and list it."""
+    def add_endpoint(self, pool: str, version: str = "") -> None:
+        """Start one more endpoint and list it; with a ``version`` the list tells it."""
         self._made[pool] += 1
         hall = "hall-b" if self._made[pool] % ENDPOINTS == 0 else "hall-a"
         self._serve(f"{pool}-{self._made[pool]}", pool, _now_ms(), hall)
+        self.served[-1].stand_in.version = version
         self.list_endpoints()
 
     def _serve(self, name: str, pool: str, born_ms: int, hall: str) -> None:
@@ -260,6 +261,7 @@
                 "incarnation": each.stand_in.incarnation,
                 "leaving": each.leaving,
                 "born_ms": each.born_ms,
+                "version": each.stand_in.version,
             }
             for each in self.served
         ]
--- a/testing/soak/promises.py
+++ b/testing/soak/promises.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator, Mapping, Sequence
 
 import shared_budget
@@ -14,6 +15,8 @@
 """Where each request ran, by its id."""
 _NOT_RUN = (408, 421, 429, 503)
 """Statuses that promise that the request has not run and never will."""
+_WRITTEN_BY = re.compile(rb" (v\d+)\n")
+"""What endpoints of a version end the data of their events with."""
 _NOT_KNOWN = (401, 404)
 _UNREPEATABLE = ("once", "chat")
 
@@ -24,6 +27,7 @@
         *_run_more_than_once(book, runs),
         *_not_run_but_ran(book, runs),
         *_wrong_answers(book),
+        *_mixed_answers(book),
         *_outside_of_any_configuration(book, runs),
         *_older_read_back(book),
         *_late_acceptances(book),
@@ -55,12 +59,24 @@
             yield f"{each.request_id} got the answer of {each.echoed_id!r}"
         elif not each.has_proof:
             yield f"{each.request_id} got a success without proof"
-        elif each.end is End.WHOLE and each.body != expected:
+        elif each.end is End.WHOLE and _unmarked(each.body) != expected:
             yield f"{each.request_id} got {each.body!r} as whole, expected {expected!r}"
-        elif not expected.startswith(each.body):
+        elif not expected.startswith(_unmarked(each.body)):
             yield f"{each.request_id} got {each.body!r}, no beginning of {expected!r}"
 
 
+def _unmarked(body: bytes) -> bytes:
+    """Return an answer without the versions that wrote it."""
+    return _WRITTEN_BY.sub(b"\n", body)
+
+
+def _mixed_answers(book: records.Book) -> Iterator[str]:
+    for each in book.asked:
+        versions = set(_WRITTEN_BY.findall(each.body))
+        if len(versions) > 1:
+            yield f"{each.request_id} holds events of {sorted(versions)}"
+
+
 def expected_body(asked: records.Asked) -> bytes:
     """Return the whole answer of an endpoint."""
     path = fleet.path_of(asked.route_version, asked.kind, asked.request_id)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -32,6 +32,7 @@
     room,
     storms,
     troubles,
+    versions,
 )
 
 RECOVERY_LIMIT_S = 60.0
@@ -68,6 +69,9 @@
     RESTS = "rests"
     """Endpoints ask for rest, some or all of a pool, and say that they leave, while routers and
     leaders are killed in series; every other seed has all else too."""
+    VERSIONS = "versions"
+    """Engines are rolled to other versions and back while callers break streams off and take them
+    up at other routers, and routers and leaders are killed; every other seed has all else too."""
 
 
 @attrs.frozen
@@ -85,6 +89,8 @@
     """How often endpoints asked for rest."""
     most_running: dict[str, int]
     """How many requests the endpoints of a pool ran at once, where that was watched."""
+    taken_up: str
+    """How many streams were taken up, and how many of those went on."""
     crashes: list[int]
     """How many endpoints ended under each of the requests that end them."""
     evacuations: int
@@ -117,17 +123,22 @@
     )
     watch = room.Watch(site, runs=kind is Kind.ROOM)
     crashers = crashing.Senders(site, book, seed, runs=kind is Kind.CRASHES)
+    takers = versions.Takers(site, seed, runs=kind is Kind.VERSIONS)
     operator = places.Operator(site, seed, runs=kind is Kind.PLACES)
     try:
+        if kind is Kind.VERSIONS:
+            versions.begin_with_one(site)
         site.start()
         until_served(site, book, seed)
         crowd.start()
         crashers.start()
         operator.start()
+        takers.start(book)
         watch.start()
         played = _drawn(seed, seconds_s, site, book, kind, planned_only)
         troubles.play(played, seconds_s)
         crashers.stop()
+        takers.stop()
         operator.stop()
         watch.stop()
         if kind is Kind.ROOM:
@@ -148,7 +159,8 @@
             *places.lost(site, operator.evacuations),
         ]
         rested = sum(len(each.stand_in.rests) for each in (*site.served, *site.past))
-        unrested = list(rests.broken(site, book))
+        # Where endpoints ask for no rest, requests are sent of which the book has no router.
+        unrested = [] if kind is Kind.VERSIONS else list(rests.broken(site, book))
     finally:
         site.stop()
     broken = promises.broken(book, runs)
@@ -157,6 +169,7 @@
     broken += misplaced
     broken += unrested
     broken += watch.broken()
+    broken += takers.broken(share=versions.LEAST_SHARE if seed % 2 == 0 else 0.0)
     if kind is Kind.CUTS and seed % 2 == 0:
         broken += cuts.unserved(book, played)
     if planned_only:
@@ -174,6 +187,7 @@
         evacuations=len(operator.evacuations),
         rests=rested,
         most_running=dict(watch.most),
+        taken_up=takers.summary(),
         crashes=sorted(collections.Counter(each.content for each in crashes).values()),
         accepted_version=book.accepted_version,
         recovery_s=recovery_s,
@@ -201,6 +215,9 @@
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
     if kind is Kind.CUTS:
         drawn += cuts.drawn(seed, site, seconds_s)
+    if kind is Kind.VERSIONS:
+        drawn += versions.rolls(seed, site, seconds_s)
+        drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
     if kind in (Kind.CRASHES, Kind.PLACES, Kind.ROOM):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
     return drawn
@@ -305,6 +322,7 @@
         click.echo(
             f"seed {seed}: {len(outcome.broken)} broken, {outcome.requests} requests "
             f"{outcome.ends}, repeats {outcome.repeats}, crashes {outcome.crashes}, "
+            f"taken up {outcome.taken_up}, "
             f"evacuations {outcome.evacuations}, rests {outcome.rests}, "
             f"most running {outcome.most_running}, "
             f"version {outcome.accepted_version}, recovered in {outcome.recovery_s:.1f} s, "
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -37,6 +37,9 @@
 CUTS = {2: 12.0}
 """Links of single routers to all endpoints are cut, one after the other."""
 
+VERSIONS = {2: 12.0}
+"""Engines are rolled to other versions while streams are taken up, and routers are killed."""
+
 RESTS = {4: 10.0}
 """Endpoints that ask for rest and say that they leave, while routers and leaders are killed."""
 
@@ -71,6 +74,11 @@
     assert run.run_seed(seed, CUTS[seed], tmp_path, run.Kind.CUTS).broken == []
 
 
+@pytest.mark.parametrize("seed", VERSIONS)
+def test_streams_stay_at_the_version_that_began_them(seed, tmp_path):
+    assert run.run_seed(seed, VERSIONS[seed], tmp_path, run.Kind.VERSIONS).broken == []
+
+
 @pytest.mark.parametrize("seed", RESTS)
 def test_endpoints_get_the_rest_that_they_ask_for(seed, tmp_path):
     assert run.run_seed(seed, RESTS[seed], tmp_path, run.Kind.RESTS).broken == []
