--- a/src/croftpulley/cli/bench.py
+++ b/src/croftpulley/cli/bench.py
@@ -13,6 +13,7 @@
 from croftpulley.bench import control as control_bench
 from croftpulley.bench import demo as demo_bench
 from croftpulley.bench import fleet_files, scrape, table
+from croftpulley.bench import origins as origins_bench
 from croftpulley.bench import path as path_bench
 from croftpulley.bench import rests as rests_bench
 from croftpulley.cli import policy as policy_cli
@@ -147,6 +148,17 @@
     click.echo(table.as_json(rows) if as_json else table.plain(rows))
 
 
+@bench.command("origins")
+@_JSON
+def stream_origins(as_json: bool) -> None:
+    """Measure what remembering and telling where streams began costs a router.
+
+    Example: croftpulley bench origins
+    """
+    rows = origins_bench.measure()
+    click.echo(table.as_json(rows) if as_json else table.plain(rows))
+
+
 @bench.command("policy")
 @click.option(
     "--deployment",
--- a/src/croftpulley/cli/ctl.py
+++ b/src/croftpulley/cli/ctl.py
@@ -182,8 +182,10 @@
     if endpoint["resting_s"]:
         longest_s = max(endpoint["resting_s"].values())
         states.append(f"asked {len(endpoint['resting_s'])} boxes for rest, {longest_s:g} s left")
+    version = endpoint["version"] or "no version"
     return (
-        f"{endpoint['endpoint']}  {endpoint['pool']}  {endpoint['hall']}  {endpoint['address']}"
+        f"{endpoint['endpoint']}  {endpoint['pool']}  {version}  {endpoint['hall']}"
+        f"  {endpoint['address']}"
         f"  in flight {endpoint['in_flight']}  {', '.join(states) or 'in service'}"
     )
 
--- a/src/croftpulley/controllers/stream_origins.py
+++ b/src/croftpulley/controllers/stream_origins.py
@@ -28,8 +28,8 @@
 """For a message to another box: a lost one must leave time for the next."""
 AVOIDED_S = 1.0
 """How long a box that did not answer is told nothing, and asked last."""
-MOST_A_MESSAGE = 64
-"""Streams in one message, about 8 kB: it fits into the least body that a configuration allows."""
+MOST_A_MESSAGE = 32
+"""Streams in one message, about 4 kB: bodies of other boxes are bounded as those of callers."""
 
 
 @attrs.frozen
--- a/src/croftpulley/core/origins.py
+++ b/src/croftpulley/core/origins.py
@@ -18,7 +18,7 @@
 KEPT_WHOLE_S = 10.0
 """The same where it ended whole here, if perhaps not at its caller."""
 MOST_KEPT = 30_000
-"""Streams that a box remembers, about 0.5 kB each; beyond that the oldest are forgotten."""
+"""Streams that a box remembers, about 0.3 kB each; beyond that the oldest are forgotten."""
 MOST_OF_WORKSPACE = MOST_KEPT // 2
 """Those of one workspace, so that it crowds out no other."""
 LONGEST_ID = 128
--- a/src/croftpulley/core/peers.py
+++ b/src/croftpulley/core/peers.py
@@ -13,7 +13,7 @@
 """So many orders are worked out when boxes change, not one for each stream."""
 TOLD = 2
 """Boxes that are told of a stream, beside the one that began it."""
-ASKED = 3
+ASKED = 4
 """Boxes that are asked for one: should one be new, or the one that began it, it costs no answer."""
 AVOIDED_S = 0.5
 """How long a box that took no request is asked last: two renewals tell who reaches what."""
@@ -68,8 +68,9 @@
     """The boxes that are told where a stream began, as one box, ``box``, sees them.
 
     Streams fall into slots by their ids, and each slot has its keepers by rendezvous hashing over
-    the boxes, so that any box can work out whom to ask. Whoever tells and whoever asks may see
-    different boxes for a moment: one more is asked than is told.
+    the boxes, so that any box can work out whom to ask. Those told are in two halls if they can be,
+    should one lose power. Whoever tells and whoever asks may see different boxes for a moment: more
+    are asked than are told.
 
     Threads that look up at the same time do so twice; what they come to is the same.
 
@@ -105,8 +106,11 @@
             for each in boxes
             if each.name != self._box and each.peer_address and not each.draining
         }
-        ordered = choice.order(f"streams-{slot}", others)
-        return tuple(others[name] for name in ordered[:ASKED])
+        ordered = [others[name] for name in choice.order(f"streams-{slot}", others)]
+        first = ordered[:1]
+        elsewhere = [each for each in ordered if each.hall != first[0].hall][: TOLD - 1]
+        rest = [each for each in ordered[1:] if each not in elsewhere]
+        return tuple([*first, *elsewhere, *rest][:ASKED])
 
 
 def slot_of(stream: origins.StreamId) -> int:
--- a/src/croftpulley/interfaces/operators.py
+++ b/src/croftpulley/interfaces/operators.py
@@ -125,6 +125,7 @@
         {
             "endpoint": each.endpoint.key,
             "pool": each.endpoint.pool,
+            "version": each.endpoint.version,
             "hall": each.endpoint.hall,
             "address": each.endpoint.address,
             "leaving": each.endpoint.leaving,
--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -168,7 +168,31 @@
     else:
         cause, because = _no_end(around)
     told, lost = _hop(around)
-    return cause + told, [*because, *lost]
+    return cause + told + _versions(around), [*because, *lost]
+
+
+def _versions(around: _Around) -> str:
+    """Say where a stream that was taken up began, and at which versions its attempts ran."""
+    told = ""
+    for line in around.of(events.Event.STREAM_TAKEN_UP)[-1:]:
+        fields = line.fields
+        told = f" It takes up stream {fields.get('resumes')!r} behind event {fields['after_event']}"
+        told += _KNOWN.get(str(fields.get("outcome")), _KNOWN["unknown"]).format(**fields)
+    chosen = [str(line.fields.get("version", "")) for line in around.of(_CHOSEN)]
+    versions = list(dict.fromkeys(each for each in chosen if each))
+    if len(versions) > 1 or (told and versions):
+        told += f" Its attempts went to {', '.join(versions)}."
+    return told
+
+
+_CHOSEN = events.Event.ENDPOINT_CHOSEN
+_KNOWN = {
+    "known": ", which began in pool {pool!r} at version {version!r}, as {known_by} knew.",
+    "moved": ", which began in pool {pool!r}; its route leads there no more.",
+    "fits_anywhere": ", of which nobody knew; pool {pool!r} has had one version for long.",
+    "unknown": ", of which nobody knew; pool {pool!r} has, or may have had, several versions.",
+}
+"""By what is known of a stream that is taken up."""
 
 
 def _hop(around: _Around) -> _Cause:
@@ -331,6 +355,12 @@
     return f"Its time ran out. {why}", because
 
 
+def _origin_unknown(around: _Around) -> _Cause:
+    because = around.before(events.Event.RENEW_FAILED, events.Event.ORIGINS_UNTOLD)
+    because += around.before(events.Event.ENDPOINT_LISTED, anywhere=True)
+    return f"Refused, not run: {around.last.fields.get('problem', '')}.", because
+
+
 def _other_refusal(around: _Around) -> _Cause:
     fields = around.last.fields
     state = fields.get("run_state")
@@ -359,6 +389,7 @@
     "REQUEST_ON_TRIAL": _on_trial,
     "DECLINED": _declined,
     "OUT_OF_REACH": _out_of_reach,
+    "ORIGIN_UNKNOWN": _origin_unknown,
     "CALLER_GONE": _caller_gone,
     "DEADLINE_PASSED": _deadline,
 }
--- a/testing/core/test_origins.py
+++ b/testing/core/test_origins.py
@@ -84,19 +84,36 @@
     return tuple(membership.Box(name, "h", "", f"{name}:1") for name in names)
 
 
-@given(st.integers(0, 500), st.integers(2, 40), st.integers(0, 3))
-def test_one_that_is_asked_was_told_with_one_box_more_or_less(number, size, changed):
+HALLS = ("hall-a", "hall-b", "hall-c")
+
+
+def in_halls(names):
+    """Return boxes of three halls, by the numbers in their names."""
+    halls = {name: HALLS[sum(map(ord, name)) % len(HALLS)] for name in names}
+    return tuple(membership.Box(name, halls[name], "", f"{name}:1") for name in names)
+
+
+@given(st.integers(0, 500), st.integers(2, 40), st.integers(0, 3), st.sampled_from(range(3)))
+def test_one_that_is_asked_was_told_with_one_box_more_or_less(number, size, changed, change):
     """Whoever asks may know one box more than whoever told, or one less."""
     names = [f"box-{n}" for n in range(size)]
     teller = names[number % size]
     asker = names[(number + 1 + changed) % size]
-    keepers = peers.Keepers(teller).of(stream(number), boxes_of(names))[: peers.TOLD]
-    for seen in (names, names[1:], [*names, "new"]):
-        if asker not in seen:
-            continue
-        asked = {each.name for each in peers.Keepers(asker).of(stream(number), boxes_of(seen))}
-        holders = {teller, *(each.name for each in keepers)} & set(seen)
-        assert not holders or holders & {*asked, asker}
+    keepers = peers.Keepers(teller).of(stream(number), in_halls(names))[: peers.TOLD]
+    seen = (names, names[1:], [*names, "new"])[change]
+    if asker not in seen:
+        return
+    asked = {each.name for each in peers.Keepers(asker).of(stream(number), in_halls(seen))}
+    holders = {teller, *(each.name for each in keepers)} & set(seen)
+    assert not holders or holders & {*asked, asker}
+
+
+@given(st.integers(0, 500), st.integers(4, 40))
+def test_what_is_told_outlasts_the_loss_of_a_hall(number, size):
+    boxes = in_halls([f"box-{n}" for n in range(size)])
+    keepers = peers.Keepers("box-0").of(stream(number), boxes)[: peers.TOLD]
+    others = {each.hall for each in boxes if each.name != "box-0"}
+    assert len({each.hall for each in keepers}) == min(len(others), peers.TOLD)
 
 
 @attrs.define
--- a/testing/observe/test_explain.py
+++ b/testing/observe/test_explain.py
@@ -237,6 +237,29 @@
     assert "Refused" not in told.cause
 
 
+def taken_up(outcome, **fields):
+    given = {"resumes": "7b", "after_event": "3", "pool": "llm", "version": "", "known_by": ""}
+    return text("10:00:00", Event.STREAM_TAKEN_UP, request_id=ID, outcome=outcome, **given | fields)
+
+
+def test_a_stream_that_was_taken_up_is_told_with_its_version_and_who_knew():
+    known = taken_up("known", version="v2", known_by="router-3")
+    told = story(known, chosen(version="v2"), answered())
+    assert "takes up stream '7b' behind event 3, which began in pool 'llm' at" in told.cause
+    assert "version 'v2', as router-3 knew. Its attempts went to v2." in told.cause
+
+
+def test_a_stream_of_which_nobody_knew_is_refused_for_that():
+    told = story(taken_up("unknown"), refused("ORIGIN_UNKNOWN", problem="stream '7b': nobody"))
+    assert told.cause.startswith("Refused, not run: stream '7b': nobody.")
+    assert "has, or may have had, several versions" in told.cause
+
+
+def test_attempts_at_several_versions_are_told():
+    told = story(chosen(version="v1"), chosen(version="v2"), answered())
+    assert "Its attempts went to v1, v2." in told.cause
+
+
 def test_an_id_that_nobody_logged_is_not_explained_away():
     told = story(text("10:00:01", Event.LOG_LINES_LEFT_OUT, lines=30), chosen(request_id="other"))
     assert "No process wrote a line" in told.cause
