--- a/src/croftpulley/controllers/stream_origins.py
+++ b/src/croftpulley/controllers/stream_origins.py
@@ -26,6 +26,8 @@
 before, and which lagged."""
 TIMEOUT_S = 0.25
 """For a message to another box: a lost one must leave time for the next."""
+MOST_CONNECTIONS = 16
+"""Kept to one box: so many threads may ask it at once, as after the loss of another."""
 AVOIDED_S = 1.0
 """How long a box that did not answer is told nothing, and asked last."""
 MOST_A_MESSAGE = 32
@@ -60,7 +62,7 @@
         self._lock = threading.Lock()
         self._origins = origins.Origins()
         self._keepers = peers.Keepers(box)
-        self._links = links.Links(TIMEOUT_S, counters)
+        self._links = links.Links(TIMEOUT_S, counters, MOST_CONNECTIONS)
         self._links_lock = threading.Lock()
         self._failed_at_s: dict[str, float] = {}
         self._seen_at_s: dict[tuple[str, str], float] = {}
--- a/src/croftpulley/transport/links.py
+++ b/src/croftpulley/transport/links.py
@@ -27,15 +27,17 @@
 
 
 class Link:
-    """One connection to one address, made again whenever it broke."""
+    """Kept connections to one address, one by default, made again whenever they broke."""
 
-    def __init__(self, address: str, timeout_s: float, counters: metrics.Metrics) -> None:
+    def __init__(
+        self, address: str, timeout_s: float, counters: metrics.Metrics, connections: int = 1
+    ) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
         self._counters = counters
         timeout = urllib3.Timeout(connect=timeout_s, read=timeout_s)
         self._pool = urllib3.HTTPConnectionPool(
-            host, int(port), timeout=timeout, maxsize=1, block=False, retries=_NO_RETRIES
+            host, int(port), timeout=timeout, maxsize=connections, block=False, retries=_NO_RETRIES
         )
 
     def post(self, path: str, body: bytes) -> bytes:
@@ -64,9 +66,14 @@
 
 
 class Links:
-    """One link an address, made when first asked for; for the messages of one thread."""
+    """One link an address, made when first asked for.
 
-    def __init__(self, timeout_s: float, counters: metrics.Metrics) -> None:
+    For the messages of one thread, or of several that use its ``connections`` at once and take turns
+    with the links themselves.
+    """
+
+    def __init__(self, timeout_s: float, counters: metrics.Metrics, connections: int = 1) -> None:
+        self._connections = connections
         self._timeout_s = timeout_s
         self._counters = counters
         self._links: dict[str, Link] = {}
@@ -74,7 +81,7 @@
     def to(self, address: str) -> Link:
         """Return the link to ``address``."""
         if address not in self._links:
-            self._links[address] = Link(address, self._timeout_s, self._counters)
+            self._links[address] = Link(address, self._timeout_s, self._counters, self._connections)
         return self._links[address]
 
     def keep(self, addresses: set[str]) -> None:
