--- a/src/croftpulley/controllers/reach.py
+++ b/src/croftpulley/controllers/reach.py
@@ -39,7 +39,7 @@
         self._counts = counts
         self._counters = counters
         self._clock = clock
-        self._lock = threading.Lock()
+        self._lock = threading.Condition()
         self._pools: dict[str, core.PoolReach] = {}
         self._lost: frozenset[str] = frozenset()
         self._answered: set[str] = set()
@@ -55,9 +55,11 @@
         return known is not None and known.is_lost
 
     def is_reached(self, pool: str) -> bool:
-        """Tell whether some endpoint of a pool was reached lately."""
-        known = self._pools.get(pool)
-        return known is not None and known.is_reached(self._clock.monotonic_s())
+        """Tell whether some endpoint of a pool was reached lately; waits while others are tried."""
+        with self._lock:
+            known = self._pools.setdefault(pool, core.PoolReach())
+            self._lock.wait_for(lambda: not known.is_looked_at, 2 * LOOK_TIMEOUT_S)
+            return known.is_reached(self._clock.monotonic_s())
 
     def take_answered(self) -> tuple[str, ...]:
         """Return the pools that have answered since the last call."""
@@ -93,6 +95,7 @@
             now_s = self._clock.monotonic_s()
             is_new = self._pool(endpoint).looked(is_reached=is_reached, now_s=now_s)
             self._know_lost()
+            self._lock.notify_all()
         if is_new:
             self._tell(events.Event.POOL_OUT_OF_REACH, endpoint, is_lost=True)
 
--- a/src/croftpulley/controllers/reach_checks.py
+++ b/src/croftpulley/controllers/reach_checks.py
@@ -34,6 +34,8 @@
         self._view = view
         self._dialer = dialer
         self._tries = 0
+        self._unanswered: set[str] = set()
+        """The pools of which nobody answered at the last tick."""
 
     def handle(self, message: object) -> None:
         """Look once."""
@@ -72,14 +74,21 @@
     def _doubt(self, pool: str) -> None:
         """Find out whether endpoints say nothing of which there is doubt."""
         doubtful = self._known.doubtful(pool)
+        was_unanswered = pool in self._unanswered
+        self._unanswered.discard(pool)
         if not doubtful:
             return
         # Those may have ended: another one that answers shows that the way is there.
         others = [each for each in self._of_pool(pool) if each not in doubtful]
         asked = random.sample(doubtful, 1)
         asked += random.sample(others or doubtful, min(MOST_ASKED, len(others or doubtful)))
-        if not self._any_answers(asked):
+        if self._any_answers(asked):
+            return
+        if was_unanswered:
             self._known.mute(asked[0])
+        else:
+            # This box may have been too busy to hear an answer in time.
+            self._unanswered.add(pool)
 
     def _any_answers(self, endpoints: list[membership.Endpoint]) -> bool:
         """Ask endpoints all at once; return once one has answered, or none has."""
--- a/src/croftpulley/core/reach.py
+++ b/src/croftpulley/core/reach.py
@@ -91,11 +91,17 @@
         self._looks_since_s = now_s
         return True
 
+    @property
+    def is_looked_at(self) -> bool:
+        """Tell whether others are being tried now."""
+        return self._looks_since_s is not None
+
     def looked(self, *, is_reached: bool, now_s: float) -> bool:
         """Note whether a look reached any endpoint; tell whether the way is lost by that."""
         since_s, self._looks_since_s = self._looks_since_s, None
         if is_reached or since_s is None or self._connected_at_s >= since_s:
             self._looked_at_s = now_s
+            self._connected_at_s = now_s
             self._unreached_at_s.clear()
             return False
         self.is_lost = True
--- a/src/croftpulley/transport/links.py
+++ b/src/croftpulley/transport/links.py
@@ -68,8 +68,8 @@
 class Links:
     """One link an address, made when first asked for.
 
-    For the messages of one thread, or of several that use its ``connections`` at once and take turns
-    with the links themselves.
+    For the messages of one thread, or of several that use its ``connections`` at once and take
+    turns with the links themselves.
     """
 
     def __init__(self, timeout_s: float, counters: metrics.Metrics, connections: int = 1) -> None:
