--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -12,6 +12,7 @@
 import pytest
 import urllib3
 
+import cut_links
 import site_of_routers as sites
 from croftpulley.daemons import control, entry
 from croftpulley.fakes import engine, platform_list, worker
@@ -235,6 +236,15 @@
         fleet.stop()
 
 
+@pytest.fixture
+def links() -> Iterator[list[cut_links.Links]]:
+    """Make the links of three routers."""
+    made = [cut_links.Links() for _ in range(3)]
+    yield made
+    for each in made:
+        each.stop()
+
+
 @pytest.fixture
 def make_site(tmp_path: pathlib.Path) -> Iterator[Callable[..., sites.Site]]:
     """Make sites of routers that are ready and end with the test."""
--- a/testing/daemons/test_cut_links.py
+++ b/testing/daemons/test_cut_links.py
@@ -24,15 +24,6 @@
 UNSENT_CUTS = (cut_links.Cut.REFUSED, cut_links.Cut.HANGING)
 
 
-@pytest.fixture
-def links():
-    """The links of three routers."""
-    made = [cut_links.Links() for _ in range(3)]
-    yield made
-    for each in made:
-        each.stop()
-
-
 @pytest.fixture
 def site(make_site, links):
     made = make_site(routers=3, engines=3, workers=3, dialers=links, silence_s=1.0)
--- a/testing/daemons/test_part_of_a_pool.py
+++ b/testing/daemons/test_part_of_a_pool.py
@@ -23,14 +23,6 @@
 DOWN = (cut_links.Cut.REFUSED, cut_links.Cut.HANGING)
 
 
-@pytest.fixture
-def links():
-    made = [cut_links.Links() for _ in range(3)]
-    yield made
-    for each in made:
-        each.stop()
-
-
 @pytest.fixture
 def make_pool(make_site, links):
     """Make a site whose pool of workers has some of them down, for every router."""
--- a/testing/daemons/test_versions.py
+++ b/testing/daemons/test_versions.py
@@ -42,14 +42,6 @@
         return self.numbers == list(range(1, forwarded.EVENTS + 1))
 
 
-@pytest.fixture
-def links():
-    made = [cut_links.Links() for _ in range(3)]
-    yield made
-    for each in made:
-        each.stop()
-
-
 @pytest.fixture
 def site(make_site, links):
     made = make_site(routers=3, engines=6, workers=2, dialers=links, silence_s=1.0)
