A stream at a new version waits for the first box that takes it, not for both

The two that are told were waited for one after the other, 0.25 s each where one is silent, for the 5 s in which a version is new. Now the first of the four that are asked will do, those that did not answer lately last, and the others are told as all streams are.

--- a/src/croftpulley/controllers/stream_origins.py
+++ b/src/croftpulley/controllers/stream_origins.py
@@ -86,10 +86,10 @@
         is_settled = state.is_settled(told.origin.pool, now_s)
         is_new = not is_settled and self._is_new(told.origin, now_s)
         with self._lock:
-            self._origins.note(told, now_s, is_told=is_new)
+            self._origins.note(told, now_s, is_told=False)
         if is_new:
             self._tell_at_once(told, state)
-        elif always_told or not is_settled:
+        if always_told or not is_settled:
             self.on_news()
 
     def ended_whole(self, stream: origins.StreamId) -> None:
@@ -109,11 +109,10 @@
         return now_s < seen_at_s + NEW_S
 
     def _tell_at_once(self, told: origins.Told, state: router_state.RouterState) -> None:
-        """Return once another box has taken it, or where there is none."""
-        boxes = self._keepers.of(told.stream, state.boxes)[: peers.TOLD]
+        """Return once one box has taken it that is asked by others, or where there is none."""
+        boxes = self._by_answers(self._keepers.of(told.stream, state.boxes))
         message = box_messages.OriginsTold(streams=(told,))
-        taken = [self.tell(each, message) for each in boxes]
-        if boxes and not any(taken):
+        if boxes and not any(self.tell(each, message) for each in boxes):
             raise errors.CroftpulleyError(
                 codes.ResultCode.ORIGIN_UNTOLD,
                 f"version {told.origin.version!r} of pool {told.origin.pool!r} is new, and none of "
@@ -129,8 +128,7 @@
         if own is not None:
             return Found(own.origin, self._box)
         state = self._view.get()
-        boxes = self._keepers.of(stream, state.boxes)
-        for each in sorted(boxes, key=lambda box: self._is_avoided(box.name)):
+        for each in self._by_answers(self._keepers.of(stream, state.boxes)):
             answer = self._ask(each, stream)
             if answer is not None and answer.is_known:
                 return Found(answer.origin, each.name)
@@ -190,7 +188,8 @@
 
     def is_avoided(self, box: membership.Box) -> bool:
         """Tell whether a box did not answer a moment ago."""
-        return self._is_avoided(box.name)
+        failed_at_s = self._failed_at_s.get(box.name, float("-inf"))
+        return self._clock.monotonic_s() < failed_at_s + AVOIDED_S
 
     def tell(self, box: membership.Box, message: box_messages.OriginsTold) -> bool:
         """Tell another box; return whether it remembers now."""
@@ -212,9 +211,9 @@
             self._failed_at_s[box.name] = self._clock.monotonic_s()
             raise
 
-    def _is_avoided(self, name: str) -> bool:
-        failed_at_s = self._failed_at_s.get(name, float("-inf"))
-        return self._clock.monotonic_s() < failed_at_s + AVOIDED_S
+    def _by_answers(self, boxes: Iterable[membership.Box]) -> list[membership.Box]:
+        """Return the boxes with those last that did not answer a moment ago."""
+        return sorted(boxes, key=self.is_avoided)
 
 
 @attrs.frozen
--- /dev/null
+++ b/testing/controllers/test_stream_origins.py
@@ -0,0 +1,85 @@
+"""When a stream may begin before other boxes know, and when it may not."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from croftpulley import clock as clocks
+from croftpulley import codes, errors
+from croftpulley.controllers import actors, router_state, stream_origins
+from croftpulley.core import membership, origins
+from croftpulley.observe import metrics
+
+ENDPOINT = membership.Endpoint(
+    "e", membership.EndpointKind.ENGINE, "llm", "127.0.0.1:1", "hall-a", "e", version="v2"
+)
+NOBODY_LISTENS = tuple(
+    membership.Box(name, "hall-a", "", "127.0.0.1:1") for name in ("box-0", "box-1", "box-2")
+)
+TOLD = origins.Told(origins.StreamId("clinic", "r-1"), origins.Origin("llm", "v2"), 60.0)
+
+
+@pytest.fixture
+def clock():
+    return clocks.ManualClock()
+
+
+@pytest.fixture
+def view(clock):
+    state = router_state.RouterState(
+        boxes=NOBODY_LISTENS, mixed=frozenset({"llm"}), heard_at_s=clock.monotonic_s()
+    )
+    return actors.View(state)
+
+
+@pytest.fixture
+def known(view, clock):
+    made = stream_origins.StreamOrigins("box-0", view, metrics.Metrics(), clock)
+    made.keep([ENDPOINT])
+    return made
+
+
+def test_no_stream_begins_at_a_new_version_of_which_no_other_box_could_be_told(known):
+    with pytest.raises(errors.CroftpulleyError) as caught:
+        known.begun(TOLD, always_told=False)
+    assert caught.value.code is codes.ResultCode.ORIGIN_UNTOLD
+
+
+def test_a_stream_begins_at_a_new_version_where_there_is_no_other_box(known, view):
+    view.publish(attrs.evolve(view.get(), boxes=NOBODY_LISTENS[:1]))
+    known.begun(TOLD, always_told=False)
+    assert known.remembered(TOLD.stream) is not None
+
+
+def test_a_stream_at_a_version_that_all_boxes_know_waits_for_no_box(known, view, clock):
+    clock.advance(stream_origins.NEW_S)
+    view.publish(attrs.evolve(view.get(), heard_at_s=clock.monotonic_s()))
+    known.begun(TOLD, always_told=False)
+    assert [each.stream for each in known.take_untold(frozenset())] == [TOLD.stream]
+
+
+def test_a_stream_of_a_settled_pool_is_told_once_its_pool_is_mixed(known, view):
+    view.publish(attrs.evolve(view.get(), mixed=frozenset()))
+    known.begun(TOLD, always_told=False)
+    assert known.take_untold(frozenset()) == []
+    view.publish(attrs.evolve(view.get(), mixed=frozenset({"llm"})))
+    assert [each.stream for each in known.take_untold(frozenset())] == [TOLD.stream]
+
+
+def test_streams_of_split_pools_are_told_always(known, view):
+    view.publish(attrs.evolve(view.get(), mixed=frozenset()))
+    known.begun(TOLD, always_told=True)
+    assert [each.stream for each in known.take_untold(frozenset({"llm"}))] == [TOLD.stream]
+
+
+@pytest.mark.parametrize(("age_s", "is_settled"), [(1.9, True), (2.1, False)])
+def test_a_leaders_word_settles_a_pool_for_a_moment_only(view, clock, age_s, is_settled):
+    state = attrs.evolve(view.get(), mixed=frozenset())
+    clock.advance(age_s)
+    assert state.is_settled("llm", clock.monotonic_s()) is is_settled
+
+
+def test_a_leader_that_cannot_tell_settles_nothing(view, clock):
+    state = attrs.evolve(view.get(), mixed=None)
+    assert not state.is_settled("llm", clock.monotonic_s())
