Boxes that keep a stream learn that its id was used twice

Found by reading: the box where two streams of one id began at two versions refused to take either up, but told its keepers of the first only, and they answer whoever asks. Both origins are told now. The test of it failed before (the keeper held the first origin).

--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -76,7 +76,7 @@
         counts: traffic.Traffic,
         known_reach: reach.Reach,
         suspected: suspicion.Suspicion,
-        begun: stream_origins.StreamOrigins,
+        known_origins: stream_origins.StreamOrigins,
         view: actors.View[router_state.RouterState],
         listed: actors.View[listing.Listing],
         clock: clocks.Clock,
@@ -96,7 +96,7 @@
         self._counts = counts
         self._reach = known_reach
         self._suspected = suspected
-        self._origins = begun
+        self._origins = known_origins
         self._view = view
         self._listed = listed
         self._clock = clock
--- a/src/croftpulley/core/origins.py
+++ b/src/croftpulley/core/origins.py
@@ -21,6 +21,8 @@
 """Streams that a box remembers, about 0.3 kB each; beyond that the oldest are forgotten."""
 MOST_OF_WORKSPACE = MOST_KEPT // 2
 """Those of one workspace, so that it crowds out no other."""
+_MOST_ORIGINS = 2
+"""Remembered of one stream: the second says that its id was used twice."""
 LONGEST_ID = 128
 """Characters of an id; a stream with a longer one is not remembered."""
 
@@ -52,12 +54,21 @@
 
 @attrs.define
 class Record:
-    """What is remembered of a stream; without an ``origin`` two were told, and neither counts."""
+    """What is remembered of a stream: one origin, or two where two streams had its id."""
 
-    origin: Origin | None
+    origins: tuple[Origin, ...]
     until_s: float
     is_told: bool
 
+    @property
+    def origin(self) -> Origin | None:
+        """Where it began; of two neither counts."""
+        return self.origins[0] if len(self.origins) == 1 else None
+
+
+def _as_told(stream: StreamId, record: Record, now_s: float) -> list[Told]:
+    return [Told(stream, each, record.until_s - now_s) for each in record.origins]
+
 
 @attrs.define
 class Origins:
@@ -88,11 +99,11 @@
         if len(stream.request_id) > LONGEST_ID:
             return
         known = self.find(stream, now_s)
-        origin: Origin | None = told.origin
-        if known is not None and known.origin != told.origin:
-            origin = None
+        origins = known.origins if known is not None else ()
+        if told.origin not in origins:
+            origins = (*origins, told.origin)[:_MOST_ORIGINS]
         self._drop(stream)
-        self._records[stream] = Record(origin, now_s + told.kept_s, is_told)
+        self._records[stream] = Record(origins, now_s + told.kept_s, is_told)
         self._of_workspace[stream.workspace] += 1
         if not is_told:
             self._untold.setdefault(told.origin.pool, {})[stream] = None
@@ -115,9 +126,9 @@
         for pool in pools:
             for stream in self._untold.pop(pool, {}):
                 record = self.find(stream, now_s)
-                if record is not None and record.origin is not None:
+                if record is not None:
                     record.is_told = True
-                    taken.append(Told(stream, record.origin, record.until_s - now_s))
+                    taken += _as_told(stream, record, now_s)
         return taken
 
     def untold_pools(self) -> tuple[str, ...]:
@@ -127,8 +138,8 @@
     def told(self, now_s: float) -> Iterator[Told]:
         """Return all streams that some box was told of, or has told."""
         for stream, record in self._records.items():
-            if record.is_told and record.origin is not None and now_s < record.until_s:
-                yield Told(stream, record.origin, record.until_s - now_s)
+            if record.is_told and now_s < record.until_s:
+                yield from _as_told(stream, record, now_s)
 
     def forget(self, now_s: float) -> None:
         """Drop what is kept no longer."""
--- a/src/croftpulley/forwarding/event_stream.py
+++ b/src/croftpulley/forwarding/event_stream.py
@@ -22,12 +22,12 @@
         endpoints: failover.Failover,
         repeats: retry.Retry,
         counts: traffic.Traffic,
-        begun: stream_origins.StreamOrigins,
+        known_origins: stream_origins.StreamOrigins,
     ) -> None:
         self._failover = endpoints
         self._retry = repeats
         self._counts = counts
-        self._origins = begun
+        self._origins = known_origins
 
     def events(
         self, exchange: base.Exchange, current: attempt.OpenAttempt, tried: set[str]
--- a/src/croftpulley/forwarding/relay.py
+++ b/src/croftpulley/forwarding/relay.py
@@ -38,7 +38,7 @@
         gate: suspects.Gate,
         last_look: departures.LastLook,
         known: reach.Reach,
-        begun: stream_origins.StreamOrigins,
+        known_origins: stream_origins.StreamOrigins,
         view: actors.View[router_state.RouterState],
         names: vocabulary.Vocabulary,
         counters: metrics.Metrics,
@@ -52,7 +52,7 @@
         self._failover = failover.Failover(
             placement, opener, heads, self._retry, gate, counts, known
         )
-        self._stream = event_stream.EventStream(self._failover, self._retry, counts, begun)
+        self._stream = event_stream.EventStream(self._failover, self._retry, counts, known_origins)
 
     def handle(self, exchange: base.Exchange, proceed: base.Proceed) -> base.ForwardReply:
         """Return the endpoint's answer; raises `errors.CroftpulleyError` if there is none."""
--- a/testing/core/test_origins.py
+++ b/testing/core/test_origins.py
@@ -65,6 +65,16 @@
     assert found == [FIRST, SECOND]
 
 
+def test_whoever_is_told_learns_that_an_id_was_used_twice():
+    begun, kept = origins.Origins(), origins.Origins()
+    for origin in (FIRST, SECOND, FIRST):
+        begun.note(told(0, origin), 0.0, is_told=False)
+        for each in begun.take_untold(["llm"], 0.0):
+            kept.note(each, 0.0)
+    assert [each.find(stream(0), 1.0).origin for each in (begun, kept)] == [None, None]
+    assert len(list(kept.told(1.0))) == 2
+
+
 def test_what_is_forgotten_is_not_told():
     kept = origins.Origins(most=1, most_of_workspace=1)
     kept.note(told(0), 0.0, is_told=False)
