Threads that see other boxes at one moment do not share what they work out

Found by reading: a thread that still saw the boxes of before could write the keepers of a slot into the table that another had just begun for the new ones; whoever looked there then told or asked the wrong boxes until boxes changed again.

--- a/src/croftpulley/core/peers.py
+++ b/src/croftpulley/core/peers.py
@@ -64,6 +64,14 @@
         return now_s < self._failed_at_s.get(name, float("-inf")) + AVOIDED_S
 
 
+@attrs.frozen
+class _Orders:
+    """The keepers of slots among some boxes, as far as they were worked out."""
+
+    boxes: tuple[membership.Box, ...] = ()
+    by_slot: dict[int, tuple[membership.Box, ...]] = attrs.field(factory=dict)
+
+
 class Keepers:
     """The boxes that are told where a stream began, as one box, ``box``, sees them.
 
@@ -84,20 +92,21 @@
 
     def __init__(self, box: str) -> None:
         self._box = box
-        self._boxes: tuple[membership.Box, ...] = ()
-        self._by_slot: dict[int, tuple[membership.Box, ...]] = {}
+        self._orders = _Orders()
 
     def of(
         self, stream: origins.StreamId, boxes: tuple[membership.Box, ...]
     ) -> tuple[membership.Box, ...]:
         """Return the boxes to ask, best first; the first of them are those to tell."""
-        if self._boxes is not boxes:
-            self._boxes, self._by_slot = boxes, {}
+        orders = self._orders
+        if orders.boxes is not boxes:
+            orders = _Orders(boxes)
+            self._orders = orders
         slot = slot_of(stream)
-        found = self._by_slot.get(slot)
+        found = orders.by_slot.get(slot)
         if found is None:
             found = self._of_slot(slot, boxes)
-            self._by_slot[slot] = found
+            orders.by_slot[slot] = found
         return found
 
     def _of_slot(self, slot: int, boxes: Iterable[membership.Box]) -> tuple[membership.Box, ...]:
