What renewals and other streams ask of versions is worked out once, not each time

Found by reading the change again; behaviour stays. The end of a stream that is not remembered looks nothing up.

--- a/src/croftpulley/controllers/version_notes.py
+++ b/src/croftpulley/controllers/version_notes.py
@@ -6,7 +6,7 @@
 
 from croftpulley import clock as clocks
 from croftpulley.controllers import agreement, listing
-from croftpulley.core import agreed, pool_versions, versions
+from croftpulley.core import agreed, membership, pool_versions, versions
 
 PROPOSED_AGAIN_S = 0.5
 """After so long without a result what is listed is proposed again."""
@@ -14,11 +14,15 @@
 
 @attrs.frozen
 class _Agreed:
-    """The part of a list that boxes may be told of, by what it was made from."""
+    """The part of a list that boxes may be told of, by what it was made from.
+
+    ``is_noted`` tells whether the agreed state says what the list says.
+    """
 
     listed: listing.Listing
     known: pool_versions.PoolVersions
     told: listing.Listing
+    is_noted: bool
 
 
 class VersionNotes:
@@ -28,28 +32,24 @@
         self._agreement = log
         self._clock = clock
         self._proposed_at_s = float("-inf")
-        self._listed = listing.Listing()
-        self._versions: frozenset[pool_versions.PoolVersion] = frozenset()
-        self._agreed = _Agreed(self._listed, pool_versions.PoolVersions(), self._listed)
+        nothing = listing.Listing()
+        self._agreed = _Agreed(nothing, pool_versions.PoolVersions(), nothing, is_noted=True)
 
     def note(self, listed: listing.Listing) -> None:
         """Have the agreed state say which versions are listed, if it says something else."""
         if not listed.endpoints.value:
             # An empty list is told to nobody either.
             return
-        found = self._versions_of(listed)
         now_s = self._clock.monotonic_s()
-        if now_s < self._proposed_at_s + PROPOSED_AGAIN_S or not self._known().lacks(found):
+        if now_s < self._proposed_at_s + PROPOSED_AGAIN_S or self._made(listed).is_noted:
             return
         self._proposed_at_s = now_s
+        found = _versions_of(listed)
         self._agreement.propose(agreed.NoteVersions(tuple(sorted(found)), self._clock.wall_s()))
 
     def agreed_part(self, listed: listing.Listing) -> listing.Listing:
         """Return a list without endpoints whose version is not in the agreed state yet."""
-        known = self._known()
-        if self._agreed.listed is not listed or self._agreed.known is not known:
-            self._agreed = _Agreed(listed, known, self._part(listed, known))
-        return self._agreed.told
+        return self._made(listed).told
 
     def mixed(self) -> tuple[str, ...]:
         """Return the pools of which streams of several versions may be taken up."""
@@ -58,22 +58,32 @@
     def _known(self) -> pool_versions.PoolVersions:
         return self._agreement.read().pool_versions
 
-    def _versions_of(self, listed: listing.Listing) -> frozenset[pool_versions.PoolVersion]:
-        if self._listed is not listed:
-            self._listed = listed
-            self._versions = frozenset(
-                pool_versions.PoolVersion(each.pool, each.version)
-                for each in listed.endpoints.value
-            )
-        return self._versions
-
-    def _part(self, listed: listing.Listing, known: pool_versions.PoolVersions) -> listing.Listing:
-        in_state = {each.pool_version for each in known.entries}
-        if self._versions_of(listed) <= in_state:
-            return listed
-        kept = tuple(
-            each
-            for each in listed.endpoints.value
-            if pool_versions.PoolVersion(each.pool, each.version) in in_state
-        )
-        return attrs.evolve(listed, endpoints=versions.Versioned(kept))
+    def _made(self, listed: listing.Listing) -> _Agreed:
+        """Return what is made of a list; once for each list and state, not at each renewal."""
+        known = self._known()
+        if self._agreed.listed is not listed or self._agreed.known is not known:
+            found = _versions_of(listed)
+            told = _part(listed, found, known)
+            self._agreed = _Agreed(listed, known, told, is_noted=not known.lacks(found))
+        return self._agreed
+
+
+def _version_of(endpoint: membership.Endpoint) -> pool_versions.PoolVersion:
+    return pool_versions.PoolVersion(endpoint.pool, endpoint.version)
+
+
+def _versions_of(listed: listing.Listing) -> frozenset[pool_versions.PoolVersion]:
+    return frozenset(map(_version_of, listed.endpoints.value))
+
+
+def _part(
+    listed: listing.Listing,
+    found: frozenset[pool_versions.PoolVersion],
+    known: pool_versions.PoolVersions,
+) -> listing.Listing:
+    """Return a list without endpoints whose version is not known."""
+    in_state = {each.pool_version for each in known.entries}
+    if found <= in_state:
+        return listed
+    kept = tuple(each for each in listed.endpoints.value if _version_of(each) in in_state)
+    return attrs.evolve(listed, endpoints=versions.Versioned(kept))
--- a/src/croftpulley/core/pool_versions.py
+++ b/src/croftpulley/core/pool_versions.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import collections
 from collections.abc import Iterable
 
 import attrs
@@ -74,7 +75,7 @@
 
     def mixed(self, now_wall_s: float) -> tuple[str, ...]:
         """Return the pools of which streams of several versions may be taken up."""
-        pools = [
+        counts = collections.Counter(
             each.pool_version.pool for each in self.entries if each.may_be_taken_up(now_wall_s)
-        ]
-        return tuple(sorted({pool for pool in pools if pools.count(pool) > 1}))
+        )
+        return tuple(sorted(pool for pool, count in counts.items() if count > 1))
--- a/src/croftpulley/forwarding/event_stream.py
+++ b/src/croftpulley/forwarding/event_stream.py
@@ -50,7 +50,8 @@
                         current.prompt_is_read()
                         yield whole
                     self._counts.answered(current.endpoint.key)
-                    self._origins.ended_whole(exchange.stream)
+                    if exchange.origin is not None:
+                        self._origins.ended_whole(exchange.stream)
                     return
                 except errors.CroftpulleyError as failure:
                     if not begun:
