--- a/src/croftpulley/controllers/reach_checks.py
+++ b/src/croftpulley/controllers/reach_checks.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import queue
 import random
-import threading
 
 from croftpulley import errors
 from croftpulley.controllers import actors, reach, router_state
@@ -82,7 +80,7 @@
         others = [each for each in self._of_pool(pool) if each not in doubtful]
         asked = random.sample(doubtful, 1)
         asked += random.sample(others or doubtful, min(MOST_ASKED, len(others or doubtful)))
-        if self._any_answers(asked):
+        if dialing.first_that(self._answers, asked) is not None:
             return
         if was_unanswered:
             self._known.mute(asked[0])
@@ -90,17 +88,6 @@
             # This box may have been too busy to hear an answer in time.
             self._unanswered.add(pool)
 
-    def _any_answers(self, endpoints: list[membership.Endpoint]) -> bool:
-        """Ask endpoints all at once; return once one has answered, or none has."""
-        answers: queue.SimpleQueue[bool] = queue.SimpleQueue()
-
-        def ask(endpoint: membership.Endpoint) -> None:
-            answers.put(self._answers(endpoint))
-
-        for each in endpoints:
-            threading.Thread(target=ask, args=(each,), name="ask", daemon=True).start()
-        return any(answers.get() for _ in endpoints)
-
     def _answers(self, endpoint: membership.Endpoint) -> bool:
         """Ask an endpoint whether it is well; any answer shows that the way is there."""
         pool = self._view.get().tables.pools.get(endpoint.pool)
--- a/src/croftpulley/controllers/stream_origins.py
+++ b/src/croftpulley/controllers/stream_origins.py
@@ -64,7 +64,7 @@
         self._keepers = peers.Keepers(box)
         self._links = links.Links(TIMEOUT_S, counters, MOST_CONNECTIONS)
         self._links_lock = threading.Lock()
-        self._failed_at_s: dict[str, float] = {}
+        self._avoided = peers.Avoided(AVOIDED_S)
         self._seen_at_s: dict[tuple[str, str], float] = {}
         self.on_news: Callable[[], None] = lambda: None
         """Called where there is something to tell; set once, before requests come."""
@@ -178,6 +178,10 @@
         with self._lock:
             return list(self._origins.told(self._clock.monotonic_s()))
 
+    def to_tell(self, stream: origins.StreamId) -> tuple[membership.Box, ...]:
+        """Return the boxes that are to keep a stream, beside this one."""
+        return self._keepers.of(stream, self._view.get().boxes)[: peers.TOLD]
+
     def forget(self) -> None:
         """Drop what is kept no longer, and the links to boxes that are gone."""
         with self._lock:
@@ -188,8 +192,7 @@
 
     def is_avoided(self, box: membership.Box) -> bool:
         """Tell whether a box did not answer a moment ago."""
-        failed_at_s = self._failed_at_s.get(box.name, float("-inf"))
-        return self._clock.monotonic_s() < failed_at_s + AVOIDED_S
+        return self._avoided.holds(box.name, self._clock.monotonic_s())
 
     def tell(self, box: membership.Box, message: box_messages.OriginsTold) -> bool:
         """Tell another box; return whether it remembers now."""
@@ -208,7 +211,7 @@
         try:
             return link.post(path, body)
         except errors.CroftpulleyError:
-            self._failed_at_s[box.name] = self._clock.monotonic_s()
+            self._avoided.failed(box.name, self._clock.monotonic_s())
             raise
 
     def _by_answers(self, boxes: Iterable[membership.Box]) -> list[membership.Box]:
@@ -233,7 +236,6 @@
         super().__init__()
         self._known = known
         self._view = view
-        self._keepers = peers.Keepers(box)
         self._keepers_before = peers.Keepers(box)
         self._boxes: tuple[membership.Box, ...] = ()
         self._is_asked = False
@@ -254,10 +256,7 @@
             self._known.forget()
             self._tell_again()
         always_told = self._view.get().tables.split_pools
-        self._tell(self._known.take_untold(always_told), self._to_tell)
-
-    def _to_tell(self, stream: origins.StreamId) -> tuple[membership.Box, ...]:
-        return self._keepers.of(stream, self._view.get().boxes)[: peers.TOLD]
+        self._tell(self._known.take_untold(always_told), self._known.to_tell)
 
     def _tell_again(self) -> None:
         """Tell boxes what they should keep from now on, as others have come or gone."""
@@ -270,7 +269,7 @@
         self, stream: origins.StreamId, before: tuple[membership.Box, ...]
     ) -> tuple[membership.Box, ...]:
         known = {each.name for each in self._keepers_before.of(stream, before)[: peers.TOLD]}
-        return tuple(each for each in self._to_tell(stream) if each.name not in known)
+        return tuple(each for each in self._known.to_tell(stream) if each.name not in known)
 
     def _tell(
         self,
--- a/src/croftpulley/core/peers.py
+++ b/src/croftpulley/core/peers.py
@@ -19,6 +19,27 @@
 """How long a box that took no request is asked last: two renewals tell who reaches what."""
 
 
+@attrs.define
+class Avoided:
+    """Boxes that failed lately, each for ``avoided_s``."""
+
+    avoided_s: float
+    _failed_at_s: dict[str, float] = attrs.field(factory=dict)
+
+    def failed(self, name: str, now_s: float) -> None:
+        """Note that a box failed."""
+        self._failed_at_s = {
+            known: at_s
+            for known, at_s in self._failed_at_s.items()
+            if now_s < at_s + self.avoided_s
+        }
+        self._failed_at_s[name] = now_s
+
+    def holds(self, name: str, now_s: float) -> bool:
+        """Tell whether a box failed lately."""
+        return now_s < self._failed_at_s.get(name, float("-inf")) + self.avoided_s
+
+
 @attrs.define
 class Peers:
     """The other boxes as one box, of a hall, sees them.
@@ -34,7 +55,7 @@
 
     box: str
     hall: str
-    _failed_at_s: dict[str, float] = attrs.field(factory=dict)
+    _avoided: Avoided = attrs.field(factory=lambda: Avoided(AVOIDED_S))
 
     def choose(
         self, request_id: str, reaching: Iterable[membership.Box], now_s: float
@@ -51,17 +72,11 @@
         }
         ordered = [others[name] for name in choice.order(request_id, list(others))]
         ordered[:2] = sorted(ordered[:2], key=lambda each: each.hall != self.hall)
-        return sorted(ordered, key=lambda each: self._is_avoided(each.name, now_s))
+        return sorted(ordered, key=lambda each: self._avoided.holds(each.name, now_s))
 
     def failed(self, name: str, now_s: float) -> None:
         """Note that a box took no request, or was lost with one."""
-        self._failed_at_s = {
-            known: at_s for known, at_s in self._failed_at_s.items() if now_s < at_s + AVOIDED_S
-        }
-        self._failed_at_s[name] = now_s
-
-    def _is_avoided(self, name: str, now_s: float) -> bool:
-        return now_s < self._failed_at_s.get(name, float("-inf")) + AVOIDED_S
+        self._avoided.failed(name, now_s)
 
 
 @attrs.frozen
--- a/src/croftpulley/endpoints/dialing.py
+++ b/src/croftpulley/endpoints/dialing.py
@@ -6,10 +6,13 @@
 import queue
 import socket
 import threading
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import urllib3.connection
 
+Tried = TypeVar("Tried")
+
 
 class Dialer(abc.ABC):
     """The links of this box to endpoints."""
@@ -28,18 +31,7 @@
 
     def first_to_listen(self, addresses: Sequence[str], timeout_s: float) -> str | None:
         """Try addresses all at once; return the first where somebody listens, if any does."""
-        found: queue.SimpleQueue[str | None] = queue.SimpleQueue()
-
-        def look(address: str) -> None:
-            found.put(address if self.listens(address, timeout_s) else None)
-
-        for address in addresses:
-            threading.Thread(target=look, args=(address,), name="look", daemon=True).start()
-        for _ in addresses:
-            listening = found.get()
-            if listening is not None:
-                return listening
-        return None
+        return first_that(lambda address: bool(self.listens(address, timeout_s)), addresses)
 
 
 class DirectDialer(Dialer):
@@ -62,3 +54,16 @@
 
 
 DIRECT = DirectDialer()
+
+
+def first_that(holds: Callable[[Tried], bool], tried: Sequence[Tried]) -> Tried | None:
+    """Try all at once, each in a thread; return the first for which ``holds``, if any."""
+    found: queue.SimpleQueue[Tried | None] = queue.SimpleQueue()
+
+    def look(each: Tried) -> None:
+        found.put(each if holds(each) else None)
+
+    for each in tried:
+        threading.Thread(target=look, args=(each,), name="look", daemon=True).start()
+    answers = (found.get() for _ in tried)
+    return next((each for each in answers if each is not None), None)
--- a/src/croftpulley/forwarding/hops.py
+++ b/src/croftpulley/forwarding/hops.py
@@ -97,7 +97,7 @@
         for peer in self._choose(exchange):
             answer = self._ask(exchange, peer)
             if answer is not None:
-                self._took(exchange, peer, "answered")
+                self._took(exchange, peer)
                 return self._passed_on(exchange, answer)
         # All that was asked said that it did nothing.
         raise errors.CroftpulleyError(
@@ -186,8 +186,8 @@
             answer.close()
         return base.ForwardReply(answer.status, passed_on, body)
 
-    def _took(self, exchange: base.Exchange, peer: membership.Box, outcome: str) -> None:
-        self._counters.hop(exchange.pool, outcome)
+    def _took(self, exchange: base.Exchange, peer: membership.Box) -> None:
+        self._counters.hop(exchange.pool, "answered")
         events.emit(
             _LOG,
             events.Event.REQUEST_HOPPED,
--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -178,14 +178,15 @@
         fields = line.fields
         told = f" It takes up stream {fields.get('resumes')!r} behind event {fields['after_event']}"
         told += _KNOWN.get(str(fields.get("outcome")), _KNOWN["unknown"]).format(**fields)
-    chosen = [str(line.fields.get("version", "")) for line in around.of(_CHOSEN)]
+    chosen = [
+        str(line.fields.get("version", "")) for line in around.of(events.Event.ENDPOINT_CHOSEN)
+    ]
     versions = list(dict.fromkeys(each for each in chosen if each))
     if len(versions) > 1 or (told and versions):
         told += f" Its attempts went to {', '.join(versions)}."
     return told
 
 
-_CHOSEN = events.Event.ENDPOINT_CHOSEN
 _KNOWN = {
     "known": ", which began in pool {pool!r} at version {version!r}, as {known_by} knew.",
     "moved": ", which began in pool {pool!r}; its route leads there no more.",
