--- a/testing/daemons/test_versions.py
+++ b/testing/daemons/test_versions.py
@@ -15,6 +15,7 @@
 import pytest
 
 import cut_links
+import held_streams
 import site_of_routers as sites
 from conftest import wait_until
 from croftpulley.fakes import faults, forwarded
@@ -27,19 +28,10 @@
 
 
 @attrs.define
-class Stream:
-    """What a caller holds of one stream, over all its tries."""
-
-    first_id: str
-    path: str
-    numbers: list[int] = attrs.field(factory=list)
-    writers: set[str] = attrs.field(factory=set)
-    """The versions that wrote its events."""
-    refused: int = 0
+class Stream(held_streams.Stream):
+    """With how often it was refused."""
 
-    @property
-    def is_whole(self) -> bool:
-        return self.numbers == list(range(1, forwarded.EVENTS + 1))
+    refused: int = 0
 
 
 @pytest.fixture
@@ -101,15 +93,7 @@
 
 def take_events(response, stream, events):
     try:
-        while len(stream.numbers) < forwarded.EVENTS and events:
-            line = response.readline()
-            if not line:
-                return
-            if line.startswith(b"data:"):
-                _, _, number, *version = line.decode().split()
-                stream.numbers.append(int(number))
-                stream.writers.update(version)
-                events -= 1
+        stream.read(response, events)
     except (http.client.HTTPException, OSError):
         # The answer broke off.
         return
--- a/testing/soak/versions.py
+++ b/testing/soak/versions.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+import held_streams
 from croftpulley.fakes import forwarded
 from soak import fleet, records, troubles
 
@@ -75,13 +76,9 @@
 
 
 @attrs.define
-class Stream:
-    """What a caller holds of one stream."""
+class Stream(held_streams.Stream):
+    """With how often it was taken up, and went on."""
 
-    first_id: str
-    path: str
-    numbers: list[int] = attrs.field(factory=list)
-    writers: set[str] = attrs.field(factory=set)
     taken_up: int = 0
     went_on: int = 0
 
@@ -179,22 +176,9 @@
             connection.request("POST", stream.path, b"body", headers)
             response = connection.getresponse()
             if response.status == 200:
-                _take(response, stream, wanted)
+                stream.read(response, wanted)
         except (OSError, http.client.HTTPException):
             # A router that is down or an answer that broke off: what came before counts.
             return
         finally:
             connection.close()
-
-
-def _take(response: http.client.HTTPResponse, stream: Stream, wanted: int) -> None:
-    """Read so many events; one that ends within its line was not had."""
-    while wanted:
-        line = response.readline()
-        if not line:
-            return
-        if line.startswith(b"data:") and line.endswith(b"\n"):
-            _, _, number, *version = line.decode().split()
-            stream.numbers.append(int(number))
-            stream.writers.update(version)
-            wanted -= 1
