--- a/src/croftpulley/core/calls.py
+++ b/src/croftpulley/core/calls.py
@@ -4,6 +4,9 @@
 
 import attrs
 
+MOST_LOGGED_PARTS = 16
+"""Of a prompt in one line of the log: more make a line too long to read."""
+
 
 @attrs.frozen
 class PromptPart:
@@ -30,6 +33,11 @@
         """The beginning that other requests have too: the last part is the caller's own."""
         return self.prompt[:-1]
 
+    @property
+    def shared_names(self) -> list[str]:
+        """The names of the shared parts for a line of the log."""
+        return [part.part for part in self.shared[:MOST_LOGGED_PARTS]]
+
     @property
     def prompt_tokens(self) -> int:
         """The tokens of the whole prompt."""
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from croftpulley.core import calls
 from croftpulley.fakes import faults, stub
 from croftpulley.forwarding import vocabulary
 from croftpulley.settings import schema
@@ -24,6 +25,8 @@
 """With this as well it ends only once the head of its answer has gone out."""
 CRASH_UNFRAMED_MARK = b"of no length"
 """And with this the head says no length: the answer's end is that of its connection."""
+CRASH_PART = "dead"
+"""A request that names this part among those of its prompt ends the endpoint in the same way."""
 CRASH_AFTER_S = 0.005
 """How long such a request has run by then: what came at the same moment runs beside it."""
 PROOF = "a-proof"
@@ -37,6 +40,8 @@
     at_s: float
     content: bytes = b""
     """What stays the same when the request comes again: method, path and body."""
+    parts: tuple[str, ...] = ()
+    """The parts of its prompt, in order."""
 
 
 @attrs.frozen
@@ -111,7 +116,8 @@
             self.health_checks += 1
             await self._whole(request, connection, 200, b"well")
             return
-        self.arrivals.append(Arrival(request_id, time.monotonic(), content_of(request)))
+        parts = parts_of(request, self.names)
+        self.arrivals.append(Arrival(request_id, time.monotonic(), content_of(request), parts))
         if request.headers.get(self.names.expected_incarnation) != self.incarnation:
             await self._decline(request, connection, 421)
             return
@@ -146,7 +152,7 @@
         fault: faults.Fault | None,
     ) -> None:
         self.runs.append(request)
-        if CRASH_MARK in request.body:
+        if CRASH_MARK in request.body or self._names_crash_part(request):
             await self._crash_under(request, connection)
         await asyncio.sleep(self.pause_s)
         if fault is faults.Fault.RESET_AFTER_RUN:
@@ -164,6 +170,9 @@
         else:
             await self._whole(request, connection, 200, body_of(request), fault)
 
+    def _names_crash_part(self, request: stub.StubRequest) -> bool:
+        return CRASH_PART in parts_of(request, self.names)
+
     async def _crash_under(
         self, request: stub.StubRequest, connection: stub.StubConnection
     ) -> None:
@@ -273,6 +282,12 @@
         await connection.send(b"0\r\n\r\n")
 
 
+def parts_of(request: stub.StubRequest, names: vocabulary.Vocabulary) -> tuple[str, ...]:
+    """Return the parts that a request names of its prompt."""
+    prompt = calls.parse_prompt(request.headers.get(names.prompt_parts, ""))
+    return tuple(each.part for each in prompt)
+
+
 def content_of(request: stub.StubRequest) -> bytes:
     """Return what stays the same when a request comes again under another id."""
     return b" ".join((request.method.encode(), request.path.encode(), request.body))
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -217,6 +217,7 @@
             events.Event.ENDPOINT_CHOSEN,
             request_id=exchange.facts.request_id,
             fingerprint=exchange.fingerprint,
+            parts=exchange.facts.shared_names,
             route=exchange.route_name,
             endpoint=chosen.name,
             version=endpoint.version,
