Suspects in modules of one job each; parts in explain, codes, pages; what a request with twelve parts pays

Change: core/suspect_rules.py, core/bulletins.py, core/survivals.py; controllers/trials.py, looks.py, suspicion_reports.py. No decision changes.

--- a/src/croftpulley/codes.py
+++ b/src/croftpulley/codes.py
@@ -145,10 +145,14 @@
         429, 1.0, "The operators' program for admission asks to come back later."
     ),
     ResultCode.REQUEST_CRASHES: ResultInfo(
-        503, 3600.0, "Endpoints ended under this request each time; it is sent to none for now."
+        503,
+        3600.0,
+        "Endpoints ended under it, or a part of its prompt, each time; it is sent to none.",
     ),
     ResultCode.REQUEST_ON_TRIAL: ResultInfo(
-        503, 1.0, "Endpoints ended under this request lately; it runs at one endpoint at a time."
+        503,
+        1.0,
+        "Endpoints ended under it, or a part of its prompt, lately; it runs at one at a time.",
     ),
     ResultCode.LOAD_UNKNOWN: ResultInfo(
         503, 0.5, "The engine has a new owner and has not told it yet what it runs."
--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -19,7 +19,7 @@
     sessions,
     suspect_register,
 )
-from croftpulley.core import agreed, halls, submissions, suspects
+from croftpulley.core import agreed, halls, submissions, suspect_rules
 from croftpulley.core import sessions as box_sessions
 from croftpulley.core.replication import state as states
 from croftpulley.observe import events
@@ -209,7 +209,7 @@
 
         return self._read(read)
 
-    def suspects(self) -> tuple[suspects.Suspect, ...]:
+    def suspects(self) -> tuple[suspect_rules.Suspect, ...]:
         """Return the requests under which endpoints ended; raises `NotLeaderError`."""
         return self._read(self._register.all)
 
--- a/src/croftpulley/controllers/suspect_register.py
+++ b/src/croftpulley/controllers/suspect_register.py
@@ -11,7 +11,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, replica_standing
-from croftpulley.core import agreed, suspects
+from croftpulley.core import agreed, bulletins, suspect_rules, suspects
 from croftpulley.observe import events
 from croftpulley.transport import box_messages
 
@@ -69,7 +69,7 @@
         granted = _result(self._agreement.propose(command))
         return granted if isinstance(granted, suspects.TrialAnswer) else None
 
-    def all(self) -> tuple[suspects.Suspect, ...]:
+    def all(self) -> tuple[suspect_rules.Suspect, ...]:
         """Return the suspects, as applied here."""
         entries = self._bulletin().entries
         return tuple(each.suspect for each in entries if each.suspect.is_suspect)
@@ -83,7 +83,7 @@
                 codes.ResultCode.NOT_LEADER, run_state=codes.RunState.UNKNOWN
             )
 
-    def _bulletin(self) -> suspects.Bulletin:
+    def _bulletin(self) -> bulletins.Bulletin:
         return self._agreement.read().suspects.bulletin
 
     def _leads(self) -> bool:
@@ -106,7 +106,7 @@
         return None
 
 
-def _announce(changed: tuple[suspects.Suspect, ...]) -> None:
+def _announce(changed: tuple[suspect_rules.Suspect, ...]) -> None:
     for each in changed:
         events.emit(
             _LOG,
--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -1,29 +1,30 @@
-"""What a router knows of requests, and parts of prompts, under which endpoints end, and reports.
+"""What a router knows of requests, and parts of prompts, under which endpoints end.
 
-`Suspicion` is shared by all request threads and guarded by a lock. `SuspicionController` looks
-whether endpoints are still there and reports to the leading control box, so that no request waits
-for either unless it is a suspect itself.
+Shared by all request threads and guarded by a lock.
 """
 
 from __future__ import annotations
 
 import collections
 import logging
-import random
 import threading
-import uuid
 from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
 
 from croftpulley import clock as clocks
-from croftpulley import errors
-from croftpulley.controllers import actors, router_state
-from croftpulley.core import attempts, doubts, features, membership, suspects
-from croftpulley.endpoints import dialing
+from croftpulley.core import (
+    attempts,
+    bulletins,
+    doubts,
+    features,
+    membership,
+    survivals,
+    suspect_rules,
+    suspects,
+)
 from croftpulley.observe import events, metrics
-from croftpulley.transport import box_messages, json_codec, links
 
 _LOG = logging.getLogger(__name__)
 MOST_REPORTED = 200
@@ -31,22 +32,17 @@
 PUT_OFF_S = 0.25
 """Between two asks of a router for a trial of one request, where none is granted: a suspect that
 comes a thousand times a second asks the leading control box four times."""
-_SILENT_TRIED = 2
-"""Other endpoints of which nothing comes back, before a look takes this box for cut off; each takes
-the whole time for a connection."""
 SURVIVED_S = 3.0
 """A part that survived the beginning of an answer so long before an end did not cause it: it takes
 twice as long as a survival takes to be seen under load."""
 _HEARD_LATE_S = 1.0
 """How much later a box hears of an end that another met."""
-_MOST_SURVIVED = 10_000
-"""Parts that survived lately, about 2 MB; the oldest go first."""
 MOST_PENDING = 5000
 """Ends, and as many trials and clearings, that wait to be reported while nobody leads, about 1 MB;
 the oldest go first."""
 
 
-_UNTOLD = suspects.Told("", 0)
+_UNTOLD = bulletins.Told("", 0)
 
 
 @attrs.frozen
@@ -59,19 +55,19 @@
     refused_for_s: float = 0.0
     put_off_for_s: float = 0.0
     """How long no trial is asked for: one was not granted just now."""
-    told: suspects.Told = _UNTOLD
+    told: bulletins.Told = _UNTOLD
 
     @property
     def needs_trial(self) -> bool:
         """Tell whether it may be sent only once the leading control box grants a trial."""
-        return self.crashes >= suspects.SUSPECTED_CRASHES
+        return self.crashes >= suspect_rules.SUSPECTED_CRASHES
 
-    def is_refused_to(self, asker: suspects.Asker) -> bool:
+    def is_refused_to(self, asker: suspect_rules.Asker) -> bool:
         """Tell whether no trial will be granted, by what this box was told."""
         if self.refused_for_s <= 0:
             return False
         told = self.told
-        is_free = suspects.is_unaccused(asker, told.accused, told.beside)
+        is_free = suspect_rules.is_unaccused(asker, told.accused, told.beside)
         return not (told.has_own_trial and is_free)
 
 
@@ -79,21 +75,13 @@
 class _Heard:
     """A suspect as the leading control box told it, with the end of its refusal here."""
 
-    told: suspects.Told
+    told: bulletins.Told
     refused_until_s: float = 0.0
 
 
 _UNHEARD = _Heard(_UNTOLD)
 
 
-@attrs.frozen
-class _Survivor:
-    """A part that survived the beginning of an answer at an endpoint of a pool."""
-
-    feature: str
-    pool: str
-
-
 class Suspicion:
     """The suspects that this router was told of, and what it has met itself."""
 
@@ -111,10 +99,10 @@
         self._doubts = doubts.Doubts()
         self._heard: dict[str, _Heard] = {}
         self._revision = 0
-        self._crashes: dict[suspects.Crash, None] = {}
+        self._crashes: dict[suspect_rules.Crash, None] = {}
         self._unreported: collections.Counter[str] = collections.Counter()
         """How many of these there are against each request or part."""
-        self._survived_at_s: dict[_Survivor, float] = {}
+        self._survivals = survivals.Survivals()
         self._trial_ends: dict[suspects.TrialEnd, None] = {}
         self._cleared: dict[str, None] = {}
         self._put_off_until_s: dict[str, float] = {}
@@ -128,7 +116,7 @@
         """The revision of the suspects that this router was told of."""
         return self._revision
 
-    def learn(self, change: suspects.Change | None) -> None:
+    def learn(self, change: bulletins.Change | None) -> None:
         """Take what the leading control box tells."""
         if change is None:
             return
@@ -146,7 +134,7 @@
             cleared = [
                 told.fingerprint
                 for told in change.suspects
-                if any(self._survived_since(told.fingerprint, pool, since_s) for pool in told.pools)
+                if self._survivals.since(told.fingerprint, told.pools, since_s)
             ]
             for feature in cleared:
                 self._clear(feature)
@@ -165,7 +153,8 @@
         with self._lock:
             if not (self._heard or self._crashes):
                 return {}
-            standings = {each: self._standing(each, now_s) for each in fingerprints}
+            spoken_against = [each for each in fingerprints if self._speaks_against(each)]
+            standings = {each: self._standing(each, now_s) for each in spoken_against}
         return {name: each for name, each in standings.items() if each.needs_trial}
 
     def _standing(self, fingerprint: str, now_s: float) -> Standing:
@@ -293,7 +282,7 @@
             for fingerprint in report.cleared:
                 self._cleared.pop(fingerprint, None)
 
-    def _expect(self, crash: suspects.Crash) -> None:
+    def _expect(self, crash: suspect_rules.Crash) -> None:
         """Count an end against a part that is in the log now, until this box is told of it."""
         feature = crash.fingerprint
         if features.is_part(feature):
@@ -309,26 +298,22 @@
         return self._parts_survived(request, now_s) or is_cleared
 
     def _parts_survived(self, request: doubts.Named, now_s: float) -> bool:
-        cleared = [each for each in request.parts if self._part_survived(each, request.pool, now_s)]
+        if not request.parts:
+            return False
+        self._survivals.note(request.pool, request.parts, now_s)
+        if not (self._heard or self._crashes):
+            return False
+        spoken_against = [each for each in request.parts if self._speaks_against(each)]
+        cleared = [each for each in spoken_against if self._clears(each, request.pool)]
+        for feature in cleared:
+            self._clear(feature)
         return bool(cleared)
 
-    def _part_survived(self, feature: str, pool: str, now_s: float) -> bool:
-        survivor = _Survivor(feature, pool)
-        self._survived_at_s.pop(survivor, None)
-        self._survived_at_s[survivor] = now_s
-        _bound(self._survived_at_s, _MOST_SURVIVED)
-        if not self._speaks_against(feature):
-            return False
+    def _clears(self, feature: str, pool: str) -> bool:
+        """Tell whether a survival in a pool clears a part: it may end the endpoints of another."""
         pools = self._heard.get(feature, _UNHEARD).told.pools
         pools += tuple(each.pool for each in self._crashes if each.fingerprint == feature)
-        if pool not in pools:
-            # It may end the endpoints of another pool all the same.
-            return False
-        self._clear(feature)
-        return True
-
-    def _survived_since(self, feature: str, pool: str, since_s: float) -> bool:
-        return self._survived_at_s.get(_Survivor(feature, pool), float("-inf")) >= since_s
+        return pool in pools
 
     def _clear(self, fingerprint: str) -> None:
         self._cleared[fingerprint] = None
@@ -339,21 +324,21 @@
             self._heard.pop(fingerprint, None)
 
     def _speaks_against(self, fingerprint: str) -> bool:
-        return fingerprint in self._heard or self._unreported[fingerprint] > 0
+        return fingerprint in self._heard or fingerprint in self._unreported
 
     def _drop_crashes(self, fingerprint: str) -> None:
-        if not self._unreported[fingerprint]:
+        if fingerprint not in self._unreported:
             return
         for crash in [each for each in self._crashes if each.fingerprint == fingerprint]:
             self._drop_crash(crash)
 
-    def _drop_crash(self, crash: suspects.Crash) -> None:
+    def _drop_crash(self, crash: suspect_rules.Crash) -> None:
         del self._crashes[crash]
         self._unreported[crash.fingerprint] -= 1
         if not self._unreported[crash.fingerprint]:
             del self._unreported[crash.fingerprint]
 
-    def _add_crash(self, crash: suspects.Crash) -> None:
+    def _add_crash(self, crash: suspect_rules.Crash) -> None:
         if crash not in self._crashes:
             self._crashes[crash] = None
             self._unreported[crash.fingerprint] += 1
@@ -365,9 +350,10 @@
             return
         since_s = self._clock.monotonic_s() - SURVIVED_S
         for each in in_doubt:
-            parts = [x for x in each.parts if not self._survived_since(x, each.pool, since_s)]
+            pools = (each.pool,)
+            parts = [x for x in each.parts if not self._survivals.since(x, pools, since_s)]
             for feature in (each.fingerprint, *parts):
-                self._add_crash(suspects.Crash(feature, each.workspace, life, each.pool))
+                self._add_crash(suspect_rules.Crash(feature, each.workspace, life, each.pool))
 
     def _announce(self, life: str, sign: str, in_doubt: tuple[doubts.Named, ...]) -> None:
         if not in_doubt:
@@ -391,158 +377,7 @@
     return list(dict.fromkeys(part for each in in_doubt for part in each.parts))[:MOST_REPORTED]
 
 
-def _bound(pending: dict[Any, Any], most: int = MOST_PENDING) -> None:
-    """Drop the oldest of what is kept where it is too much."""
-    while len(pending) > most:
+def _bound(pending: dict[Any, None]) -> None:
+    """Drop the oldest of what waits to be reported where it is too much."""
+    while len(pending) > MOST_PENDING:
         del pending[next(iter(pending))]
-
-
-class Trials:
-    """Asks the leading control box whether a suspect may be tried, from request threads."""
-
-    def __init__(
-        self,
-        suspicion: Suspicion,
-        view: actors.View[router_state.RouterState],
-        timeout_s: float,
-        counters: metrics.Metrics,
-    ) -> None:
-        self._suspicion = suspicion
-        self._view = view
-        self._lock = threading.Lock()
-        self._links = links.Links(timeout_s, counters)
-
-    def ask(
-        self, fingerprint: str, trial: str, limit_s: float, asker: suspects.Asker
-    ) -> suspects.TrialAnswer | None:
-        """Return the leading control box's answer, ``None`` if there is none.
-
-        What this router has yet to report goes along, and is in the log before the answer is made.
-        """
-        report = self._suspicion.news()
-        request = box_messages.TrialRequest(
-            report=report, fingerprint=fingerprint, trial=trial, limit_s=limit_s, asker=asker
-        )
-        address = self._view.get().leader_address
-        if not address:
-            return None
-        with self._lock:
-            link = self._links.to(address)
-            self._links.keep({address})
-        try:
-            body = link.post(box_messages.TRIALS_PATH, json_codec.encode(request))
-        except errors.CroftpulleyError:
-            return None
-        answer = json_codec.decode(body, box_messages.TrialRequestAnswer).answer
-        if answer is not None:
-            self._suspicion.reported(report)
-        return answer
-
-
-@attrs.frozen
-class _Look:
-    """Asks whether anybody listens at an endpoint's address."""
-
-    endpoint: membership.Endpoint
-
-
-@attrs.frozen
-class _Report:
-    """Asks to report what is new."""
-
-
-class SuspicionController(actors.Controller):
-    """Looks at endpoints whose connections broke off, and reports; tried again at each tick."""
-
-    def __init__(
-        self,
-        suspicion: Suspicion,
-        view: actors.View[router_state.RouterState],
-        connect_timeout_s: float,
-        timeout_s: float,
-        counters: metrics.Metrics,
-        dialer: dialing.Dialer = dialing.DIRECT,
-    ) -> None:
-        super().__init__()
-        self._suspicion = suspicion
-        self._view = view
-        self._connect_timeout_s = connect_timeout_s
-        self._dialer = dialer
-        self._links = links.Links(timeout_s, counters)
-        self._looked: dict[str, None] = {}
-
-    def on_start(self) -> None:
-        """Have requests' threads tell what they meet."""
-        self._suspicion.on_broke = lambda endpoint: self.actor_ref.tell(_Look(endpoint))
-        self._suspicion.on_news = lambda: self.actor_ref.tell(_Report())
-
-    def handle(self, message: object) -> None:
-        """Look, or report."""
-        match message:
-            case _Look(endpoint):
-                # Requests that were under way together break off together: one look does.
-                if endpoint.key not in self._looked:
-                    self._looked[endpoint.key] = None
-                    listed = self._view.get().endpoints
-                    look(self._suspicion, endpoint, listed, self._connect_timeout_s, self._dialer)
-            case _Report():
-                self._report()
-            case actors.Tick():
-                self._looked.clear()
-                self._report()
-
-    def _report(self) -> None:
-        report = self._suspicion.news()
-        address = self._view.get().leader_address
-        if report.is_empty or not address:
-            return
-        self._links.keep({address})
-        body = json_codec.encode(box_messages.SuspectReport(report=report))
-        try:
-            answer = json_codec.decode(
-                self._links.to(address).post(box_messages.SUSPECT_REPORTS_PATH, body),
-                box_messages.SuspectReportAnswer,
-            )
-        except errors.CroftpulleyError:
-            # The link has counted it; the next tick tries again.
-            return
-        if answer.is_taken:
-            self._suspicion.reported(report)
-
-
-def look(
-    suspicion: Suspicion,
-    endpoint: membership.Endpoint,
-    listed: Iterable[membership.Endpoint],
-    timeout_s: float,
-    dialer: dialing.Dialer,
-) -> None:
-    """Look whether an endpoint is still there, and take what that shows.
-
-    That nobody listens there is believed only while another listed endpoint can be reached: else
-    this box may have lost its own links.
-    """
-    listens = dialer.listens(endpoint.address, timeout_s)
-    others = [each for each in listed if each.key != endpoint.key]
-    if listens is False and others and not _reaches_one(others, timeout_s, dialer):
-        listens = None
-    suspicion.looked(endpoint, listens=listens)
-
-
-def _reaches_one(
-    endpoints: list[membership.Endpoint], timeout_s: float, dialer: dialing.Dialer
-) -> bool:
-    silent = 0
-    for each in random.sample(endpoints, len(endpoints)):
-        listens = dialer.listens(each.address, timeout_s)
-        if listens:
-            return True
-        silent += listens is None
-        if silent == _SILENT_TRIED:
-            break
-    return False
-
-
-def new_trial() -> str:
-    """Return the name of a trial."""
-    return uuid.uuid4().hex
--- a/src/croftpulley/core/agreed.py
+++ b/src/croftpulley/core/agreed.py
@@ -7,7 +7,15 @@
 
 import attrs
 
-from croftpulley.core import claims, halls, membership, pool_versions, submissions, suspects
+from croftpulley.core import (
+    claims,
+    halls,
+    membership,
+    pool_versions,
+    submissions,
+    suspect_rules,
+    suspects,
+)
 
 
 @attrs.frozen
@@ -85,7 +93,7 @@
     trial: str
     limit_s: float
     at_wall_s: float
-    asker: suspects.Asker = attrs.field(factory=suspects.Asker)
+    asker: suspect_rules.Asker = attrs.field(factory=suspect_rules.Asker)
 
 
 @attrs.frozen
@@ -131,7 +139,7 @@
     | membership.Box
     | claims.ClaimAnswer
     | suspects.TrialAnswer
-    | tuple[suspects.Suspect, ...]
+    | tuple[suspect_rules.Suspect, ...]
     | halls.Evacuated
     | pool_versions.PoolVersions
     | bool
--- a/src/croftpulley/core/features.py
+++ b/src/croftpulley/core/features.py
@@ -6,14 +6,18 @@
 
 from __future__ import annotations
 
+import functools
 import hashlib
 
 _PART_PREFIX = "part-"
 _LONGEST_NAME = 64
 """Of a part, as callers name it; what is longer is named by its digest."""
 _DIGEST_BYTES = 16
+_MOST_NAMES = 8192
+"""Kept, so that parts that come again and again are named by one look-up."""
 
 
+@functools.lru_cache(maxsize=_MOST_NAMES)
 def of_part(part: str) -> str:
     """Return the name of the feature that a part of a prompt is.
 
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -21,7 +21,9 @@
     stream_origins,
     streams,
     suspicion,
+    suspicion_reports,
     traffic,
+    trials,
     withdrawals,
 )
 from croftpulley.core import halls, membership, retry_budget, selection
@@ -143,7 +145,7 @@
     def start(self) -> None:
         """Begin to serve and to renew."""
         settings = self._settings
-        suspecting = suspicion.SuspicionController.start(
+        suspecting = suspicion_reports.SuspicionController.start(
             self._suspicion,
             self._view,
             settings.connect_timeout_s,
@@ -335,12 +337,12 @@
 
     def _make_gate(self) -> suspects.Gate:
         settings = self._settings
-        trials = suspicion.Trials(
+        asking = trials.Trials(
             self._suspicion, self._view, settings.renew_timeout_s, self._counters
         )
         return suspects.Gate(
             self._suspicion,
-            trials,
+            asking,
             settings.connect_timeout_s,
             self._counters,
             self._clock,
--- a/src/croftpulley/forwarding/suspects.py
+++ b/src/croftpulley/forwarding/suspects.py
@@ -11,8 +11,8 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import suspicion
-from croftpulley.core import attempts, doubts, features, membership, verdicts
+from croftpulley.controllers import looks, suspicion, trials
+from croftpulley.core import attempts, doubts, features, membership, suspect_rules, verdicts
 from croftpulley.core import suspects as core
 from croftpulley.endpoints import dialing
 from croftpulley.forwarding import base
@@ -35,7 +35,7 @@
     def __init__(
         self,
         known: suspicion.Suspicion,
-        trials: suspicion.Trials,
+        trials: trials.Trials,
         connect_timeout_s: float,
         counters: metrics.Metrics,
         clock: clocks.Clock,
@@ -111,18 +111,18 @@
         if not unclear:
             return
         crashes = self._known.standing(exchange.fingerprint).crashes
-        if crashes + len(unclear) < core.SUSPECTED_CRASHES:
+        if crashes + len(unclear) < suspect_rules.SUSPECTED_CRASHES:
             return
         for endpoint in exchange.state.endpoints:
             if endpoint.key in unclear:
                 listed = exchange.state.endpoints
-                suspicion.look(self._known, endpoint, listed, self._connect_timeout_s, self._dialer)
+                looks.look(self._known, endpoint, listed, self._connect_timeout_s, self._dialer)
 
     def _begin_trials(
         self, exchange: base.Exchange, against: dict[str, suspicion.Standing]
     ) -> None:
         """Get a trial for each suspect of a request, or raise and give back those that it got."""
-        trial = suspicion.new_trial()
+        trial = trials.new_trial()
         granted: list[str] = []
         try:
             for feature, standing in against.items():
@@ -148,7 +148,7 @@
         feature: str,
         trial: str,
         standing: suspicion.Standing,
-        asker: core.Asker,
+        asker: suspect_rules.Asker,
     ) -> bool:
         """Tell whether a trial is granted, or none is needed any more; raises where it is not."""
         left_s = max(0.0, exchange.deadline_s - self._clock.monotonic_s())
@@ -191,9 +191,9 @@
 
 def _asker(
     exchange: base.Exchange, feature: str, against: dict[str, suspicion.Standing]
-) -> core.Asker:
+) -> suspect_rules.Asker:
     others = (each for each in against if each != feature and features.is_part(each))
-    return core.Asker(exchange.workspace_name, tuple(others))
+    return suspect_rules.Asker(exchange.workspace_name, tuple(others))
 
 
 def _named(exchange: base.Exchange) -> doubts.Named:
--- a/src/croftpulley/interfaces/operators.py
+++ b/src/croftpulley/interfaces/operators.py
@@ -9,7 +9,7 @@
 
 from croftpulley import codes, errors
 from croftpulley.controllers import control_plane
-from croftpulley.core import halls, suspects
+from croftpulley.core import halls, suspect_rules
 from croftpulley.endpoints import caches
 from croftpulley.http import tokens, wsgi
 from croftpulley.interfaces import base, callers
@@ -149,7 +149,7 @@
     return wsgi.json_response({"cleared": fingerprint})
 
 
-def _described(suspect: suspects.Suspect) -> dict[str, Any]:
+def _described(suspect: suspect_rules.Suspect) -> dict[str, Any]:
     return {
         "fingerprint": suspect.fingerprint,
         "workspace": suspect.workspace,
--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -11,6 +11,7 @@
 import attrs
 import orjson
 
+from croftpulley.core import features
 from croftpulley.observe import events
 
 _ENVELOPE = ("time", "level", "logger", "message", "box", "event", "event_name", "exc_info")
@@ -139,21 +140,34 @@
         later = [x for x in self._box if x.event == wanted and x.time > self.last.time]
         return later[:1]
 
-    def ends_of(self, fingerprint: str) -> list[Line]:
-        """Return the lines of all boxes on endpoints that ended under a request, until its end."""
+    def ends(self) -> list[Line]:
+        """Return the lines of all boxes on endpoints that ended under the request, until its end.
+
+        Where a part of its prompt is what the refusal names, those under that part.
+        """
+        accused = self._accused()
         earlier = [line for line in self._ordered if line.time <= self.last.time]
-        return [line for line in earlier if fingerprint and _names(line, fingerprint)]
+        return [line for line in earlier if accused and _names(line, accused)]
+
+    def _accused(self) -> str:
+        fields = self.last.fields
+        parts = [features.of_part(str(each)) for each in fields.get("parts", ())]
+        named = [each for each in parts if each in str(fields.get("problem", "")).split()]
+        return named[0] if named else str(fields.get("fingerprint", ""))
 
     def of(self, event: events.Event) -> list[Line]:
         """Return the request's own lines of an event."""
         return [line for line in self.own if line.event == event]
 
 
-def _names(line: Line, fingerprint: str) -> bool:
-    """Tell whether a line is of an endpoint that ended under a request, or of that request."""
+def _names(line: Line, accused: str) -> bool:
+    """Tell whether a line is of an endpoint that ended under a request or part, or of that one."""
+    fields = line.fields
     if line.event == events.Event.REQUEST_SUSPECTED:
-        return bool(line.fields.get("fingerprint") == fingerprint)
-    return fingerprint in line.fields.get("fingerprints", ())
+        return bool(fields.get("fingerprint") == accused)
+    if line.event != events.Event.ENDPOINT_ENDED:
+        return False
+    return accused in fields.get("fingerprints", ()) or accused in fields.get("parts", ())
 
 
 _Cause = tuple[str, list[Line]]
@@ -318,8 +332,8 @@
     return (
         f"Refused, not run: {fields.get('problem', '')}, at whichever router it came, so it is "
         f"sent to none for another {fields.get('retry_after_s')} s. `croftpulley ctl suspects` "
-        "lists such requests and clears one.",
-        around.ends_of(str(fields.get("fingerprint", ""))),
+        "lists such requests and parts, and clears one.",
+        around.ends(),
     )
 
 
@@ -328,7 +342,7 @@
     return (
         f"Refused, not run: {fields.get('problem', '')}, so it runs at one endpoint at a time; it "
         "was on trial elsewhere, or no control box said whether it might be tried.",
-        around.ends_of(str(fields.get("fingerprint", ""))),
+        around.ends(),
     )
 
 
@@ -366,7 +380,7 @@
     fields = around.last.fields
     state = fields.get("run_state")
     unknown = " Whether it ran is not known: ask the endpoint's records by its id."
-    ends = around.ends_of(str(fields.get("fingerprint", "")))
+    ends = around.ends()
     ended = " The endpoint ended while it had this request." if ends else ""
     return (
         f"Ended with {fields.get('code')} ({state}) after {fields.get('attempts')} attempts: "
--- a/src/croftpulley/storage/state_codec.py
+++ b/src/croftpulley/storage/state_codec.py
@@ -17,6 +17,7 @@
     membership,
     pool_versions,
     submissions,
+    suspect_rules,
     suspects,
 )
 from croftpulley.storage import packed_text
@@ -37,7 +38,7 @@
     claims: tuple[_KeyedClaim, ...]
     boxes: tuple[membership.Box, ...]
     owners: tuple[membership.Ownership, ...]
-    suspects: tuple[suspects.Suspect, ...] = ()
+    suspects: tuple[suspect_rules.Suspect, ...] = ()
     suspects_revision: int = 0
     evacuated: halls.Evacuated = attrs.field(factory=halls.Evacuated)
     pool_versions: pool_versions.PoolVersions = attrs.field(factory=pool_versions.PoolVersions)
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -4,7 +4,16 @@
 
 import attrs
 
-from croftpulley.core import halls, membership, origins, outcomes, places, suspects
+from croftpulley.core import (
+    bulletins,
+    halls,
+    membership,
+    origins,
+    outcomes,
+    places,
+    suspect_rules,
+    suspects,
+)
 
 RENEWALS_PATH = "/v1/boxes/renewals"
 CONFIGURATION_PARTS_PATH = "/v1/boxes/configuration-parts"
@@ -96,7 +105,7 @@
     notes: places.Notes = attrs.field(factory=dict)
     next_note: int = 0
     held_off: tuple[str, ...] = ()
-    suspects: suspects.Change | None = None
+    suspects: bulletins.Change | None = None
     evacuated: halls.Evacuated | None = None
     cold: tuple[int, ...] = ()
     unreached: dict[str, int] = attrs.field(factory=dict)
@@ -127,7 +136,7 @@
     fingerprint: str
     trial: str
     limit_s: float
-    asker: suspects.Asker = attrs.field(factory=suspects.Asker)
+    asker: suspect_rules.Asker = attrs.field(factory=suspect_rules.Asker)
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/controllers/test_replica_sight.py
+++ b/testing/controllers/test_replica_sight.py
@@ -12,7 +12,7 @@
 from croftpulley import clock as clocks
 from croftpulley import errors
 from croftpulley.controllers import actors, proposals, replica, replica_standing
-from croftpulley.core import agreed, submissions, suspects
+from croftpulley.core import agreed, submissions, suspect_rules, suspects
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import state as states
 from croftpulley.observe import events, metrics
@@ -167,7 +167,7 @@
     open_file, refuse = refuse_writes
     _, view, log = start(open_file=open_file)
     wait_until(lambda: leads(view), "it leads")
-    crashes = tuple(suspects.Crash("f", "clinic", life) for life in ("e1", "e2"))
+    crashes = tuple(suspect_rules.Crash("f", "clinic", life) for life in ("e1", "e2"))
     for command in (
         agreed.GrantOwnership("engine", "box"),
         agreed.ReportSuspects(suspects.Report(crashes=crashes), 0.0),
--- a/testing/controllers/test_suspect_register.py
+++ b/testing/controllers/test_suspect_register.py
@@ -9,7 +9,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, replica_standing, suspect_register, suspicion
-from croftpulley.core import agreed, suspects
+from croftpulley.core import agreed, suspect_rules, suspects
 from croftpulley.core.replication import state as states
 from croftpulley.observe import metrics
 from croftpulley.transport import box_messages
@@ -58,7 +58,9 @@
 
 
 def report_of(*lives):
-    return suspects.Report(crashes=tuple(suspects.Crash("f", "clinic", life) for life in lives))
+    return suspects.Report(
+        crashes=tuple(suspect_rules.Crash("f", "clinic", life) for life in lives)
+    )
 
 
 def ask(register, trial, report=NOTHING):
--- a/testing/core/test_suspects.py
+++ b/testing/core/test_suspects.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import strategies
 
-from croftpulley.core import agreed, suspects
+from croftpulley.core import agreed, bulletins, suspect_rules, suspects
 from croftpulley.storage import commands, state_codec
 
 NAMES = ("a", "b", "part-a", "part-b")
@@ -15,7 +15,7 @@
 LIMIT_S = 5.0
 PART = "part-a"
 OTHER = "part-b"
-CLINIC = suspects.Asker("clinic")
+CLINIC = suspect_rules.Asker("clinic")
 
 
 @pytest.fixture
@@ -25,7 +25,7 @@
 
 def crash(state, fingerprint, *lives, at_s=0.0, workspace="clinic"):
     """Report that endpoints ended under a request."""
-    crashes = tuple(suspects.Crash(fingerprint, workspace, life) for life in lives)
+    crashes = tuple(suspect_rules.Crash(fingerprint, workspace, life) for life in lives)
     return state.apply(agreed.ReportSuspects(suspects.Report(crashes=crashes), at_s))
 
 
@@ -100,25 +100,25 @@
         crash(state, "f", life, at_s=1.0)
         end(state, "f", trial, at_s=1.0)
     refused = ask(state, "f", "t3", at_s=2.0)
-    assert refused == suspects.TrialAnswer(suspects.Verdict.REFUSED, 4, suspects.REST_S - 1.0)
-    assert told(state, at_s=2.0).suspects == (suspects.Told("f", 4, suspects.REST_S - 1.0),)
-    rested_s = 1.0 + suspects.REST_S
+    assert refused == suspects.TrialAnswer(suspects.Verdict.REFUSED, 4, suspect_rules.REST_S - 1.0)
+    assert told(state, at_s=2.0).suspects == (bulletins.Told("f", 4, suspect_rules.REST_S - 1.0),)
+    rested_s = 1.0 + suspect_rules.REST_S
     assert ask(state, "f", "t3", at_s=rested_s).verdict is suspects.Verdict.GRANTED
     end(state, "f", "t3", at_s=rested_s)
-    later_s = rested_s + suspects.REST_S
+    later_s = rested_s + suspect_rules.REST_S
     assert ask(state, "f", "t4", at_s=later_s).verdict is suspects.Verdict.REFUSED
 
 
 def test_a_trial_counts_although_nothing_is_heard_of_it_again(state):
     # Its router may have been killed with what it met.
     crash(state, "f", "e1", "e2")
-    for number in range(suspects.MOST_TRIALS):
+    for number in range(suspect_rules.MOST_TRIALS):
         asked = ask(state, "f", f"t{number}", at_s=number * LIMIT_S)
         assert asked.verdict is suspects.Verdict.GRANTED
-    late_s = suspects.MOST_TRIALS * LIMIT_S
+    late_s = suspect_rules.MOST_TRIALS * LIMIT_S
     refused = ask(state, "f", "late", at_s=late_s)
     assert refused.verdict is suspects.Verdict.REFUSED
-    assert refused.wait_s == suspects.UNPROVEN_REST_S - LIMIT_S
+    assert refused.wait_s == suspect_rules.UNPROVEN_REST_S - LIMIT_S
 
 
 @pytest.mark.parametrize(("ends", "trials"), [(2, 2), (3, 2), (4, 1), (5, 0), (9, 0)])
@@ -147,7 +147,7 @@
 @pytest.mark.parametrize("repeats", [1, 2])
 def test_a_trial_that_reached_no_endpoint_does_not_count(state, repeats):
     crash(state, "f", "e1", "e2", "e3")
-    for number in range(suspects.MOST_TRIALS + 1):
+    for number in range(suspect_rules.MOST_TRIALS + 1):
         assert ask(state, "f", f"t{number}").verdict is suspects.Verdict.GRANTED
         for _ in range(repeats):
             end(state, "f", f"t{number}", was_sent=False)
@@ -174,7 +174,7 @@
 
 def test_what_is_old_is_forgotten(state):
     crash(state, "f", "e1", "e2", "e3")
-    crash(state, "g", "e1", at_s=suspects.KEPT_S)
+    crash(state, "g", "e1", at_s=suspect_rules.KEPT_S)
     assert {each.fingerprint for each in state.suspects.all()} == {"g"}
 
 
@@ -210,7 +210,7 @@
             crash(state, PART, life)
             end(state, PART, trial)
         refused = ask(state, PART, "t3")
-        assert refused == suspects.TrialAnswer(suspects.Verdict.REFUSED, 4, suspects.REST_S)
+        assert refused == suspects.TrialAnswer(suspects.Verdict.REFUSED, 4, suspect_rules.REST_S)
 
     def test_ends_at_one_moment_alone_refuse_nothing(self, state):
         # A hall loses its power, and it was under way in each endpoint.
@@ -220,7 +220,7 @@
     def test_trials_that_come_to_nothing_are_spaced_and_refuse_for_no_longer(self, state):
         crash(state, PART, "e1", "e2")
         at_s = 0.0
-        for blank, rest_s in enumerate(suspects.BLANK_RESTS_S[1:]):
+        for blank, rest_s in enumerate(suspect_rules.BLANK_RESTS_S[1:]):
             assert ask(state, PART, f"t{blank}", at_s=at_s).verdict is suspects.Verdict.GRANTED
             end(state, PART, f"t{blank}", at_s=at_s)
             refused = ask(state, PART, "early", at_s=at_s)
@@ -229,7 +229,7 @@
 
     def test_a_workspace_under_which_none_ended_has_one_trial_of_its_own(self, state):
         refuse(state)
-        other = suspects.Asker("shop")
+        other = suspect_rules.Asker("shop")
         assert ask(state, PART, "t3").verdict is suspects.Verdict.REFUSED
         assert ask(state, PART, "t4", asker=other).verdict is suspects.Verdict.GRANTED
         end(state, PART, "t4")
@@ -237,10 +237,10 @@
         assert not told(state).suspects[0].has_own_trial
 
     def test_so_has_a_request_without_a_part_that_was_there_each_time(self, state):
-        refuse(state, suspects.Asker("clinic", (OTHER, "part-c")))
-        with_it = suspects.Asker("clinic", (OTHER, "part-c"))
+        refuse(state, suspect_rules.Asker("clinic", (OTHER, "part-c")))
+        with_it = suspect_rules.Asker("clinic", (OTHER, "part-c"))
         assert ask(state, PART, "t3", asker=with_it).verdict is suspects.Verdict.REFUSED
-        without = suspects.Asker("clinic", ("part-c",))
+        without = suspect_rules.Asker("clinic", ("part-c",))
         assert ask(state, PART, "t4", asker=without).verdict is suspects.Verdict.GRANTED
 
     def test_a_survival_clears_it_for_all(self, state):
@@ -263,10 +263,12 @@
         state, at_s, ends, late = agreed.AgreedState(), 0.0, 0, 0
         for number, (workspace, others, pause_s, is_reported) in enumerate(steps):
             at_s += pause_s
-            answer = ask(state, PART, f"t{number}", at_s, asker=suspects.Asker(workspace, others))
+            answer = ask(
+                state, PART, f"t{number}", at_s, asker=suspect_rules.Asker(workspace, others)
+            )
             if answer.verdict not in (suspects.Verdict.FREE, suspects.Verdict.GRANTED):
                 continue
-            late += ends >= suspects.BORNE_CRASHES
+            late += ends >= suspect_rules.BORNE_CRASHES
             if is_reported or answer.verdict is suspects.Verdict.FREE:
                 # The end under a trial may be lost with its router.
                 crash(state, PART, f"e{number}", at_s=at_s, workspace=workspace)
@@ -276,7 +278,7 @@
 
 
 _CRASH = strategies.builds(
-    suspects.Crash,
+    suspect_rules.Crash,
     strategies.sampled_from(NAMES),
     strategies.sampled_from(("w", "v")),
     strategies.sampled_from(LIVES),
@@ -305,7 +307,7 @@
         strategies.just(LIMIT_S),
         strategies.floats(0, 2000),
         strategies.builds(
-            suspects.Asker,
+            suspect_rules.Asker,
             strategies.sampled_from(("w", "v")),
             strategies.sampled_from(((), ("part-a",), ("part-b",))),
         ),
@@ -374,7 +376,7 @@
             if is_reported:
                 crash(state, "f", f"later-{number}", at_s=now_s)
     # A rest that is short where no third end is known may pass.
-    assert granted <= suspects.MOST_TRIALS + 1
+    assert granted <= suspect_rules.MOST_TRIALS + 1
 
 
 def test_a_snapshot_without_suspects_is_read(state):
--- a/testing/daemons/test_crashing_parts.py
+++ b/testing/daemons/test_crashing_parts.py
@@ -21,7 +21,7 @@
 import site_of_routers as sites
 from conftest import wait_until
 from croftpulley.cli import ctl
-from croftpulley.core import features, suspects
+from croftpulley.core import features, suspect_rules
 from croftpulley.fakes import forwarded
 from croftpulley.platform import names
 
@@ -133,7 +133,7 @@
     return {
         name: each.told.crashes
         for name, each in router._suspicion._heard.items()
-        if each.told.crashes >= suspects.SUSPECTED_CRASHES
+        if each.told.crashes >= suspect_rules.SUSPECTED_CRASHES
     }
 
 
@@ -150,7 +150,7 @@
 
 def test_no_more_of_them_reach_endpoints_than_it_takes_to_know(site):
     send_in_turn(site)
-    assert sends(site) == suspects.SUSPECTED_CRASHES + suspects.PROVING_TRIALS
+    assert sends(site) == suspect_rules.SUSPECTED_CRASHES + suspect_rules.PROVING_TRIALS
 
 
 def test_what_is_told_of_them_is_true_and_comes_at_once(site):
@@ -160,7 +160,7 @@
         answer = send(site, router)
         assert answer.status == 503
         assert answer.headers["x-run-state"] == "not_run"
-        assert 0 < float(answer.headers["retry-after"]) <= suspects.REST_S
+        assert 0 < float(answer.headers["retry-after"]) <= suspect_rules.REST_S
     assert sends(site) == before
 
 
--- a/testing/daemons/test_crashing_requests.py
+++ b/testing/daemons/test_crashing_requests.py
@@ -26,7 +26,7 @@
 from conftest import wait_until
 from croftpulley import errors
 from croftpulley.cli import ctl
-from croftpulley.core import suspects
+from croftpulley.core import suspect_rules
 from croftpulley.fakes import faults, forwarded
 from croftpulley.platform import names
 
@@ -182,7 +182,7 @@
     *_, last = send_in_turn(site)
     assert last.status == 503
     assert last.headers["x-run-state"] == "not_run"
-    assert 0 < float(last.headers["retry-after"]) <= suspects.REST_S
+    assert 0 < float(last.headers["retry-after"]) <= suspect_rules.REST_S
 
 
 def test_one_that_was_unlucky_three_times_is_served(site):
@@ -233,7 +233,7 @@
 
 
 def test_an_operator_lists_what_is_refused_and_clears_it(site):
-    send_in_turn(site, rounds=suspects.SUSPECTED_CRASHES)
+    send_in_turn(site, rounds=suspect_rules.SUSPECTED_CRASHES)
     for router in site.routers:
         wait_until(lambda router=router: suspected(router), "every router has heard of both ends")
     send_in_turn(site)
--- a/testing/observe/test_explain.py
+++ b/testing/observe/test_explain.py
@@ -102,6 +102,21 @@
             "1 endpoints that rested lately",
             ["rest_asked", "rest_ended", "request_refused"],
         ),
+        (
+            [
+                text("10:00:01", Event.ENDPOINT_ENDED, endpoint="e-1", parts=["part-aa"]),
+                text("10:00:02", Event.ENDPOINT_ENDED, endpoint="e-2", parts=["part-bb"]),
+                text("10:00:03", Event.ENDPOINT_CHOSEN, request_id="other", parts=["aa"]),
+                refused(
+                    "REQUEST_CRASHES",
+                    fingerprint="f",
+                    parts=["bb", "aa"],
+                    problem="4 endpoints ended under the prompts' part part-aa",
+                ),
+            ],
+            "ended under the prompts' part part-aa, at whichever router it came",
+            ["endpoint_ended", "request_refused"],
+        ),
         (
             [
                 text("10:00:01", Event.ENDPOINT_ENDED, endpoint="e-1", fingerprints=["f"]),
--- a/testing/storage/test_state_codec.py
+++ b/testing/storage/test_state_codec.py
@@ -3,10 +3,10 @@
 import pytest
 
 from croftpulley import codes
-from croftpulley.core import agreed, claims, membership, submissions, suspects
+from croftpulley.core import agreed, claims, membership, submissions, suspect_rules, suspects
 from croftpulley.storage import state_codec
 
-CRASH = suspects.Crash("f", "clinic", "e1")
+CRASH = suspect_rules.Crash("f", "clinic", "e1")
 BOX = membership.Box("box-1", "hall-a", "127.0.0.1:1", "127.0.0.1:2")
 
 
