--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -26,7 +26,6 @@
     membership,
     places,
     retry_budget,
-    sessions,
     tables,
     versions,
 )
@@ -216,7 +215,7 @@
                 return
             address = answer.leader_address
 
-    def _ask(self, address: str, own_loads: sessions.Load) -> box_messages.BoxReportAnswer:
+    def _ask(self, address: str, own_loads: listed_counts.Load) -> box_messages.BoxReportAnswer:
         known = self._view.get()
         report = box_messages.BoxReport(
             box=self._box,
@@ -247,7 +246,7 @@
         return json_codec.decode(body, box_messages.BoxReportAnswer)
 
     def _granted(
-        self, answer: box_messages.BoxReportAnswer, sent_at_s: float, own_loads: sessions.Load
+        self, answer: box_messages.BoxReportAnswer, sent_at_s: float, own_loads: listed_counts.Load
     ) -> None:
         if self._fails:
             events.emit(_LOG, events.Event.RENEWED_AGAIN, leader_address=self._leader)
@@ -259,7 +258,7 @@
     def _take_lease(self, answer: box_messages.BoxReportAnswer, sent_at_s: float) -> None:
         held = self._lease.holds(self._clock.monotonic_s())
         version = self._view.get().configuration.version
-        if not sessions.may_take_lease(version, answer.configuration_version, holds_lease=held):
+        if not leases.may_take_lease(version, answer.configuration_version, holds_lease=held):
             # Guards against acting on an older configuration, or honouring a key that was taken
             # away, after the newer one was acknowledged: that waits only for boxes with a lease.
             return
@@ -300,7 +299,7 @@
         self._addresses = tuple(dict.fromkeys(known))
 
     def _take(
-        self, answer: box_messages.BoxReportAnswer, sent_at_s: float, own_loads: sessions.Load
+        self, answer: box_messages.BoxReportAnswer, sent_at_s: float, own_loads: listed_counts.Load
     ) -> None:
         known = self._view.get()
         self._suspected.learn(answer.suspects)
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -24,6 +24,7 @@
     agreed,
     answering,
     cold,
+    leases,
     listed_counts,
     membership,
     outcomes,
@@ -212,12 +213,12 @@
             self._tell_leaving(report.leaving)
         newest = state.submissions.held.version
         known = report.configuration_version
-        if not sessions.may_take_lease(known, newest, holds_lease=report.holds_lease):
+        if not leases.may_take_lease(known, newest, holds_lease=report.holds_lease):
             return attrs.evolve(self._answer(report, state), lease_s=0.0)
         changed = self._sessions.renew(
             report.box,
             sessions.Known(report.configuration_version, report.halls_revision),
-            sessions.Load(
+            listed_counts.Load(
                 report.in_flight, report.reading_tokens, report.resting_s, report.unreached
             ),
             now_s,
--- a/src/croftpulley/controllers/suspect_register.py
+++ b/src/croftpulley/controllers/suspect_register.py
@@ -11,7 +11,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, replica_standing
-from croftpulley.core import agreed, bulletins, suspect_rules, suspects
+from croftpulley.core import agreed, bulletins, suspect_messages, suspect_rules
 from croftpulley.observe import events
 from croftpulley.transport import box_messages
 
@@ -55,19 +55,19 @@
         _announce(changed)
         return box_messages.TrialRequestAnswer(answer=self._answer(request))
 
-    def _answer(self, request: box_messages.TrialRequest) -> suspects.TrialAnswer | None:
+    def _answer(self, request: box_messages.TrialRequest) -> suspect_messages.TrialAnswer | None:
         """Return the verdict; only a grant goes into the log, ``None`` if it is not known to."""
         now_wall_s = self._clock.wall_s()
         known = self._agreement.read().suspects
         asker = request.asker
         answer = known.verdict(request.fingerprint, request.trial, now_wall_s, asker)
-        if answer.verdict is not suspects.Verdict.GRANTED:
+        if answer.verdict is not suspect_messages.Verdict.GRANTED:
             return answer if self._leads() else None
         command = agreed.BeginTrial(
             request.fingerprint, request.trial, request.limit_s, now_wall_s, asker
         )
         granted = _result(self._agreement.propose(command))
-        return granted if isinstance(granted, suspects.TrialAnswer) else None
+        return granted if isinstance(granted, suspect_messages.TrialAnswer) else None
 
     def all(self) -> tuple[suspect_rules.Suspect, ...]:
         """Return the suspects, as applied here."""
@@ -76,7 +76,7 @@
 
     def clear(self, fingerprint: str) -> None:
         """Forget what speaks against a request; raises NOT_LEADER if that may not be in the log."""
-        report = suspects.Report(cleared=(fingerprint,))
+        report = suspect_messages.Report(cleared=(fingerprint,))
         command = agreed.ReportSuspects(report, self._clock.wall_s())
         if _result(self._agreement.propose(command)) is None:
             raise errors.CroftpulleyError(
@@ -89,7 +89,9 @@
     def _leads(self) -> bool:
         return self._standing.get().leads(self._clock.monotonic_s())
 
-    def _propose_report(self, report: suspects.Report) -> pykka.Future[agreed.Result] | None:
+    def _propose_report(
+        self, report: suspect_messages.Report
+    ) -> pykka.Future[agreed.Result] | None:
         """Propose what is not known yet: many boxes see the same part survive at one moment."""
         known = self._agreement.read().suspects
         report = attrs.evolve(report, cleared=known.known(report.cleared))
--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -16,13 +16,10 @@
 from croftpulley import clock as clocks
 from croftpulley.core import (
     attempts,
-    bulletins,
     doubts,
-    features,
+    fingerprints,
     membership,
-    survivals,
-    suspect_rules,
-    suspects,
+    suspect_messages,
 )
 from croftpulley.observe import events, metrics
 
@@ -42,7 +39,7 @@
 the oldest go first."""
 
 
-_UNTOLD = bulletins.Told("", 0)
+_UNTOLD = suspect_messages.Told("", 0)
 
 
 @attrs.frozen
@@ -55,19 +52,19 @@
     refused_for_s: float = 0.0
     put_off_for_s: float = 0.0
     """How long no trial is asked for: one was not granted just now."""
-    told: bulletins.Told = _UNTOLD
+    told: suspect_messages.Told = _UNTOLD
 
     @property
     def needs_trial(self) -> bool:
         """Tell whether it may be sent only once the leading control box grants a trial."""
-        return self.crashes >= suspect_rules.SUSPECTED_CRASHES
+        return self.crashes >= suspect_messages.SUSPECTED_CRASHES
 
-    def is_refused_to(self, asker: suspect_rules.Asker) -> bool:
+    def is_refused_to(self, asker: suspect_messages.Asker) -> bool:
         """Tell whether no trial will be granted, by what this box was told."""
         if self.refused_for_s <= 0:
             return False
         told = self.told
-        is_free = suspect_rules.is_unaccused(asker, told.accused, told.beside)
+        is_free = suspect_messages.is_unaccused(asker, told.accused, told.beside)
         return not (told.has_own_trial and is_free)
 
 
@@ -75,7 +72,7 @@
 class _Heard:
     """A suspect as the leading control box told it, with the end of its refusal here."""
 
-    told: bulletins.Told
+    told: suspect_messages.Told
     refused_until_s: float = 0.0
 
 
@@ -99,11 +96,11 @@
         self._doubts = doubts.Doubts()
         self._heard: dict[str, _Heard] = {}
         self._revision = 0
-        self._crashes: dict[suspect_rules.Crash, None] = {}
+        self._crashes: dict[suspect_messages.Crash, None] = {}
         self._unreported: collections.Counter[str] = collections.Counter()
         """How many of these there are against each request or part."""
-        self._survivals = survivals.Survivals()
-        self._trial_ends: dict[suspects.TrialEnd, None] = {}
+        self._survivals = doubts.Survivals()
+        self._trial_ends: dict[suspect_messages.TrialEnd, None] = {}
         self._cleared: dict[str, None] = {}
         self._put_off_until_s: dict[str, float] = {}
         self.on_broke: Callable[[membership.Endpoint], None] = lambda _endpoint: None
@@ -116,7 +113,7 @@
         """The revision of the suspects that this router was told of."""
         return self._revision
 
-    def learn(self, change: bulletins.Change | None) -> None:
+    def learn(self, change: suspect_messages.Change | None) -> None:
         """Take what the leading control box tells."""
         if change is None:
             return
@@ -147,20 +144,20 @@
         with self._lock:
             return self._standing(fingerprint, now_s)
 
-    def against(self, fingerprints: Iterable[str]) -> dict[str, Standing]:
+    def against(self, names: Iterable[str]) -> dict[str, Standing]:
         """Return what speaks against those that need a trial."""
         now_s = self._clock.monotonic_s()
         with self._lock:
             if not (self._heard or self._crashes):
                 return {}
-            spoken_against = [each for each in fingerprints if self._speaks_against(each)]
+            spoken_against = [each for each in names if self._speaks_against(each)]
             standings = {each: self._standing(each, now_s) for each in spoken_against}
         return {name: each for name, each in standings.items() if each.needs_trial}
 
     def _standing(self, fingerprint: str, now_s: float) -> Standing:
         heard = self._heard.get(fingerprint, _UNHEARD)
         own = self._unreported[fingerprint]
-        if features.is_part(fingerprint):
+        if fingerprints.is_part(fingerprint):
             # What this box has yet to report is not among what it was told.
             crashes = heard.told.crashes + own
         else:
@@ -253,24 +250,24 @@
         for life, in_doubt in vanished.items():
             self._announce(life, "is listed no more", in_doubt)
 
-    def trial_ended(self, end: suspects.TrialEnd) -> None:
+    def trial_ended(self, end: suspect_messages.TrialEnd) -> None:
         """Note that a trial is over."""
         with self._lock:
             self._trial_ends[end] = None
             _bound(self._trial_ends)
         self.on_news()
 
-    def news(self) -> suspects.Report:
+    def news(self) -> suspect_messages.Report:
         """Return what is yet to be reported."""
         with self._lock:
             self._doubts.forget(self._clock.monotonic_s())
-            return suspects.Report(
+            return suspect_messages.Report(
                 crashes=tuple(self._crashes)[:MOST_REPORTED],
                 trial_ends=tuple(self._trial_ends),
                 cleared=tuple(self._cleared),
             )
 
-    def reported(self, report: suspects.Report) -> None:
+    def reported(self, report: suspect_messages.Report) -> None:
         """Drop what is in the log now."""
         with self._lock:
             for crash in report.crashes:
@@ -282,10 +279,10 @@
             for fingerprint in report.cleared:
                 self._cleared.pop(fingerprint, None)
 
-    def _expect(self, crash: suspect_rules.Crash) -> None:
+    def _expect(self, crash: suspect_messages.Crash) -> None:
         """Count an end against a part that is in the log now, until this box is told of it."""
         feature = crash.fingerprint
-        if features.is_part(feature):
+        if fingerprints.is_part(feature):
             told = self._heard.get(feature, _UNHEARD).told
             told = attrs.evolve(told, fingerprint=feature, crashes=told.crashes + 1)
             self._heard[feature] = attrs.evolve(self._heard.get(feature, _UNHEARD), told=told)
@@ -319,7 +316,7 @@
         self._cleared[fingerprint] = None
         _bound(self._cleared)
         self._drop_crashes(fingerprint)
-        if features.is_part(fingerprint):
+        if fingerprints.is_part(fingerprint):
             # Each survival until this box is told would say it once more.
             self._heard.pop(fingerprint, None)
 
@@ -332,13 +329,13 @@
         for crash in [each for each in self._crashes if each.fingerprint == fingerprint]:
             self._drop_crash(crash)
 
-    def _drop_crash(self, crash: suspect_rules.Crash) -> None:
+    def _drop_crash(self, crash: suspect_messages.Crash) -> None:
         del self._crashes[crash]
         self._unreported[crash.fingerprint] -= 1
         if not self._unreported[crash.fingerprint]:
             del self._unreported[crash.fingerprint]
 
-    def _add_crash(self, crash: suspect_rules.Crash) -> None:
+    def _add_crash(self, crash: suspect_messages.Crash) -> None:
         if crash not in self._crashes:
             self._crashes[crash] = None
             self._unreported[crash.fingerprint] += 1
@@ -353,7 +350,7 @@
             pools = (each.pool,)
             parts = [x for x in each.parts if not self._survivals.since(x, pools, since_s)]
             for feature in (each.fingerprint, *parts):
-                self._add_crash(suspect_rules.Crash(feature, each.workspace, life, each.pool))
+                self._add_crash(suspect_messages.Crash(feature, each.workspace, life, each.pool))
 
     def _announce(self, life: str, sign: str, in_doubt: tuple[doubts.Named, ...]) -> None:
         if not in_doubt:
--- a/src/croftpulley/controllers/suspicion_reports.py
+++ b/src/croftpulley/controllers/suspicion_reports.py
@@ -1,19 +1,72 @@
-"""Looks at endpoints whose connections broke off, and reports what a router has met.
+"""What a router says to the leading control box of requests under which endpoints end.
 
-No request waits for either unless it is a suspect itself.
+Request threads ask for trials (`Trials`). `SuspicionController` looks at endpoints whose
+connections broke off and reports what was met; no request waits for either unless it is a suspect
+itself.
 """
 
 from __future__ import annotations
 
+import random
+import threading
+import uuid
+from collections.abc import Iterable
+
 import attrs
 
 from croftpulley import errors
-from croftpulley.controllers import actors, looks, router_state, suspicion
-from croftpulley.core import membership
+from croftpulley.controllers import actors, router_state, suspicion
+from croftpulley.core import membership, suspect_messages
 from croftpulley.endpoints import dialing
 from croftpulley.observe import metrics
 from croftpulley.transport import box_messages, json_codec, links
 
+_SILENT_TRIED = 2
+"""Other endpoints of which nothing comes back, before a look takes this box for cut off; each takes
+the whole time for a connection."""
+
+
+class Trials:
+    """Asks the leading control box whether a suspect may be tried, from request threads."""
+
+    def __init__(
+        self,
+        known: suspicion.Suspicion,
+        view: actors.View[router_state.RouterState],
+        timeout_s: float,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._suspicion = known
+        self._view = view
+        self._lock = threading.Lock()
+        self._links = links.Links(timeout_s, counters)
+
+    def ask(
+        self, fingerprint: str, trial: str, limit_s: float, asker: suspect_messages.Asker
+    ) -> suspect_messages.TrialAnswer | None:
+        """Return the leading control box's answer, ``None`` if there is none.
+
+        What this router has yet to report goes along, and is in the log before the answer is made.
+        """
+        report = self._suspicion.news()
+        request = box_messages.TrialRequest(
+            report=report, fingerprint=fingerprint, trial=trial, limit_s=limit_s, asker=asker
+        )
+        address = self._view.get().leader_address
+        if not address:
+            return None
+        with self._lock:
+            link = self._links.to(address)
+            self._links.keep({address})
+        try:
+            body = link.post(box_messages.TRIALS_PATH, json_codec.encode(request))
+        except errors.CroftpulleyError:
+            return None
+        answer = json_codec.decode(body, box_messages.TrialRequestAnswer).answer
+        if answer is not None:
+            self._suspicion.reported(report)
+        return answer
+
 
 @attrs.frozen
 class _Look:
@@ -60,9 +113,7 @@
                 if endpoint.key not in self._looked:
                     self._looked[endpoint.key] = None
                     listed = self._view.get().endpoints
-                    looks.look(
-                        self._suspicion, endpoint, listed, self._connect_timeout_s, self._dialer
-                    )
+                    look(self._suspicion, endpoint, listed, self._connect_timeout_s, self._dialer)
             case _Report():
                 self._report()
             case actors.Tick():
@@ -86,3 +137,41 @@
             return
         if answer.is_taken:
             self._suspicion.reported(report)
+
+
+def look(
+    known: suspicion.Suspicion,
+    endpoint: membership.Endpoint,
+    listed: Iterable[membership.Endpoint],
+    timeout_s: float,
+    dialer: dialing.Dialer,
+) -> None:
+    """Look whether an endpoint is still there, and take what that shows.
+
+    That nobody listens there is believed only while another listed endpoint can be reached: else
+    this box may have lost its own links.
+    """
+    listens = dialer.listens(endpoint.address, timeout_s)
+    others = [each for each in listed if each.key != endpoint.key]
+    if listens is False and others and not _reaches_one(others, timeout_s, dialer):
+        listens = None
+    known.looked(endpoint, listens=listens)
+
+
+def _reaches_one(
+    endpoints: list[membership.Endpoint], timeout_s: float, dialer: dialing.Dialer
+) -> bool:
+    silent = 0
+    for each in random.sample(endpoints, len(endpoints)):
+        listens = dialer.listens(each.address, timeout_s)
+        if listens:
+            return True
+        silent += listens is None
+        if silent == _SILENT_TRIED:
+            break
+    return False
+
+
+def new_trial() -> str:
+    """Return the name of a trial."""
+    return uuid.uuid4().hex
--- a/src/croftpulley/controllers/traffic.py
+++ b/src/croftpulley/controllers/traffic.py
@@ -15,13 +15,13 @@
     brittle,
     calls,
     cold,
+    listed_counts,
     membership,
     outcomes,
     places,
     records,
     retry_budget,
     selection,
-    sessions,
     told_load,
     withdrawal,
 )
@@ -73,11 +73,11 @@
 
         self._change(endpoint, count)
 
-    def load(self) -> sessions.Load:
+    def load(self) -> listed_counts.Load:
         """Return what is not 0 of requests, of tokens to be read and of rests."""
         now_s = self._clock.monotonic_s()
         with self._lock:
-            return sessions.Load(
+            return listed_counts.Load(
                 self._records.in_flight(),
                 self._records.reading_tokens(),
                 self._records.resting_s(now_s),
--- a/src/croftpulley/core/agreed.py
+++ b/src/croftpulley/core/agreed.py
@@ -13,6 +13,7 @@
     membership,
     pool_versions,
     submissions,
+    suspect_messages,
     suspect_rules,
     suspects,
 )
@@ -81,7 +82,7 @@
 class ReportSuspects:
     """A router reports what it met of requests under which endpoints end."""
 
-    report: suspects.Report
+    report: suspect_messages.Report
     at_wall_s: float
 
 
@@ -93,7 +94,7 @@
     trial: str
     limit_s: float
     at_wall_s: float
-    asker: suspect_rules.Asker = attrs.field(factory=suspect_rules.Asker)
+    asker: suspect_messages.Asker = attrs.field(factory=suspect_messages.Asker)
 
 
 @attrs.frozen
@@ -138,7 +139,7 @@
     | membership.Ownership
     | membership.Box
     | claims.ClaimAnswer
-    | suspects.TrialAnswer
+    | suspect_messages.TrialAnswer
     | tuple[suspect_rules.Suspect, ...]
     | halls.Evacuated
     | pool_versions.PoolVersions
--- a/src/croftpulley/core/bulletins.py
+++ b/src/croftpulley/core/bulletins.py
@@ -4,34 +4,7 @@
 
 import attrs
 
-from croftpulley.core import suspect_rules
-
-
-@attrs.frozen
-class Told:
-    """What a router needs to know of one suspect; times are counted from when it is told.
-
-    The rest is told of parts, as `Suspect` has it; ``has_own_trial`` if one is left for those
-    against whom nothing speaks.
-    """
-
-    fingerprint: str
-    crashes: int
-    refused_for_s: float = 0.0
-    pools: tuple[str, ...] = ()
-    accused: tuple[str, ...] = ()
-    beside: tuple[str, ...] = ()
-    has_own_trial: bool = False
-
-
-@attrs.frozen(kw_only=True)
-class Change:
-    """What changed from the revision that a router knows, or all if ``is_whole``."""
-
-    revision: int
-    is_whole: bool = False
-    suspects: tuple[Told, ...] = ()
-    removed: tuple[str, ...] = ()
+from croftpulley.core import suspect_messages, suspect_rules
 
 
 @attrs.frozen
@@ -67,13 +40,13 @@
         found = (each.suspect for each in self.entries if each.suspect.fingerprint == fingerprint)
         return next(found, None)
 
-    def since(self, revision: int, now_wall_s: float) -> Change | None:
+    def since(self, revision: int, now_wall_s: float) -> suspect_messages.Change | None:
         """Return what changed since a revision, ``None`` if nothing did."""
         if revision == self.revision:
             return None
         is_whole = not self.from_revision <= revision < self.revision
         known = 0 if is_whole else revision
-        return Change(
+        return suspect_messages.Change(
             revision=self.revision,
             is_whole=is_whole,
             suspects=tuple(
@@ -85,9 +58,9 @@
         )
 
 
-def _told(suspect: suspect_rules.Suspect, now_wall_s: float) -> Told:
+def _told(suspect: suspect_rules.Suspect, now_wall_s: float) -> suspect_messages.Told:
     refused_for_s = max(0.0, suspect.refused_until_wall_s - now_wall_s)
-    told = Told(suspect.fingerprint, suspect.crashes, round(refused_for_s, 1))
+    told = suspect_messages.Told(suspect.fingerprint, suspect.crashes, round(refused_for_s, 1))
     if not suspect.is_part:
         return told
     return attrs.evolve(
--- a/src/croftpulley/core/doubts.py
+++ b/src/croftpulley/core/doubts.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterable
 
 import attrs
 
@@ -21,6 +22,8 @@
 What left it longer before a success came from it is in doubt no more."""
 LISTED_S = 10.0
 """The same before the list lacks the endpoint, which it does some seconds after the end."""
+_MOST_SURVIVED = 10_000
+"""Parts that survived lately, of each pool, about 1 MB; the oldest go first."""
 _ENDED_KEPT_S = 60.0
 """How long it is remembered that a life ended; it leaves the list long before."""
 
@@ -44,7 +47,7 @@
 class Named:
     """A request by what stays the same when it comes again.
 
-    ``parts`` are the features that the shared parts of its prompt are (`core.features`).
+    ``parts`` are the features that the shared parts of its prompt are (`core.fingerprints`).
     """
 
     fingerprint: str
@@ -235,3 +238,35 @@
     """Tell whether an attempt broke off lately, and not at an endpoint that still answered then."""
     broke = left.ending in (Ending.BROKE, Ending.CLOSED)
     return broke and life.answers_at_s < left.at_s > now_s - RECENT_S
+
+
+_NOTHING: dict[str, float] = {}
+
+
+@attrs.define
+class Survivals:
+    """When parts of prompts last survived the beginning of an answer, by the pools of endpoints.
+
+    >>> survivals = Survivals()
+    >>> survivals.note("llm", ("part-a", "part-b"), 5.0)
+    >>> survivals.since("part-a", ("llm",), 4.0), survivals.since("part-a", ("desk",), 4.0)
+    (True, False)
+    """
+
+    _at_s: dict[str, dict[str, float]] = attrs.field(factory=dict)
+
+    def note(self, pool: str, parts: Iterable[str], now_s: float) -> None:
+        """Note that parts survived at an endpoint of a pool."""
+        of_pool = self._at_s.setdefault(pool, {})
+        for each in parts:
+            # The last one to survive comes last.
+            of_pool.pop(each, None)
+            of_pool[each] = now_s
+        while len(of_pool) > _MOST_SURVIVED:
+            del of_pool[next(iter(of_pool))]
+
+    def since(self, part: str, pools: Iterable[str], since_s: float) -> bool:
+        """Tell whether a part survived in any of these pools from a moment on."""
+        return any(
+            self._at_s.get(pool, _NOTHING).get(part, float("-inf")) >= since_s for pool in pools
+        )
--- a/src/croftpulley/core/fingerprints.py
+++ b/src/croftpulley/core/fingerprints.py
@@ -3,16 +3,26 @@
 The caller's workspace, the method, the host, the path with its query and the body are the same
 each time. Headers are not looked at: they may differ from one try to the next (the remaining time,
 the event after which a stream goes on).
+
+Requests under which endpoints end may have less in common: a *feature* is a whole request, named by
+its fingerprint, or one part of its prompt but the last, which is its own; requests of any caller
+may share a part.
 """
 
 from __future__ import annotations
 
+import functools
 import hashlib
 
 _DIGEST_BYTES = 16
 """128 bits: nobody finds two requests of one fingerprint by trying, and it stays short in messages,
 of which a leading control box may hold thousands."""
 _LENGTH_BYTES = 8
+_PART_PREFIX = "part-"
+_LONGEST_NAME = 64
+"""Of a part, as callers name it; what is longer is named by its digest."""
+_MOST_NAMES = 8192
+"""Kept, so that parts that come again and again are named by one look-up."""
 
 
 def fingerprint(workspace: str, method: str, host: str, target: str, body: bytes) -> str:
@@ -38,3 +48,23 @@
 def _add(digest: hashlib.blake2b, part: bytes) -> None:
     digest.update(len(part).to_bytes(_LENGTH_BYTES, "big"))
     digest.update(part)
+
+
+@functools.lru_cache(maxsize=_MOST_NAMES)
+def of_part(part: str) -> str:
+    """Return the name of the feature that a part of a prompt is.
+
+    Parts are named in hexadecimal digits, in upper or lower case.
+
+    >>> of_part("91BD3f06"), of_part("a/b") == of_part("a/c"), is_part(of_part("91"))
+    ('part-91bd3f06', False, True)
+    """
+    name = part.lower()
+    if len(name) > _LONGEST_NAME or not (name.isascii() and name.isalnum()):
+        name = hashlib.blake2b(name.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+    return _PART_PREFIX + name
+
+
+def is_part(feature: str) -> bool:
+    """Tell whether a feature is a part of a prompt."""
+    return feature.startswith(_PART_PREFIX)
--- a/src/croftpulley/core/leases.py
+++ b/src/croftpulley/core/leases.py
@@ -53,3 +53,17 @@
         for box in ended:
             del self.until_s[box]
         return ended
+
+
+def may_take_lease(version: int, newest: int, *, holds_lease: bool) -> bool:
+    """Tell whether a box that uses ``version`` may have its lease renewed.
+
+    A box that is behind the newest configuration and holds no lease takes none before it has that.
+    The leader and the box go by this alike. Were a lease counted for such a box all the same, one
+    that comes back after a loss of power would hold up the acknowledgement of each change until it
+    has fetched the newest, and callers would be sent to it before it can serve.
+
+    >>> may_take_lease(4, 5, holds_lease=True), may_take_lease(4, 5, holds_lease=False)
+    (True, False)
+    """
+    return version >= newest or holds_lease
--- a/src/croftpulley/core/listed_counts.py
+++ b/src/croftpulley/core/listed_counts.py
@@ -8,6 +8,22 @@
 
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 
+import attrs
+
+
+@attrs.frozen
+class Load:
+    """Requests in flight and prompt tokens still to be read, by endpoint.
+
+    ``resting_s`` is for how long endpoints want nothing from the box, by their own words, and
+    ``unreached`` the pools of which it reaches no endpoint.
+    """
+
+    in_flight: dict[str, int] = attrs.field(factory=dict)
+    reading_tokens: dict[str, int] = attrs.field(factory=dict)
+    resting_s: dict[str, float] = attrs.field(factory=dict)
+    unreached: tuple[str, ...] = ()
+
 
 def in_order(counts: Mapping[str, int], keys: Iterable[str]) -> tuple[int, ...]:
     """Return the counts of ``keys`` in their order; what no key has is left out.
--- a/src/croftpulley/core/sessions.py
+++ b/src/croftpulley/core/sessions.py
@@ -11,26 +11,12 @@
 
 import attrs
 
-from croftpulley.core import leases, membership
+from croftpulley.core import leases, listed_counts, membership
 
 SILENT_AFTER_S = 1.0
 """Four renewals missed in a row, at the default interval."""
 
 
-@attrs.frozen
-class Load:
-    """Requests in flight and prompt tokens still to be read, by endpoint.
-
-    ``resting_s`` is for how long endpoints want nothing from the box, by their own words, and
-    ``unreached`` the pools of which it reaches no endpoint.
-    """
-
-    in_flight: dict[str, int] = attrs.field(factory=dict)
-    reading_tokens: dict[str, int] = attrs.field(factory=dict)
-    resting_s: dict[str, float] = attrs.field(factory=dict)
-    unreached: tuple[str, ...] = ()
-
-
 @attrs.frozen
 class Known:
     """What a box uses of what is agreed: the configuration and the evacuated halls.
@@ -55,7 +41,7 @@
     box: membership.Box
     known: Known
     heard_at_s: float
-    load: Load
+    load: listed_counts.Load
 
 
 class _Totals:
@@ -83,20 +69,6 @@
         return dict(self._counts)
 
 
-def may_take_lease(version: int, newest: int, *, holds_lease: bool) -> bool:
-    """Tell whether a box that uses ``version`` may have its lease renewed.
-
-    A box that is behind the newest configuration and holds no lease takes none before it has that.
-    The leader and the box go by this alike. Were a lease counted for such a box all the same, one
-    that comes back after a loss of power would hold up the acknowledgement of each change until it
-    has fetched the newest, and callers would be sent to it before it can serve.
-
-    >>> may_take_lease(4, 5, holds_lease=True), may_take_lease(4, 5, holds_lease=False)
-    (True, False)
-    """
-    return version >= newest or holds_lease
-
-
 @attrs.define
 class Sessions:
     """The sessions of all boxes with one leader."""
@@ -125,7 +97,7 @@
         self,
         box: membership.Box,
         known: Known,
-        load: Load,
+        load: listed_counts.Load,
         now_s: float,
     ) -> bool:
         """Grant or renew a box's lease; ``known`` is what it uses.
@@ -135,18 +107,18 @@
         self._assumed.discard(box.name)
         self._leases.renew(box.name, now_s)
         before = self._sessions.get(box.name)
-        self._count(before.load if before else Load(), load)
+        self._count(before.load if before else listed_counts.Load(), load)
         self._sessions[box.name] = _Session(box, known, now_s, load)
         return before is None or before.known != known
 
-    def _count(self, before: Load, after: Load) -> None:
+    def _count(self, before: listed_counts.Load, after: listed_counts.Load) -> None:
         self._in_flight.replace(before.in_flight, after.in_flight)
         self._reading_tokens.replace(before.reading_tokens, after.reading_tokens)
 
     def _drop(self, name: str) -> None:
         dropped = self._sessions.pop(name, None)
         if dropped is not None:
-            self._count(dropped.load, Load())
+            self._count(dropped.load, listed_counts.Load())
 
     def expire(self, now_s: float) -> list[str]:
         """Forget and return the boxes whose lease has ended."""
@@ -182,9 +154,9 @@
         """Tell whether a registered box has yet to renew with this leader: sums lack its part."""
         return bool(self._assumed)
 
-    def loads(self) -> Load:
+    def loads(self) -> listed_counts.Load:
         """Return what all boxes that have renewed have at each endpoint."""
-        return Load(self._in_flight.counts(), self._reading_tokens.counts())
+        return listed_counts.Load(self._in_flight.counts(), self._reading_tokens.counts())
 
     def unreached(self) -> dict[str, frozenset[str]]:
         """Return the boxes that reach no endpoint of a pool, by pools."""
--- a/src/croftpulley/core/suspect_rules.py
+++ b/src/croftpulley/core/suspect_rules.py
@@ -7,11 +7,8 @@
 
 import attrs
 
-from croftpulley.core import features
+from croftpulley.core import fingerprints, suspect_messages
 
-SUSPECTED_CRASHES = 2
-"""From here on a request runs at one endpoint at a time. With one, all that ran beside a request
-that ends endpoints would wait for a trial: up to 22 were seen in flight at an end."""
 MOST_TRIALS = 2
 """At once, one after the other. Users allow three sends after the third end, ever. The first trial
 is what brings the third end; that leaves the second, one after `REST_S`, and one for what was on
@@ -45,27 +42,6 @@
 """Ends that are kept by name for each request: enough to know one that several routers report."""
 
 
-@attrs.frozen
-class Crash:
-    """An endpoint, named by its life, ended while it had a request."""
-
-    fingerprint: str
-    """Of the request, or the name of a part of its prompt; so in all that follows."""
-    workspace: str
-    endpoint: str
-    pool: str = ""
-
-
-@attrs.frozen
-class Asker:
-    """On whose behalf a trial of a part is asked for; ``others`` are the other parts of the prompt
-    that need one.
-    """
-
-    workspace: str = ""
-    others: tuple[str, ...] = ()
-
-
 @attrs.frozen(kw_only=True)
 class Suspect:
     """One request, or part of prompts, under which endpoints ended.
@@ -96,7 +72,7 @@
     accused: tuple[str, ...] = ()
     pools: tuple[str, ...] = ()
 
-    def crashed(self, crash: Crash, at_wall_s: float) -> Suspect:
+    def crashed(self, crash: suspect_messages.Crash, at_wall_s: float) -> Suspect:
         """Return the suspect after one more end; one that is known of only adds whose it was."""
         accused, pools = self.accused, self.pools
         if self.is_part:
@@ -114,7 +90,9 @@
             pools=pools,
         )
 
-    def tried(self, trial: str, at_wall_s: float, limit_s: float, asker: Asker) -> Suspect:
+    def tried(
+        self, trial: str, at_wall_s: float, limit_s: float, asker: suspect_messages.Asker
+    ) -> Suspect:
         """Return the suspect with a trial that has just begun."""
         is_own = self.rests_until_wall_s > at_wall_s
         others = asker.others[:MOST_BESIDE]
@@ -143,12 +121,12 @@
     @property
     def is_part(self) -> bool:
         """Tell whether it is a part of prompts."""
-        return features.is_part(self.fingerprint)
+        return fingerprints.is_part(self.fingerprint)
 
     @property
     def is_suspect(self) -> bool:
         """Tell whether requests with it need a trial."""
-        return self.crashes >= SUSPECTED_CRASHES
+        return self.crashes >= suspect_messages.SUSPECTED_CRASHES
 
     @property
     def is_told(self) -> bool:
@@ -161,11 +139,11 @@
         is_spent = self.own_trials >= MOST_OWN_TRIALS or self.late_trials >= MOST_LATE_TRIALS
         return self.is_part and not is_spent
 
-    def has_own_trial(self, asker: Asker) -> bool:
+    def has_own_trial(self, asker: suspect_messages.Asker) -> bool:
         """Tell whether it may be tried for this asker even while it is refused."""
         if not self.may_be_tried_by_others:
             return False
-        return is_unaccused(asker, self.accused, self.beside)
+        return suspect_messages.is_unaccused(asker, self.accused, self.beside)
 
     @property
     def _is_late(self) -> bool:
@@ -185,7 +163,7 @@
         if self.trials > MOST_TRIALS:
             return last_s + KEPT_S
         if self.trials == MOST_TRIALS or self.trials + self.crashes >= MOST_ENDS_AND_TRIALS:
-            is_proven = self.crashes > SUSPECTED_CRASHES
+            is_proven = self.crashes > suspect_messages.SUSPECTED_CRASHES
             return last_s + (REST_S if is_proven else UNPROVEN_REST_S)
         return 0.0
 
@@ -205,17 +183,3 @@
     if name in names:
         return names
     return (*names, name)[-MOST_ACCUSED:]
-
-
-def is_unaccused(asker: Asker, accused: tuple[str, ...], beside: tuple[str, ...]) -> bool:
-    """Tell whether nothing speaks against an asker: it is another, or its request lacks a part that
-    was there each time and may be the one.
-
-    >>> is_unaccused(Asker("shop"), ("clinic",), ())
-    True
-    >>> is_unaccused(Asker("clinic", others=("part-a",)), ("clinic",), ("part-a",))
-    False
-    >>> is_unaccused(Asker("clinic", others=("part-a",)), ("clinic",), ("part-a", "part-b"))
-    True
-    """
-    return asker.workspace not in accused or any(each not in asker.others for each in beside)
--- a/src/croftpulley/core/suspects.py
+++ b/src/croftpulley/core/suspects.py
@@ -1,7 +1,7 @@
 """Requests and parts of prompts under which endpoints ended, as all control boxes agree on; pure.
 
 Every router reports which requests an endpoint had when it ended, and which parts their prompts
-share with others: the *features* (`core.features`) that may have ended it. One end says little:
+share with others: the *features* (`core.fingerprints`) that may have ended it. One end says little:
 what merely ran there is among them. So a feature that two endpoints ended under is a *suspect*:
 requests with it are tried at one endpoint at a time in the whole fleet, and get so few trials that
 whoever was only unlucky is served, and whoever ends endpoints is soon refused. A success clears it.
@@ -20,11 +20,10 @@
 from __future__ import annotations
 
 import collections
-import enum
 
 import attrs
 
-from croftpulley.core import bulletins, features, suspect_rules
+from croftpulley.core import bulletins, fingerprints, suspect_messages, suspect_rules
 
 MOST_SUSPECTS = 2048
 """Bounds memory (1.5 MB a control box, 0.4 MB a router, with three ends each) and what a router
@@ -33,62 +32,23 @@
 """Removals that are kept to be told; a router that lacks more is told all."""
 
 
-@attrs.frozen
-class TrialEnd:
-    """A trial is over, and no whole answer came; ``was_sent`` tells whether any byte left."""
-
-    fingerprint: str
-    trial: str
-    was_sent: bool = True
-
-
-@attrs.frozen(kw_only=True)
-class Report:
-    """What a router met: ends of endpoints, trials that are over, and requests answered whole."""
-
-    crashes: tuple[suspect_rules.Crash, ...] = ()
-    trial_ends: tuple[TrialEnd, ...] = ()
-    cleared: tuple[str, ...] = ()
-
-    @property
-    def is_empty(self) -> bool:
-        """Tell whether it says nothing."""
-        return not (self.crashes or self.trial_ends or self.cleared)
-
-
-class Verdict(enum.Enum):
-    """What becomes of a request that asks for a trial."""
-
-    FREE = "free"
-    """It is no suspect (any more)."""
-    GRANTED = "granted"
-    BUSY = "busy"
-    """It is being tried elsewhere."""
-    REFUSED = "refused"
-
-
-@attrs.frozen
-class TrialAnswer:
-    """The verdict on a trial; ``wait_s`` is when to ask again, where it was not granted."""
-
-    verdict: Verdict
-    crashes: int = 0
-    wait_s: float = 0.0
-
-
-_ANYBODY = suspect_rules.Asker()
+_ANYBODY = suspect_messages.Asker()
 
 
 @attrs.define
 class Suspects:
     """All suspects of the agreed state.
 
+    >>> from croftpulley.core import suspect_messages as messages
     >>> suspects = Suspects()
-    >>> for life in ("e1", "e2", "e3"):
-    ...     _ = suspects.report(Report(crashes=(suspect_rules.Crash("f", "clinic", life),)), 0.0)
-    >>> [suspects.begin_trial("f", trial, 5.0, 1.0).verdict.name for trial in ("t1", "t2", "t1")]
+    >>> def crash(life):
+    ...     crashes = (messages.Crash("f", "clinic", life),)
+    ...     _ = suspects.report(messages.Report(crashes=crashes), 2.0)
+    >>> crash("e1"), crash("e2"), crash("e3")
+    (None, None, None)
+    >>> [suspects.begin_trial("f", trial, 5.0, 2.0).verdict.name for trial in ("t1", "t2", "t1")]
     ['GRANTED', 'BUSY', 'GRANTED']
-    >>> _ = suspects.report(Report(crashes=(suspect_rules.Crash("f", "clinic", "e4"),)), 2.0)
+    >>> crash("e4")
     >>> suspects.begin_trial("f", "t3", 5.0, 9.0)
     TrialAnswer(verdict=<Verdict.REFUSED: 'refused'>, crashes=4, wait_s=3593.0)
     """
@@ -120,12 +80,14 @@
         """Return every suspect, and those under which one endpoint ended."""
         return tuple(self._by_fingerprint.values())
 
-    def known(self, fingerprints: tuple[str, ...]) -> tuple[str, ...]:
+    def known(self, names: tuple[str, ...]) -> tuple[str, ...]:
         """Leave out the parts against which nothing speaks; any thread may ask."""
         told = {each.suspect.fingerprint for each in self.bulletin.entries}
-        return tuple(each for each in fingerprints if each in told or not features.is_part(each))
+        return tuple(each for each in names if each in told or not fingerprints.is_part(each))
 
-    def report(self, report: Report, at_wall_s: float) -> tuple[suspect_rules.Suspect, ...]:
+    def report(
+        self, report: suspect_messages.Report, at_wall_s: float
+    ) -> tuple[suspect_rules.Suspect, ...]:
         """Take a router's report; return what it changed of those that routers are told of."""
         changed = {}
         for crash in report.crashes:
@@ -148,45 +110,57 @@
         trial: str,
         limit_s: float,
         at_wall_s: float,
-        asker: suspect_rules.Asker = _ANYBODY,
-    ) -> TrialAnswer:
+        asker: suspect_messages.Asker = _ANYBODY,
+    ) -> suspect_messages.TrialAnswer:
         """Grant a trial that lasts ``limit_s`` at most, if the request may be tried now.
 
         The same trial asked for again, since the answer was lost, is granted again.
         """
         answer = self.verdict(fingerprint, trial, at_wall_s, asker)
         known = self._by_fingerprint.get(fingerprint)
-        if answer.verdict is Verdict.GRANTED and known is not None and known.trial != trial:
+        if (
+            answer.verdict is suspect_messages.Verdict.GRANTED
+            and known is not None
+            and known.trial != trial
+        ):
             self._set(known.tried(trial, at_wall_s, limit_s, asker))
             self._publish()
         return answer
 
     def verdict(
-        self, fingerprint: str, trial: str, at_wall_s: float, asker: suspect_rules.Asker = _ANYBODY
-    ) -> TrialAnswer:
+        self,
+        fingerprint: str,
+        trial: str,
+        at_wall_s: float,
+        asker: suspect_messages.Asker = _ANYBODY,
+    ) -> suspect_messages.TrialAnswer:
         """Return what `begin_trial` would; changes nothing, and any thread may ask.
 
         It reads the bulletin: what is being changed lacks the entry for a moment.
         """
         known = self.bulletin.find(fingerprint)
         if known is None or not known.is_suspect:
-            return TrialAnswer(Verdict.FREE)
+            return suspect_messages.TrialAnswer(suspect_messages.Verdict.FREE)
         if known.trial == trial:
-            return TrialAnswer(Verdict.GRANTED, known.crashes)
+            return suspect_messages.TrialAnswer(suspect_messages.Verdict.GRANTED, known.crashes)
         if known.trial and at_wall_s < known.trial_until_wall_s:
-            return TrialAnswer(Verdict.BUSY, known.crashes, known.trial_until_wall_s - at_wall_s)
+            return suspect_messages.TrialAnswer(
+                suspect_messages.Verdict.BUSY, known.crashes, known.trial_until_wall_s - at_wall_s
+            )
         rests_s = known.rests_until_wall_s - at_wall_s
         if rests_s > 0 and not known.has_own_trial(asker):
-            return TrialAnswer(Verdict.REFUSED, known.crashes, rests_s)
-        return TrialAnswer(Verdict.GRANTED, known.crashes)
+            return suspect_messages.TrialAnswer(
+                suspect_messages.Verdict.REFUSED, known.crashes, rests_s
+            )
+        return suspect_messages.TrialAnswer(suspect_messages.Verdict.GRANTED, known.crashes)
 
-    def _get(self, crash: suspect_rules.Crash) -> suspect_rules.Suspect:
+    def _get(self, crash: suspect_messages.Crash) -> suspect_rules.Suspect:
         known = self._by_fingerprint.get(crash.fingerprint)
         return known or suspect_rules.Suspect(
             fingerprint=crash.fingerprint, workspace=crash.workspace
         )
 
-    def _end_trial(self, end: TrialEnd) -> None:
+    def _end_trial(self, end: suspect_messages.TrialEnd) -> None:
         known = self._by_fingerprint.get(end.fingerprint)
         if known is not None and known.trial == end.trial:
             self._set(known.trial_over(end.was_sent))
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -23,7 +23,6 @@
     suspicion,
     suspicion_reports,
     traffic,
-    trials,
     withdrawals,
 )
 from croftpulley.core import halls, membership, retry_budget, selection
@@ -337,7 +336,7 @@
 
     def _make_gate(self) -> suspects.Gate:
         settings = self._settings
-        asking = trials.Trials(
+        asking = suspicion_reports.Trials(
             self._suspicion, self._view, settings.renew_timeout_s, self._counters
         )
         return suspects.Gate(
--- a/src/croftpulley/forwarding/suspects.py
+++ b/src/croftpulley/forwarding/suspects.py
@@ -11,9 +11,8 @@
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.controllers import looks, suspicion, trials
-from croftpulley.core import attempts, doubts, features, membership, suspect_rules, verdicts
-from croftpulley.core import suspects as core
+from croftpulley.controllers import suspicion, suspicion_reports
+from croftpulley.core import attempts, doubts, fingerprints, membership, suspect_messages, verdicts
 from croftpulley.endpoints import dialing
 from croftpulley.forwarding import base
 from croftpulley.observe import events, metrics
@@ -35,7 +34,7 @@
     def __init__(
         self,
         known: suspicion.Suspicion,
-        trials: trials.Trials,
+        trials: suspicion_reports.Trials,
         connect_timeout_s: float,
         counters: metrics.Metrics,
         clock: clocks.Clock,
@@ -71,7 +70,9 @@
             tried = exchange.attempts.attempts[exchange.attempts_before_trial :]
             was_sent = any(each.phase is not attempts.Phase.UNSENT for each in tried)
             for feature in exchange.tried_features:
-                self._known.trial_ended(core.TrialEnd(feature, exchange.trial, was_sent))
+                self._known.trial_ended(
+                    suspect_messages.TrialEnd(feature, exchange.trial, was_sent)
+                )
             exchange.trial = ""
             exchange.tried_features = ()
 
@@ -111,18 +112,20 @@
         if not unclear:
             return
         crashes = self._known.standing(exchange.fingerprint).crashes
-        if crashes + len(unclear) < suspect_rules.SUSPECTED_CRASHES:
+        if crashes + len(unclear) < suspect_messages.SUSPECTED_CRASHES:
             return
         for endpoint in exchange.state.endpoints:
             if endpoint.key in unclear:
                 listed = exchange.state.endpoints
-                looks.look(self._known, endpoint, listed, self._connect_timeout_s, self._dialer)
+                suspicion_reports.look(
+                    self._known, endpoint, listed, self._connect_timeout_s, self._dialer
+                )
 
     def _begin_trials(
         self, exchange: base.Exchange, against: dict[str, suspicion.Standing]
     ) -> None:
         """Get a trial for each suspect of a request, or raise and give back those that it got."""
-        trial = trials.new_trial()
+        trial = suspicion_reports.new_trial()
         granted: list[str] = []
         try:
             for feature, standing in against.items():
@@ -131,7 +134,7 @@
                     granted.append(feature)
         except errors.CroftpulleyError:
             for feature in granted:
-                self._known.trial_ended(core.TrialEnd(feature, trial, was_sent=False))
+                self._known.trial_ended(suspect_messages.TrialEnd(feature, trial, was_sent=False))
             raise
         if not granted:
             return
@@ -148,23 +151,23 @@
         feature: str,
         trial: str,
         standing: suspicion.Standing,
-        asker: suspect_rules.Asker,
+        asker: suspect_messages.Asker,
     ) -> bool:
         """Tell whether a trial is granted, or none is needed any more; raises where it is not."""
         left_s = max(0.0, exchange.deadline_s - self._clock.monotonic_s())
         answer = self._trials.ask(feature, trial, left_s + _TRIAL_SLACK_S, asker)
         if answer is None:
             # It may have been granted all the same.
-            self._known.trial_ended(core.TrialEnd(feature, trial, was_sent=False))
+            self._known.trial_ended(suspect_messages.TrialEnd(feature, trial, was_sent=False))
             self._known.put_off(feature)
             raise self._put_off(feature, standing.crashes, _UNANSWERED_RETRY_S)
         match answer.verdict:
-            case core.Verdict.REFUSED:
+            case suspect_messages.Verdict.REFUSED:
                 raise self._refused(feature, answer.crashes, answer.wait_s)
-            case core.Verdict.BUSY:
+            case suspect_messages.Verdict.BUSY:
                 self._known.put_off(feature)
                 raise self._put_off(feature, answer.crashes, _BUSY_RETRY_S)
-        return answer.verdict is core.Verdict.GRANTED
+        return answer.verdict is suspect_messages.Verdict.GRANTED
 
     def _refused(self, feature: str, crashes: int, wait_s: float) -> errors.CroftpulleyError:
         self._counters.suspect("refused")
@@ -191,9 +194,9 @@
 
 def _asker(
     exchange: base.Exchange, feature: str, against: dict[str, suspicion.Standing]
-) -> suspect_rules.Asker:
-    others = (each for each in against if each != feature and features.is_part(each))
-    return suspect_rules.Asker(exchange.workspace_name, tuple(others))
+) -> suspect_messages.Asker:
+    others = (each for each in against if each != feature and fingerprints.is_part(each))
+    return suspect_messages.Asker(exchange.workspace_name, tuple(others))
 
 
 def _named(exchange: base.Exchange) -> doubts.Named:
@@ -221,6 +224,6 @@
 def _error(
     code: codes.ResultCode, feature: str, crashes: int, wait_s: float
 ) -> errors.CroftpulleyError:
-    kind = "the prompts' part" if features.is_part(feature) else "request"
+    kind = "the prompts' part" if fingerprints.is_part(feature) else "request"
     detail = f"{crashes} endpoints ended under {kind} {feature}"
     return errors.CroftpulleyError(code, detail, retry_after_s=round(wait_s, 1))
--- a/src/croftpulley/observe/explain.py
+++ b/src/croftpulley/observe/explain.py
@@ -11,7 +11,7 @@
 import attrs
 import orjson
 
-from croftpulley.core import features
+from croftpulley.core import fingerprints
 from croftpulley.observe import events
 
 _ENVELOPE = ("time", "level", "logger", "message", "box", "event", "event_name", "exc_info")
@@ -151,7 +151,7 @@
 
     def _accused(self) -> str:
         fields = self.last.fields
-        parts = [features.of_part(str(each)) for each in fields.get("parts", ())]
+        parts = [fingerprints.of_part(str(each)) for each in fields.get("parts", ())]
         named = [each for each in parts if each in str(fields.get("problem", "")).split()]
         return named[0] if named else str(fields.get("fingerprint", ""))
 
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -5,14 +5,12 @@
 import attrs
 
 from croftpulley.core import (
-    bulletins,
     halls,
     membership,
     origins,
     outcomes,
     places,
-    suspect_rules,
-    suspects,
+    suspect_messages,
 )
 
 RENEWALS_PATH = "/v1/boxes/renewals"
@@ -105,7 +103,7 @@
     notes: places.Notes = attrs.field(factory=dict)
     next_note: int = 0
     held_off: tuple[str, ...] = ()
-    suspects: bulletins.Change | None = None
+    suspects: suspect_messages.Change | None = None
     evacuated: halls.Evacuated | None = None
     cold: tuple[int, ...] = ()
     unreached: dict[str, int] = attrs.field(factory=dict)
@@ -118,7 +116,7 @@
 class SuspectReport:
     """What a router met of requests under which endpoints end; may be sent again."""
 
-    report: suspects.Report
+    report: suspect_messages.Report
 
 
 @attrs.frozen(kw_only=True)
@@ -132,18 +130,18 @@
 class TrialRequest:
     """Asks whether a suspect may be tried now; what this router has yet to report comes first."""
 
-    report: suspects.Report
+    report: suspect_messages.Report
     fingerprint: str
     trial: str
     limit_s: float
-    asker: suspect_rules.Asker = attrs.field(factory=suspect_rules.Asker)
+    asker: suspect_messages.Asker = attrs.field(factory=suspect_messages.Asker)
 
 
 @attrs.frozen(kw_only=True)
 class TrialRequestAnswer:
     """The answer to a request for a trial; ``None`` of a box that does not lead."""
 
-    answer: suspects.TrialAnswer | None = None
+    answer: suspect_messages.TrialAnswer | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/testing/controllers/test_reach.py
+++ b/testing/controllers/test_reach.py
@@ -6,7 +6,14 @@
 
 import cut_links
 from croftpulley import clock as clocks
-from croftpulley.controllers import actors, looks, reach, router_state, suspicion, traffic
+from croftpulley.controllers import (
+    actors,
+    reach,
+    router_state,
+    suspicion,
+    suspicion_reports,
+    traffic,
+)
 from croftpulley.core import attempts, doubts, membership, retry_budget, selection
 from croftpulley.core import reach as core
 from croftpulley.endpoints import dialing
@@ -135,9 +142,9 @@
     attempt = attempts.Attempt(1, "w1", attempts.Phase.SENT, in_doubt=True)
     suspected.end(listed[0], request, attempt, doubts.Ending.BROKE)
     links.cut = cut_links.Cut.REFUSED
-    looks.look(suspected, listed[0], listed, 0.1, links)
+    suspicion_reports.look(suspected, listed[0], listed, 0.1, links)
     assert suspected.standing("a-fingerprint").crashes == 0
     links.answers = {listed[5].address}
-    looks.look(suspected, listed[0], listed, 0.1, links)
+    suspicion_reports.look(suspected, listed[0], listed, 0.1, links)
     assert suspected.standing("a-fingerprint").crashes == 1
     links.stop()
--- a/testing/controllers/test_replica_sight.py
+++ b/testing/controllers/test_replica_sight.py
@@ -12,7 +12,7 @@
 from croftpulley import clock as clocks
 from croftpulley import errors
 from croftpulley.controllers import actors, proposals, replica, replica_standing
-from croftpulley.core import agreed, submissions, suspect_rules, suspects
+from croftpulley.core import agreed, submissions, suspect_messages
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import state as states
 from croftpulley.observe import events, metrics
@@ -167,16 +167,21 @@
     open_file, refuse = refuse_writes
     _, view, log = start(open_file=open_file)
     wait_until(lambda: leads(view), "it leads")
-    crashes = tuple(suspect_rules.Crash("f", "clinic", life) for life in ("e1", "e2"))
+    crashes = tuple(suspect_messages.Crash("f", "clinic", life) for life in ("e1", "e2"))
     for command in (
         agreed.GrantOwnership("engine", "box"),
-        agreed.ReportSuspects(suspects.Report(crashes=crashes), 0.0),
+        agreed.ReportSuspects(suspect_messages.Report(crashes=crashes), 0.0),
         agreed.BeginTrial("f", "t1", 5.0, 1.0),
         agreed.ReportSuspects(
-            suspects.Report(trial_ends=(suspects.TrialEnd("f", "t1", was_sent=False),)), 2.0
+            suspect_messages.Report(
+                trial_ends=(suspect_messages.TrialEnd("f", "t1", was_sent=False),)
+            ),
+            2.0,
         ),
         agreed.BeginTrial("f", "t2", 5.0, 3.0),
-        agreed.ReportSuspects(suspects.Report(trial_ends=(suspects.TrialEnd("f", "t2"),)), 4.0),
+        agreed.ReportSuspects(
+            suspect_messages.Report(trial_ends=(suspect_messages.TrialEnd("f", "t2"),)), 4.0
+        ),
     ):
         log.propose(command).get(timeout=5)
     refuse(1)
--- a/testing/controllers/test_suspect_register.py
+++ b/testing/controllers/test_suspect_register.py
@@ -9,13 +9,13 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, replica_standing, suspect_register, suspicion
-from croftpulley.core import agreed, suspect_rules, suspects
+from croftpulley.core import agreed, suspect_messages
 from croftpulley.core.replication import state as states
 from croftpulley.observe import metrics
 from croftpulley.transport import box_messages
 
 FAR_S = 1e9
-NOTHING = suspects.Report()
+NOTHING = suspect_messages.Report()
 LEADS = replica_standing.Standing(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
 NO_AUTHORITY = attrs.evolve(LEADS, authority_until_s=0.0)
 
@@ -58,8 +58,8 @@
 
 
 def report_of(*lives):
-    return suspects.Report(
-        crashes=tuple(suspect_rules.Crash("f", "clinic", life) for life in lives)
+    return suspect_messages.Report(
+        crashes=tuple(suspect_messages.Crash("f", "clinic", life) for life in lives)
     )
 
 
@@ -69,15 +69,15 @@
 
 
 def test_what_comes_with_a_request_for_a_trial_decides_on_it(register):
-    assert ask(register, "t1", report_of("e1")).verdict is suspects.Verdict.FREE
-    assert ask(register, "t1", report_of("e2")).verdict is suspects.Verdict.GRANTED
+    assert ask(register, "t1", report_of("e1")).verdict is suspect_messages.Verdict.FREE
+    assert ask(register, "t1", report_of("e2")).verdict is suspect_messages.Verdict.GRANTED
 
 
 def test_only_a_grant_goes_into_the_log(register, log):
     # Else whoever sends a suspect again and again would fill it.
     ask(register, "t1", report_of("e1", "e2"))
     before = len(log.proposed)
-    assert ask(register, "t2").verdict is suspects.Verdict.BUSY
+    assert ask(register, "t2").verdict is suspect_messages.Verdict.BUSY
     assert len(log.proposed) == before
 
 
@@ -107,7 +107,7 @@
 def test_what_waits_while_no_control_box_leads_is_bounded():
     known = suspicion.Suspicion(clocks.ManualClock(), metrics.Metrics())
     for number in range(suspicion.MOST_PENDING + 10):
-        known.trial_ended(suspects.TrialEnd("f", f"t{number}"))
+        known.trial_ended(suspect_messages.TrialEnd("f", f"t{number}"))
     waiting = known.news().trial_ends
     assert len(waiting) == suspicion.MOST_PENDING
     assert waiting[0].trial == "t10"
--- a/testing/controllers/test_traffic.py
+++ b/testing/controllers/test_traffic.py
@@ -8,11 +8,11 @@
 from croftpulley.controllers import router_state, traffic
 from croftpulley.core import (
     calls,
+    listed_counts,
     membership,
     records,
     retry_budget,
     selection,
-    sessions,
     window,
     withdrawal,
 )
@@ -34,7 +34,7 @@
     made.enter("worker-1")
     made.begin_reading(calls.CallFacts(request_id="r"), "worker-1", 0)
     made.leave("worker-1")
-    assert made.load() == sessions.Load()
+    assert made.load() == listed_counts.Load()
 
 
 def test_notes_that_reached_nobody_go_out_with_the_next_report(made):
@@ -58,7 +58,7 @@
     made.end_reading(before.key, 500)
     made.failed(before.key)
     made.learn_notes({before.key: ("p",)})
-    assert made.load() == sessions.Load()
+    assert made.load() == listed_counts.Load()
     assert made.take_notes() == {}
     assert made.take_outcomes() == {}
     assert made.held_tokens(asks("p")) == {}
--- a/testing/core/test_in_force.py
+++ b/testing/core/test_in_force.py
@@ -10,7 +10,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from croftpulley.core import halls, leases, membership, sessions
+from croftpulley.core import halls, leases, listed_counts, membership, sessions
 
 LEASE_S = 2.8
 MARGIN_S = 0.1
@@ -56,7 +56,7 @@
         known = sessions.Known(halls_revision=router.obeys.revision)
         if reaches:
             box = membership.Box(name, "h", "", "")
-            self.leader.renew(box, known, sessions.Load(), self.now_s)
+            self.leader.renew(box, known, listed_counts.Load(), self.now_s)
         told = self.evacuated
         self.settle()
         self.pass_time(took_s)
--- a/testing/daemons/test_crashing_parts.py
+++ b/testing/daemons/test_crashing_parts.py
@@ -21,7 +21,7 @@
 import site_of_routers as sites
 from conftest import wait_until
 from croftpulley.cli import ctl
-from croftpulley.core import features, suspect_rules
+from croftpulley.core import fingerprints, suspect_messages, suspect_rules
 from croftpulley.fakes import forwarded
 from croftpulley.platform import names
 
@@ -133,13 +133,13 @@
     return {
         name: each.told.crashes
         for name, each in router._suspicion._heard.items()
-        if each.told.crashes >= suspect_rules.SUSPECTED_CRASHES
+        if each.told.crashes >= suspect_messages.SUSPECTED_CRASHES
     }
 
 
 def refuse(site):
     """Have every router know that requests with the part are refused."""
-    name = features.of_part(DEAD)
+    name = fingerprints.of_part(DEAD)
     send_in_turn(site)
     for router in site.routers:
         wait_until(
@@ -150,7 +150,7 @@
 
 def test_no_more_of_them_reach_endpoints_than_it_takes_to_know(site):
     send_in_turn(site)
-    assert sends(site) == suspect_rules.SUSPECTED_CRASHES + suspect_rules.PROVING_TRIALS
+    assert sends(site) == suspect_messages.SUSPECTED_CRASHES + suspect_rules.PROVING_TRIALS
 
 
 def test_what_is_told_of_them_is_true_and_comes_at_once(site):
@@ -191,7 +191,7 @@
     assert answers[0].status == 200
     for router in site.routers:
         wait_until(
-            lambda router=router: features.of_part("ee") not in crash_standings(router),
+            lambda router=router: fingerprints.of_part("ee") not in crash_standings(router),
             "it is cleared",
         )
     assert {send(site, router, ("aa", "ee")).status for router in site.routers} == {200}
@@ -271,7 +271,7 @@
         command = ["--control", site.operators[leader(site)], "suspects", *arguments]
         return click_testing.CliRunner().invoke(ctl.ctl, command, catch_exceptions=False).output
 
-    name = features.of_part(DEAD)
+    name = fingerprints.of_part(DEAD)
     (row,) = [line for line in run("list").splitlines() if line.startswith(name)]
     assert "crashes 4  trials 2  refused until 2" in row
     assert run("clear", name) == f"cleared {name}\n"
--- a/testing/daemons/test_crashing_requests.py
+++ b/testing/daemons/test_crashing_requests.py
@@ -26,7 +26,7 @@
 from conftest import wait_until
 from croftpulley import errors
 from croftpulley.cli import ctl
-from croftpulley.core import suspect_rules
+from croftpulley.core import suspect_messages, suspect_rules
 from croftpulley.fakes import faults, forwarded
 from croftpulley.platform import names
 
@@ -233,7 +233,7 @@
 
 
 def test_an_operator_lists_what_is_refused_and_clears_it(site):
-    send_in_turn(site, rounds=suspect_rules.SUSPECTED_CRASHES)
+    send_in_turn(site, rounds=suspect_messages.SUSPECTED_CRASHES)
     for router in site.routers:
         wait_until(lambda router=router: suspected(router), "every router has heard of both ends")
     send_in_turn(site)
--- a/testing/storage/test_state_codec.py
+++ b/testing/storage/test_state_codec.py
@@ -3,10 +3,10 @@
 import pytest
 
 from croftpulley import codes
-from croftpulley.core import agreed, claims, membership, submissions, suspect_rules, suspects
+from croftpulley.core import agreed, claims, membership, submissions, suspect_messages
 from croftpulley.storage import state_codec
 
-CRASH = suspect_rules.Crash("f", "clinic", "e1")
+CRASH = suspect_messages.Crash("f", "clinic", "e1")
 BOX = membership.Box("box-1", "hall-a", "127.0.0.1:1", "127.0.0.1:2")
 
 
@@ -34,7 +34,7 @@
     state.apply(agreed.RegisterBox(BOX))
     state.apply(agreed.GrantOwnership("e", "box-1"))
     state.apply(agreed.ClaimCall("clinic", "k", "digest", "c-1", 12.5))
-    state.apply(agreed.ReportSuspects(suspects.Report(crashes=(CRASH,)), 1.0))
+    state.apply(agreed.ReportSuspects(suspect_messages.Report(crashes=(CRASH,)), 1.0))
     state_codec.restore("", state)
     assert state == agreed.AgreedState(submissions=register())
 
--- a/testing/test_clock.py
+++ b/testing/test_clock.py
@@ -17,7 +17,7 @@
 from croftpulley import cancel, codes
 from croftpulley import clock as clocks
 from croftpulley.controllers import replica_standing, streams, suspicion
-from croftpulley.core import bulletins, leases, retry_budget
+from croftpulley.core import leases, retry_budget, suspect_messages
 from croftpulley.observe import metrics
 
 SUSPENDED_S = 30.0
@@ -67,8 +67,8 @@
 
 def test_a_refusal_of_a_suspect_goes_on_running_in_a_suspension(suspend, clock):
     known = suspicion.Suspicion(clock, metrics.Metrics())
-    told = bulletins.Told("f", 3, refused_for_s=SUSPENDED_S)
-    known.learn(bulletins.Change(revision=1, suspects=(told,)))
+    told = suspect_messages.Told("f", 3, refused_for_s=SUSPENDED_S)
+    known.learn(suspect_messages.Change(revision=1, suspects=(told,)))
     assert known.standing("f").refused_for_s == pytest.approx(SUSPENDED_S)
     suspend()
     assert known.standing("f").refused_for_s == 0.0
