A connection that breaks off while its router stops no longer fails a request with 500

Cause: request threads tell controllers what they meet, and those end first: pykka.ActorDeadError out of suspicion.on_broke. Ruled out: stopping controllers last (their own threads need the links that close before). Open: proposals to the log of a control box that stops raise the same error.

--- a/src/croftpulley/controllers/actors.py
+++ b/src/croftpulley/controllers/actors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import threading
 from collections.abc import Callable
@@ -63,6 +64,11 @@
             )
             return failure
 
+    def tell_self(self, message: object) -> None:
+        """Queue a message from a thread that may outlive this controller a moment."""
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor_ref.tell(message)
+
     def handle(self, message: Any) -> Any:
         """Handle one message; subclasses match on its type."""
         raise NotImplementedError
--- a/src/croftpulley/controllers/endpoints.py
+++ b/src/croftpulley/controllers/endpoints.py
@@ -67,7 +67,7 @@
         self._client = client
         self._gate = engine_gate
         self._failing: set[str] = set()
-        engine_gate.on_gained = lambda: self.actor_ref.tell(_Gained())
+        engine_gate.on_gained = lambda: self.tell_self(_Gained())
 
     def handle(self, message: object) -> None:
         """Read every report once, or those that are waited for."""
--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import logging
 import random
 from collections.abc import Callable
@@ -244,11 +243,11 @@
         sent_s = self._clock.monotonic_s()
 
         def on_answer(body: bytes) -> None:
-            self._tell_self(_Answered(json_codec.decode(body, replica_codec.REPLY), sent_s))
+            self.tell_self(_Answered(json_codec.decode(body, replica_codec.REPLY), sent_s))
 
         def on_failure(failure: errors.CroftpulleyError) -> None:
             took_s = self._clock.monotonic_s() - sent_s
-            self._tell_self(_Unanswered(request.to, member.address, len(body), took_s, failure))
+            self.tell_self(_Unanswered(request.to, member.address, len(body), took_s, failure))
 
         body = json_codec.encode(request, replica_codec.REQUEST)
         job = senders.Job(REQUEST_PATH, body, on_answer, on_failure)
@@ -270,11 +269,6 @@
         if self._replica is not None:
             self._replica.failed(message.replica, self._clock.monotonic_s())
 
-    def _tell_self(self, message: object) -> None:
-        """Queue a message from a sender's thread, which may outlive this controller a moment."""
-        with contextlib.suppress(pykka.ActorDeadError):
-            self.actor_ref.tell(message)
-
     def _publish(self, replica: replicas.Replica) -> None:
         standing = replica_standing.publish(self._view, replica, self._clock.monotonic_s())
         if standing.role is not states.Role.LEADER:
--- a/src/croftpulley/controllers/stream_origins.py
+++ b/src/croftpulley/controllers/stream_origins.py
@@ -247,7 +247,7 @@
     def _ask_to_tell(self) -> None:
         if not self._is_asked:
             self._is_asked = True
-            self.actor_ref.tell(_Tell())
+            self.tell_self(_Tell())
 
     def handle(self, message: object) -> None:
         """Tell what is new; at a tick also what other boxes should know now."""
--- a/src/croftpulley/controllers/suspicion_reports.py
+++ b/src/croftpulley/controllers/suspicion_reports.py
@@ -102,8 +102,8 @@
 
     def on_start(self) -> None:
         """Have requests' threads tell what they meet."""
-        self._suspicion.on_broke = lambda endpoint: self.actor_ref.tell(_Look(endpoint))
-        self._suspicion.on_news = lambda: self.actor_ref.tell(_Report())
+        self._suspicion.on_broke = lambda endpoint: self.tell_self(_Look(endpoint))
+        self._suspicion.on_news = lambda: self.tell_self(_Report())
 
     def handle(self, message: object) -> None:
         """Look, or report."""
