An end that several boxes met counts once at each of them

Cause: a box that had reported an end of a part added it to what it had been told, though another box may have reported the same one: two ends of one, never corrected where the leader had nothing new to tell, and each request with the part asked for a trial that it did not need (refused for a second where nobody leads). Found by reading; the test fails without the change. Now it is kept only until the first word of the leader, with its pool, so that a survival clears it.

--- a/src/croftpulley/controllers/suspicion.py
+++ b/src/croftpulley/controllers/suspicion.py
@@ -280,12 +280,13 @@
                 self._cleared.pop(fingerprint, None)
 
     def _expect(self, crash: suspect_messages.Crash) -> None:
-        """Count an end against a part that is in the log now, until this box is told of it."""
+        """Keep an end against a part that is in the log now, until this box is told of it.
+
+        Other boxes may have told of the same end: what was told before stands.
+        """
         feature = crash.fingerprint
-        if fingerprints.is_part(feature):
-            told = self._heard.get(feature, _UNHEARD).told
-            told = attrs.evolve(told, fingerprint=feature, crashes=told.crashes + 1)
-            self._heard[feature] = attrs.evolve(self._heard.get(feature, _UNHEARD), told=told)
+        if fingerprints.is_part(feature) and feature not in self._heard:
+            self._heard[feature] = _Heard(suspect_messages.Told(feature, 1, pools=(crash.pool,)))
 
     def _survived(self, request: doubts.Named, now_s: float) -> bool:
         """Take it that a request was answered whole; tell whether that clears anything."""
--- a/testing/controllers/test_suspect_register.py
+++ b/testing/controllers/test_suspect_register.py
@@ -9,7 +9,7 @@
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, agreement, replica_standing, suspect_register, suspicion
-from croftpulley.core import agreed, suspect_messages
+from croftpulley.core import agreed, attempts, doubts, membership, suspect_messages
 from croftpulley.core.replication import state as states
 from croftpulley.observe import metrics
 from croftpulley.transport import box_messages
@@ -57,6 +57,21 @@
     return suspect_register.SuspectRegister(log, standing, clocks.ManualClock())
 
 
+def test_an_end_that_others_told_of_counts_once():
+    known = suspicion.Suspicion(clocks.ManualClock(), metrics.Metrics())
+    kind = membership.EndpointKind.ENGINE
+    endpoint = membership.Endpoint("e", kind, "llm", "127.0.0.1:9", "hall-a", "e")
+    request = doubts.Named("f", "clinic", ("part-a",), "llm")
+    attempt = attempts.Attempt(1, "e")
+    known.begin(endpoint, request, attempt)
+    known.end(endpoint, request, attempt, doubts.Ending.GIVEN_UP)
+    known.looked(endpoint, listens=False)
+    told = suspect_messages.Told("part-a", 1, pools=("llm",))
+    known.learn(suspect_messages.Change(revision=1, suspects=(told,)))
+    known.reported(known.news())
+    assert known.standing("part-a").crashes == 1
+
+
 def report_of(*lives):
     return suspect_messages.Report(
         crashes=tuple(suspect_messages.Crash("f", "clinic", life) for life in lives)
