Tests of parts wait until each end is known before they count on it

Traced: its set-up sent twelve requests to three routers in turn; a router that had not renewed yet passed a third one on without a trial, so five endpoints ended where the row named four. Allowed, and no fault. The set-up sends through one router until the refusal is long, and the test that counts four sends waits for each end to be known; the rows and the bounds are as they were.

--- a/testing/daemons/test_crashing_parts.py
+++ b/testing/daemons/test_crashing_parts.py
@@ -137,19 +137,30 @@
     }
 
 
-def refuse(site):
-    """Have every router know that requests with the part are refused."""
+def standings(site):
+    """Return what speaks against the part at each router."""
     name = fingerprints.of_part(DEAD)
-    send_in_turn(site)
-    for router in site.routers:
-        wait_until(
-            lambda router=router: router._suspicion.standing(name).refused_for_s > 0,
-            "it is refused",
-        )
+    return [router._suspicion.standing(name) for router in site.routers]
+
+
+def refuse(site):
+    """Have every router know that requests with the part are refused, for long."""
+
+    def is_refused():
+        send_in_turn(site, rounds=1)
+        return all(each.refused_for_s > suspect_rules.BLANK_RESTS_S[-1] for each in standings(site))
+
+    wait_until(is_refused, "it is refused")
 
 
 def test_no_more_of_them_reach_endpoints_than_it_takes_to_know(site):
-    send_in_turn(site)
+    for router in itertools.islice(itertools.cycle(site.routers), ROUNDS):
+        send(site, router)
+        replace(site)
+        wait_until(
+            lambda: all(each.crashes >= sends(site) for each in standings(site)),
+            "every router knows of each end",
+        )
     assert sends(site) == suspect_messages.SUSPECTED_CRASHES + suspect_rules.PROVING_TRIALS
 
 
