A request to a control box that stops is told NOT_LEADER where its log has ended

Failed so before (test_stopped_controllers.py, the last). NOT_LEADER and not run: the command was never queued.

--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -397,9 +397,13 @@
 
     def propose(self, command: agreed.Command) -> pykka.Future[agreed.Result]:
         """Queue the command; the future fails with NOT_LEADER where it cannot be committed."""
-        result: pykka.Future[agreed.Result] = pykka.ThreadingFuture()
-        self._controller.tell(proposals.Propose(command, result))
-        return result
+        proposal = proposals.Propose(command, pykka.ThreadingFuture())
+        try:
+            self._controller.tell(proposal)
+        except pykka.ActorDeadError:
+            # This box stops; its last requests end after its log.
+            proposal.fail(codes.RunState.NOT_RUN)
+        return proposal.result
 
     def read(self) -> agreed.AgreedState:
         """Return the state as applied here, which may be behind the leader's."""
--- a/testing/controllers/test_stopped_controllers.py
+++ b/testing/controllers/test_stopped_controllers.py
@@ -1,12 +1,13 @@
-"""What request threads meet while their router stops: its controllers end before they do."""
+"""What request threads meet while their box stops: its controllers end before they do."""
 
 from __future__ import annotations
 
 import pytest
 
 from croftpulley import clock as clocks
-from croftpulley.controllers import actors, router_state, suspicion, suspicion_reports
-from croftpulley.core import attempts, doubts, membership
+from croftpulley import codes, errors
+from croftpulley.controllers import actors, replica, router_state, suspicion, suspicion_reports
+from croftpulley.core import agreed, attempts, doubts, membership
 from croftpulley.observe import metrics
 
 ENDPOINT = membership.Endpoint(
@@ -43,3 +44,12 @@
     known.end(ENDPOINT, REQUEST, attempt, doubts.Ending.GIVEN_UP)
     known.looked(ENDPOINT, listens=False)
     assert {each.fingerprint for each in known.news().crashes} == {"f", "part-a"}
+
+
+def test_a_command_for_the_log_of_a_box_that_has_stopped_fails_and_has_not_counted():
+    stopped = actors.Controller.start()
+    stopped.stop()
+    log = replica.ReplicatedLog(stopped, agreed.AgreedState())
+    with pytest.raises(errors.CroftpulleyError, match="NOT_LEADER") as raised:
+        log.propose(agreed.ForgetBox("a")).get(timeout=1)
+    assert raised.value.run_state is codes.RunState.NOT_RUN
