--- a/testing/daemons/test_crashing_parts.py
+++ b/testing/daemons/test_crashing_parts.py
@@ -18,6 +18,7 @@
 import pytest
 from click import testing as click_testing
 
+import crashed_endpoints
 import site_of_routers as sites
 from conftest import wait_until
 from croftpulley.cli import ctl
@@ -61,24 +62,12 @@
     )
 
 
-def replace(site):
-    """Replace the endpoints that have ended, and wait until every router lists the new ones."""
-    site.replace_crashed()
-    wanted = {each.incarnation for each in (*site.engines, *site.workers)}
-    for router in site.routers:
-        wait_until(lambda router=router: listed(router) == wanted, "all endpoints are listed")
-
-
-def listed(router):
-    return {each.name for each in router._view.get().endpoints}
-
-
 def send_in_turn(site, rounds=ROUNDS, shared=MIDDLE, path="/stream/chat/x"):
     """Send such requests to one router after the other; return the answers."""
     answers = []
     for router in itertools.islice(itertools.cycle(site.routers), rounds):
         answers.append(send(site, router, shared, path))
-        replace(site)
+        crashed_endpoints.replace(site)
     return answers
 
 
@@ -87,12 +76,6 @@
     return sum(DEAD in arrival.parts for each in site.endpoints for arrival in each.arrivals)
 
 
-def leader(site):
-    """Return the number of the control box that leads."""
-    wait_until(lambda: any(box and box.leads() for box in site.control), "one leads")
-    return next(number for number, box in enumerate(site.control) if box and box.leads())
-
-
 @pytest.mark.parametrize("shared", PLACES.values(), ids=PLACES)
 @pytest.mark.parametrize("path", ["/stream/chat/x", "/stream/note/x", "/confirm/x", "/cancel/x"])
 def test_requests_with_a_part_that_ends_endpoints_are_not_sent_on_and_on(site, path, shared):
@@ -111,7 +94,7 @@
 
 def test_they_are_not_when_the_leader_ends_just_after_the_fifth(site):
     send_in_turn(site, rounds=ENDS_KNOWN)
-    site.stop_control(leader(site))
+    site.stop_control(crashed_endpoints.leader(site))
     send_in_turn(site)
     assert sends(site) <= ENDS_KNOWN + MOST_SENDS_AFTER
 
@@ -121,7 +104,7 @@
     for _ in range(ROUNDS):
         with futures.ThreadPoolExecutor(len(site.routers)) as pool:
             list(pool.map(lambda router: send(site, router), site.routers))
-        replace(site)
+        crashed_endpoints.replace(site)
         if most_sends <= ENDS_KNOWN:
             # What met the fifth end at the same moment could not know of it.
             most_sends = max(most_sends, sends(site))
@@ -156,7 +139,7 @@
 def test_no_more_of_them_reach_endpoints_than_it_takes_to_know(site):
     for router in itertools.islice(itertools.cycle(site.routers), ROUNDS):
         send(site, router)
-        replace(site)
+        crashed_endpoints.replace(site)
         wait_until(
             lambda: all(each.crashes >= sends(site) for each in standings(site)),
             "every router knows of each end",
@@ -180,7 +163,7 @@
     for router in itertools.islice(itertools.cycle(site.routers), 3 * ROUNDS):
         answers += [send(site, router, SOUND) for _ in range(2)]
         send(site, router)
-        replace(site)
+        crashed_endpoints.replace(site)
         answers += [send(site, router, shared) for shared in (("aa",), ("aa", "bb"))]
     statuses = [each.status for each in answers]
     assert statuses.count(200) >= 0.9 * len(statuses)
@@ -197,7 +180,7 @@
 def test_a_part_that_only_comes_beside_it_is_served_without_it(site):
     for router in itertools.islice(itertools.cycle(site.routers), ROUNDS):
         send(site, router, ("aa", DEAD, "ee"))
-        replace(site)
+        crashed_endpoints.replace(site)
     answers = [send(site, router, ("aa", "ee")) for router in site.routers]
     assert answers[0].status == 200
     for router in site.routers:
@@ -216,11 +199,11 @@
         if together:
             with futures.ThreadPoolExecutor(2) as pool:
                 list(pool.map(lambda shared, router=router: send(site, router, shared), prompts))
-            replace(site)
+            crashed_endpoints.replace(site)
             continue
         for shared in prompts:
             send(site, router, shared)
-            replace(site)
+            crashed_endpoints.replace(site)
     for shared in prompts:
         arrived = [
             arrival
@@ -244,7 +227,7 @@
         for each in site.engines:
             each.kill()
     assert {each.result().status for each in sent} == {502}
-    replace(site)
+    crashed_endpoints.replace(site)
     assert send(site, site.routers[0], ("aa", "rare")).status == 200
     for router in site.routers:
         wait_until(lambda router=router: not crash_standings(router), "it is cleared")
@@ -268,7 +251,7 @@
             request_id=f"part-{number}",
             headers={names.VOCABULARY.prompt_parts: f"theirs:400,own{number}:20"},
         )
-        replace(site)
+        crashed_endpoints.replace(site)
     assert send(site, site.routers[0], ("theirs",), key="b-key").status == 200
     for router in site.routers:
         wait_until(lambda router=router: not crash_standings(router), "it is cleared")
@@ -279,7 +262,12 @@
     refuse(site)
 
     def run(*arguments):
-        command = ["--control", site.operators[leader(site)], "suspects", *arguments]
+        command = [
+            "--control",
+            site.operators[crashed_endpoints.leader(site)],
+            "suspects",
+            *arguments,
+        ]
         return click_testing.CliRunner().invoke(ctl.ctl, command, catch_exceptions=False).output
 
     name = fingerprints.of_part(DEAD)
--- a/testing/daemons/test_crashing_requests.py
+++ b/testing/daemons/test_crashing_requests.py
@@ -22,6 +22,7 @@
 import pytest
 from click import testing as click_testing
 
+import crashed_endpoints
 import site_of_routers as sites
 from conftest import wait_until
 from croftpulley import errors
@@ -57,25 +58,12 @@
     )
 
 
-def replace(site):
-    """Replace the endpoints that have crashed, and wait until every router lists the new ones."""
-    site.replace_crashed()
-    wanted = {each.incarnation for each in (*site.engines, *site.workers)}
-    for router in site.routers:
-        wait_until(lambda router=router: listed(router) == wanted, "all endpoints are listed")
-
-
-def listed(router):
-    """Return the endpoints that a router knows."""
-    return {each.name for each in router._view.get().endpoints}
-
-
 def send_in_turn(site, rounds=ROUNDS, path="/confirm/x", body=CRASHING):
     """Send the same request to one router after the other; return the answers."""
     answers = []
     for router in itertools.islice(itertools.cycle(site.routers), rounds):
         answers.append(send(site, router, path, body))
-        replace(site)
+        crashed_endpoints.replace(site)
     return answers
 
 
@@ -90,12 +78,6 @@
     return sum(each.has_crashed for each in site.endpoints)
 
 
-def leader(site):
-    """Return the number of the control box that leads."""
-    wait_until(lambda: any(box and box.leads() for box in site.control), "one leads")
-    return next(number for number, box in enumerate(site.control) if box and box.leads())
-
-
 def runs_of(site, body):
     """Return the endpoints that began to run a request with this body."""
     return [each for each in site.endpoints for run in each.runs if run.body == body]
@@ -134,7 +116,7 @@
 
 def test_it_is_not_sent_on_when_the_leader_ends_just_after_the_third(site):
     send_in_turn(site, rounds=3)
-    site.stop_control(leader(site))
+    site.stop_control(crashed_endpoints.leader(site))
     send_in_turn(site)
     assert most_sends(site) <= CRASHES + MOST_SENDS_AFTER
 
@@ -146,7 +128,7 @@
         before = most_sends(site) if known else 0
         with futures.ThreadPoolExecutor(len(site.routers)) as pool:
             list(pool.map(lambda router: send(site, router), site.routers))
-        replace(site)
+        crashed_endpoints.replace(site)
         if known:
             later.append(most_sends(site) - before)
     assert crashes(site) >= CRASHES
@@ -164,7 +146,7 @@
         send(site, router, path)
         for each in site.workers:
             each.faults.clear()
-        replace(site)
+        crashed_endpoints.replace(site)
     assert crashes(site) <= CRASHES + MOST_SENDS_AFTER
 
 
@@ -173,7 +155,7 @@
     for router in itertools.islice(itertools.cycle(site.routers), ROUNDS):
         for body in bodies:
             send(site, router, body=body)
-            replace(site)
+            crashed_endpoints.replace(site)
     assert len(sends(site)) == len(bodies)
     assert most_sends(site) <= CRASHES + MOST_SENDS_AFTER
 
@@ -196,7 +178,7 @@
             (running,) = [each for each in runs_of(site, b"harmless") if not each.has_crashed]
             running.kill()
             assert answer.result().status == 502
-        replace(site)
+        crashed_endpoints.replace(site)
     for each in site.workers:
         each.pause_s = 0.0
     for router in site.routers:
@@ -239,7 +221,12 @@
     send_in_turn(site)
 
     def run(*arguments):
-        command = ["--control", site.operators[leader(site)], "suspects", *arguments]
+        command = [
+            "--control",
+            site.operators[crashed_endpoints.leader(site)],
+            "suspects",
+            *arguments,
+        ]
         return click_testing.CliRunner().invoke(ctl.ctl, command, catch_exceptions=False).output
 
     row = run("list")
@@ -267,7 +254,7 @@
         send(site, router)
         beside.getresponse().read()
         beside.close()
-        replace(site)
+        crashed_endpoints.replace(site)
     for router in site.routers:
         assert send(site, router, "/cancel/beside", b"harmless").status == 200
 
