--- a/review/kit/site_of_programs.py
+++ b/review/kit/site_of_programs.py
@@ -133,6 +133,10 @@
         self.record.write(f"signal {number.name} to {machine.name} {role}")
         self._processes[machine.name, role].send_signal(number)
 
+    def process(self, machine: Machine, role: str) -> subprocess.Popen[bytes]:
+        """Return the process of a role."""
+        return self._processes[machine.name, role]
+
     def stop(self) -> None:
         """End every process that was started."""
         for process in self._processes.values():
