A read that was cut or timed out is no longer an answer's end

Cause: the deadline's cancellation shuts the socket to the endpoint down. The standard library takes a read without data for the end of a body that only its connection delimits. The same holds for a read that reached the system's time limit, and for a head: one that breaks off counted as complete, and its answer as an empty success.

Ruled out: the endpoint (its record has the closed connection, at the timeout), the router's own server (cut answers with a length are told as 504).

Change: endpoints/reading.py between the library and the socket of every exchange: a read without data raises after a cancellation, after a time limit and within a head.

--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import http.client
 import select
 import socket
@@ -21,7 +22,7 @@
 
 from croftpulley import cancel, codes, errors
 from croftpulley.core import attempts
-from croftpulley.endpoints import dialing
+from croftpulley.endpoints import dialing, reading
 
 TRANSPORT_ERRORS = (
     OSError,
@@ -125,6 +126,9 @@
         self._connection = urllib3.connection.HTTPConnection(
             host, int(port), timeout=target.connect_timeout_s
         )
+        self._connection.response_class = functools.partial(  # type: ignore[assignment]
+            reading.Response, is_cancelled=lambda: token.reason is not None
+        )
         self._sock: socket.socket | None = None
         """The connection's socket; the library drops its reference while the response is read."""
         self.response: urllib3.HTTPResponse | None = None
--- a/src/croftpulley/fakes/faults.py
+++ b/src/croftpulley/fakes/faults.py
@@ -36,6 +36,11 @@
     WRONG_ID = "wrong_id"
     SURPLUS = "surplus"
     UNFRAMED = "unframed"
+    """Answer without a length: only the connection's end ends it."""
+    UNFRAMED_SLOWLY = "unframed_slowly"
+    """The same, piece by piece, with a pause before each."""
+    UNFRAMED_SILENT = "unframed_silent"
+    """Begin such an answer and then say nothing more."""
     ANSWER_EARLY = "answer_early"
 
 
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -30,6 +30,14 @@
 CRASH_AFTER_S = 0.005
 """How long such a request has run by then: what came at the same moment runs beside it."""
 PROOF = "a-proof"
+_PIECE_BYTES = 5
+"""Of an answer that is sent piece by piece."""
+_UNFRAMED = (
+    faults.Fault.UNFRAMED,
+    faults.Fault.UNFRAMED_SLOWLY,
+    faults.Fault.UNFRAMED_SILENT,
+)
+_SILENT_MID_STREAM = (faults.Fault.SILENT_MID_STREAM, faults.Fault.UNFRAMED_SILENT)
 
 
 @attrs.frozen
@@ -246,14 +254,25 @@
         body: bytes,
         fault: faults.Fault | None = None,
     ) -> None:
-        length = b"Content-Length: %d\r\n" % len(body)
-        if fault is faults.Fault.UNFRAMED:
-            length = b""
+        length = b"" if fault in _UNFRAMED else b"Content-Length: %d\r\n" % len(body)
         sent = body[:-3] if fault is faults.Fault.WRONG_LENGTH else body
         if fault is faults.Fault.SURPLUS:
             sent += b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
-        head = self._head(request, status, fault)
-        await connection.send(head + length + b"Connection: close\r\n\r\n" + sent)
+        head = self._head(request, status, fault) + length + b"Connection: close\r\n\r\n"
+        if fault is faults.Fault.UNFRAMED_SLOWLY:
+            await connection.send(head)
+            await self._send_slowly(connection, sent)
+            return
+        if fault is faults.Fault.UNFRAMED_SILENT:
+            await connection.send(head + sent[:_PIECE_BYTES])
+            await self._wait_for_caller(request, connection)
+            return
+        await connection.send(head + sent)
+
+    async def _send_slowly(self, connection: stub.StubConnection, body: bytes) -> None:
+        for start in range(0, len(body), _PIECE_BYTES):
+            await asyncio.sleep(self.pause_s)
+            await connection.send(body[start : start + _PIECE_BYTES])
 
     async def _stream(
         self,
@@ -262,9 +281,9 @@
         fault: faults.Fault | None,
     ) -> None:
         head = self._head(request, 200, fault)
-        await connection.send(
-            head + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-        )
+        is_framed = fault not in _UNFRAMED
+        framing = b"Transfer-Encoding: chunked\r\n" if is_framed else b"Connection: close\r\n"
+        await connection.send(head + b"Content-Type: text/event-stream\r\n" + framing + b"\r\n")
         first = int(request.headers.get(self.names.last_event_id, "0")) + 1
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(self.pause_s)
@@ -276,11 +295,12 @@
             if number == first + 1 and fault is faults.Fault.RESET_MID_STREAM:
                 connection.reset()
                 return
-            if number == first + 1 and fault is faults.Fault.SILENT_MID_STREAM:
+            if number == first + 1 and fault in _SILENT_MID_STREAM:
                 await self._wait_for_caller(request, connection)
                 return
-            await connection.send(_chunk(event))
-        await connection.send(b"0\r\n\r\n")
+            await connection.send(_chunk(event) if is_framed else event)
+        if is_framed:
+            await connection.send(b"0\r\n\r\n")
 
 
 def parts_of(request: stub.StubRequest, names: vocabulary.HeaderNames) -> tuple[str, ...]:
--- a/testing/endpoints/test_connection.py
+++ b/testing/endpoints/test_connection.py
@@ -1,8 +1,9 @@
-"""Whether data sent to an endpoint can still be delivered after the exchange has failed."""
+"""What becomes of sent data when an exchange fails, and which end of an answer proves it whole."""
 
 from __future__ import annotations
 
 import socket
+import threading
 
 import pytest
 
@@ -86,3 +87,89 @@
     taken, _ = listener.accept()
     with taken, pytest.raises(ConnectionResetError):
         read_to_the_end(taken)
+
+
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
+
+
+@pytest.fixture
+def answering(listener):
+    """Return a function that has the endpoint send bytes once, and then close or wait."""
+    kept = []
+
+    def answer(data, *, closes):
+        def serve():
+            sock, _ = listener.accept()
+            kept.append(sock)
+            sock.recv(4096)
+            sock.sendall(data)
+            if closes:
+                sock.shutdown(socket.SHUT_WR)
+
+        threading.Thread(target=serve, daemon=True).start()
+
+    yield answer
+    for each in kept:
+        each.close()
+
+
+def test_an_answer_without_a_length_is_whole_at_the_end_of_its_connection(listener, answering):
+    answering(UNFRAMED_HEAD + b"whole", closes=True)
+    exchange = exchange_with(listener)
+    exchange.begin(connection.HttpRequest("GET", "/x"))
+    assert exchange.read(100) == b"whole"
+    assert exchange.read(100) == b""
+    exchange.close()
+
+
+# An answer whose end is that of its connection was told as whole after a cancellation.
+def test_an_answer_without_a_length_is_not_whole_once_it_is_cancelled(listener, answering):
+    answering(UNFRAMED_HEAD + b"part", closes=False)
+    exchange = exchange_with(listener)
+    exchange.begin(connection.HttpRequest("GET", "/x"))
+    assert exchange.read(100) == b"part"
+    exchange._token.cancel(codes.ResultCode.DEADLINE_PASSED)
+    with pytest.raises(errors.CroftpulleyError, match="DEADLINE_PASSED"):
+        exchange.read(100)
+    assert exchange._attempt.phase is attempts.Phase.ANSWERING
+    exchange.close()
+
+
+# The same after the time limit of a read, which gives no data either.
+def test_an_answer_without_a_length_is_not_whole_once_nothing_comes(listener, answering):
+    answering(UNFRAMED_HEAD + b"part", closes=False)
+    exchange = exchange_with(listener)
+    exchange.begin(connection.HttpRequest("GET", "/x"))
+    assert exchange.read(100) == b"part"
+    with pytest.raises(errors.CroftpulleyError, match="WORKER_BROKE"):
+        exchange.read(100)
+    exchange.close()
+
+
+def test_a_body_read_in_one_call_is_not_whole_once_nothing_comes(listener, answering):
+    answering(UNFRAMED_HEAD + b"part", closes=False)
+    target = connection.Target(address_of(listener), 1.0, SILENCE_S)
+    with pytest.raises(errors.CroftpulleyError, match="WORKER_BROKE"):
+        connection.send_and_read(
+            target, connection.HttpRequest("GET", "/x"), connection.WORKER_FAILURES
+        )
+
+
+# A head that broke off was taken for a complete one, and its answer for an empty success.
+@pytest.mark.parametrize("closes", [True, False])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200",
+        b"HTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Proof: p\r\n",
+        b"HTTP/1.1 200 OK\r\nX-Proof: p\r\nContent-Le",
+        b"HTTP/1.1 100 Continue\r\n",
+    ],
+)
+def test_a_head_that_breaks_off_is_no_answer(listener, answering, head, closes):
+    answering(head, closes=closes)
+    exchange = exchange_with(listener)
+    with pytest.raises(errors.CroftpulleyError, match="WORKER_BROKE"):
+        exchange.begin(connection.HttpRequest("GET", "/x"))
+    exchange.close()
