A cut stream ends in a reset for callers of HTTP/1.0

What callers saw: of HTTP/1.0, a stream that was cut at the route's timeout ended as a whole one does, since only the connection's end ends it there and that was an orderly close. Cause: the server closes a connection whose answer broke off, whatever delimits the answer. Change: such a connection is set to be reset before it is closed. The options for that stand once, in sockets.py; connection.py and the stand-ins use them too.

--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -20,7 +20,7 @@
 import urllib3.exceptions
 import urllib3.util
 
-from croftpulley import cancel, codes, errors
+from croftpulley import cancel, codes, errors, sockets
 from croftpulley.core import attempts
 from croftpulley.endpoints import dialing, reading
 
@@ -33,10 +33,6 @@
 """Errors of a connection, including those for a malformed response."""
 
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""SO_LINGER with timeout 0: a close resets the connection and drops undelivered data."""
-_FLUSH_AFTER_CLOSE = struct.pack("ii", 0, 0)
-"""SO_LINGER off, the default: after a close the system still delivers pending data."""
 _BLOCK_SIZE_BYTES = 8192
 """A longer body is sent in blocks of this size, with a check for an early response between."""
 
@@ -164,7 +160,7 @@
             _enable_keepalive(self._connection.sock)
         # Without a response the request may be retried at another endpoint. After an ordinary close
         # the system would keep retransmitting it, and deliver it here too once a cut link is back.
-        _set_linger(self._connection.sock, _RESET_ON_CLOSE)
+        sockets.reset_on_close(self._connection.sock)
         # The library sets this timeout on the socket again before it reads.
         self._connection.timeout = None
         # Called twice: the process may be paused in between, and the bytes are sent after that.
@@ -174,7 +170,7 @@
         request.on_send()
         sock = self._connection.sock
         response = self._connection.getresponse()
-        _set_linger(sock, _FLUSH_AFTER_CLOSE)
+        sockets.flush_after_close(sock)
         self.response = response
         return response
 
@@ -270,10 +266,6 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, limit)
 
 
-def _set_linger(sock: socket.socket, option: bytes) -> None:
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
-
-
 def _set_ack_timeout(sock: socket.socket, timeout_s: float) -> None:
     """Make the connection fail if sent data is not acknowledged in time."""
     timeout_ms = max(1, int(timeout_s * 1000))
--- a/src/croftpulley/fakes/stub.py
+++ b/src/croftpulley/fakes/stub.py
@@ -8,15 +8,15 @@
 
 import abc
 import asyncio
-import struct
 import threading
 from typing import Any
 
 import attrs
 import orjson
 
+from croftpulley import sockets
+
 _HEADER_END = b"\r\n\r\n"
-_SO_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 @attrs.frozen
@@ -78,7 +78,7 @@
     def reset(self) -> None:
         """End the connection with a reset instead of an orderly close."""
         sock = self.writer.get_extra_info("socket")
-        sock.setsockopt(1, 13, _SO_LINGER_RESET)
+        sockets.reset_on_close(sock)
         self.writer.transport.abort()
 
 
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -15,7 +15,7 @@
 import waitress.trigger
 import waitress.wasyncore
 
-from croftpulley import codes, errors
+from croftpulley import codes, errors, sockets
 from croftpulley.http import dispatcher, wsgi
 from croftpulley.observe import events
 from croftpulley.settings import fleet, schema
@@ -72,7 +72,18 @@
 
 
 class _Task(waitress.task.WSGITask):
-    """Keeps the connection after an answer of unknown length, and ends it in a planned stop."""
+    """Keeps the connection after an answer of unknown length, and ends it in a planned stop.
+
+    An answer that breaks off although only the connection's end would end it ends with a reset.
+    """
+
+    def execute(self) -> None:
+        try:
+            super().execute()
+        except BaseException:
+            if self.wrote_header and not self.chunked_response and self.content_length is None:
+                _reset_on_close(self.channel.socket)
+            raise
 
     def build_response_header(self) -> bytes:
         server: Any = self.channel.server
@@ -86,6 +97,16 @@
             super().set_close_on_finish()
 
 
+def _reset_on_close(sock: socket.socket | None) -> None:
+    if sock is None:
+        return
+    try:
+        sockets.reset_on_close(sock)
+    except OSError:
+        # The caller's connection is closed already.
+        return
+
+
 class _Channel(waitress.channel.HTTPChannel):
     """A connection that knows by the steady clock when it was last used."""
 
--- a/testing/forwarding/test_cut_answers.py
+++ b/testing/forwarding/test_cut_answers.py
@@ -34,6 +34,11 @@
     return make
 
 
+def read_to_the_end(sock):
+    while sock.recv(65_536):
+        pass
+
+
 # The router's own cut at the timeout was read as the answer's end, and a part told as a success.
 @pytest.mark.parametrize("path", PLAIN_PATHS)
 def test_a_plain_answer_cut_at_the_timeout_is_told_as_a_failure(make_slow_site, path):
@@ -69,3 +74,17 @@
     site.engines[0].faults.add(Fault.UNFRAMED_SILENT)
     answer = site.ask("POST", path, body=b"")
     assert (answer.status, answer.whole) == (200, False)
+
+
+# To a caller of HTTP/1.0 only the connection's end ends a stream, so a cut must be a reset.
+def test_a_stream_cut_at_the_timeout_is_reset_for_a_caller_of_http_1_0(make_slow_site):
+    site = make_slow_site()
+    site.engines[0].pause_s = PIECE_PAUSE_S
+    site.engines[0].faults.add(Fault.UNFRAMED)
+    head = "".join(f"{name}: {value}\r\n" for name, value in site.headers("r-1").items())
+    link = site.connect()
+    link.connect()
+    link.sock.sendall(f"POST /stream/chat/x HTTP/1.0\r\n{head}\r\n".encode())
+    with pytest.raises(ConnectionResetError):
+        read_to_the_end(link.sock)
+    link.close()
