Sockets of responses in one module, the platform's shared interface beside its list

Change: endpoints/sockets.py holds both, and platform/instances.py what stood in a module of its own; no code changed.

--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -20,9 +20,9 @@
 import urllib3.exceptions
 import urllib3.util
 
-from croftpulley import cancel, codes, errors, sockets
+from croftpulley import cancel, codes, errors
 from croftpulley.core import attempts
-from croftpulley.endpoints import dialing, reading
+from croftpulley.endpoints import dialing, sockets
 
 TRANSPORT_ERRORS = (
     OSError,
@@ -123,7 +123,7 @@
             host, int(port), timeout=target.connect_timeout_s
         )
         self._connection.response_class = functools.partial(  # type: ignore[assignment]
-            reading.Response, is_cancelled=lambda: token.reason is not None
+            sockets.Response, is_cancelled=lambda: token.reason is not None
         )
         self._sock: socket.socket | None = None
         """The connection's socket; the library drops its reference while the response is read."""
--- a/src/croftpulley/endpoints/reading.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -1,5 +1,6 @@
-"""Reading a response from a connection; a read that broke off is never taken for its end.
+"""What a socket's reads prove about a response, and how a connection ends once it is closed.
 
+A read that broke off is never taken for the end of a response.
 The standard library takes a read without data for the end of the head, and of a body that only the
 connection's end delimits. A read has no data as well after a time-out of the system's, and after
 this process has shut the connection down itself.
@@ -10,9 +11,15 @@
 import http.client
 import io
 import socket
+import struct
 from collections.abc import Callable
 from typing import Any
 
+_RESET = struct.pack("ii", 1, 0)
+"""SO_LINGER with timeout 0."""
+_FLUSH = struct.pack("ii", 0, 0)
+"""SO_LINGER off, the default."""
+
 
 class ResponseBytes(io.RawIOBase):
     """The bytes that a peer sends; raises `OSError` where their end proves nothing.
@@ -71,3 +78,13 @@
         """Read the head; raises `OSError` or `http.client.HTTPException`."""
         super().begin()
         self._received.complete_head()
+
+
+def reset_on_close(sock: socket.socket) -> None:
+    """Have a close reset the connection and drop undelivered data; raises `OSError`."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+
+
+def flush_after_close(sock: socket.socket) -> None:
+    """Have the system deliver pending data after a close; raises `OSError`."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _FLUSH)
--- a/src/croftpulley/fakes/stub.py
+++ b/src/croftpulley/fakes/stub.py
@@ -14,7 +14,7 @@
 import attrs
 import orjson
 
-from croftpulley import sockets
+from croftpulley.endpoints import sockets
 
 _HEADER_END = b"\r\n\r\n"
 
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -15,7 +15,8 @@
 import waitress.trigger
 import waitress.wasyncore
 
-from croftpulley import codes, errors, sockets
+from croftpulley import codes, errors
+from croftpulley.endpoints import sockets
 from croftpulley.http import dispatcher, wsgi
 from croftpulley.observe import events
 from croftpulley.settings import fleet, schema
--- a/src/croftpulley/platform/callers.py
+++ b/src/croftpulley/platform/callers.py
@@ -11,13 +11,13 @@
 from croftpulley.forwarding import vocabulary
 from croftpulley.http import wsgi
 from croftpulley.interfaces import callers
-from croftpulley.platform import interface, names
+from croftpulley.platform import instances, names
 
 _MOST_ADDRESSES = 64
 """Callers look at no more addresses of one answer."""
 
 
-class PlatformCallers(interface.PlatformInterface, callers.CallerInterface):
+class PlatformCallers(instances.PlatformInterface, callers.CallerInterface):
     """The platform's interface for callers."""
 
     @property
--- a/src/croftpulley/platform/instances.py
+++ b/src/croftpulley/platform/instances.py
@@ -1,4 +1,4 @@
-"""The platform's list of endpoints, page by page."""
+"""The platform's list of endpoints, page by page, and what both programs share of it."""
 
 from __future__ import annotations
 
@@ -14,7 +14,9 @@
 from croftpulley import codes, errors
 from croftpulley.core import membership
 from croftpulley.endpoints import connection, lists
-from croftpulley.platform import entries, names
+from croftpulley.interfaces import base
+from croftpulley.platform import documents, entries, names
+from croftpulley.settings import formats
 
 _PATH = "/instances"
 _TIMEOUT_S = 0.8
@@ -212,3 +214,16 @@
 
 def _broken(problem: str) -> errors.CroftpulleyError:
     return errors.CroftpulleyError(codes.ResultCode.ENGINE_BROKE, problem)
+
+
+class PlatformInterface(base.Interface):
+    """The platform's form of a configuration, and its list of endpoints."""
+
+    @property
+    def documents(self) -> formats.DocumentFormat:
+        """The platform's form of a configuration."""
+        return documents.PlatformDocuments()
+
+    def endpoint_list(self, address: str) -> lists.PlatformList:
+        """Make the reader of ``GET /instances``."""
+        return InstanceList(address)
--- a/src/croftpulley/platform/operators.py
+++ b/src/croftpulley/platform/operators.py
@@ -8,7 +8,7 @@
 from croftpulley.http import wsgi
 from croftpulley.interfaces import callers, operators
 from croftpulley.platform import caches as platform_caches
-from croftpulley.platform import documents, interface
+from croftpulley.platform import documents, instances
 
 _SUBMIT_PATH = "/Configuration.Replace"
 _READ_PATH = "/Configuration.Read"
@@ -16,7 +16,7 @@
 _RETURN_PATH = "/Evacuation.Finish/"
 
 
-class PlatformOperators(interface.PlatformInterface, operators.OperatorInterface):
+class PlatformOperators(instances.PlatformInterface, operators.OperatorInterface):
     """The platform's interface for operators."""
 
     def cache_reader(self) -> caches.CacheReader:
