The main thread is woken by a signal that another thread receives

Cause: the main thread waits on a lock without a limit. The system hands a signal to any thread; Python notes it there, runs the handler in the main thread alone, and nothing wakes that.

Evidence: 60 processes whose main thread waits so while threads are started: 8 not noticed; Python had noted the signal in 8 of 8, and a second signal to the main thread had it handled in 8 of 8.

Change: StopSignal waits for the bytes that Python writes for each signal it notes.

--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -89,9 +89,9 @@
     daemon: entry_box.EntryBox, watch: settings_watch.SettingsWatch[Any]
 ) -> NoReturn:
     """Serve until SIGTERM, then drain; the exit code tells whether every stream ended."""
-    stopped = signals.stop_signal(watch.signalled)
+    stop = signals.StopSignal(watch.signalled)
     watch.begin(daemon.use_settings)
-    sys.exit(daemon.run(stopped))
+    sys.exit(daemon.run(stop))
 
 
 def _run_control_box(
@@ -99,8 +99,8 @@
     watch: settings_watch.SettingsWatch[Any],
 ) -> None:
     """Serve until SIGTERM."""
-    stopped = signals.stop_signal(watch.signalled)
+    stop = signals.StopSignal(watch.signalled)
     watch.begin(daemon.use_settings)
     daemon.start()
-    stopped.wait()
+    stop.wait()
     daemon.stop()
--- a/src/croftpulley/cli/fakes.py
+++ b/src/croftpulley/cli/fakes.py
@@ -24,7 +24,7 @@
     Example: croftpulley fake engine --settings engine-1.jsonc
     """
     stand_in = _KINDS[kind](loader.load(path, schema.FakeSettings))  # type: ignore[arg-type]
-    stopped = signals.stop_signal()
+    stop = signals.StopSignal()
     stand_in.start()
-    stopped.wait()
+    stop.wait()
     stand_in.stop()
--- a/src/croftpulley/daemons/entry_box.py
+++ b/src/croftpulley/daemons/entry_box.py
@@ -4,10 +4,10 @@
 
 import abc
 import logging
-import threading
 from typing import Any
 
 from croftpulley.controllers import streams
+from croftpulley.daemons import signals
 from croftpulley.observe import events
 
 _LOG = logging.getLogger(__name__)
@@ -32,10 +32,10 @@
     def stop(self) -> None:
         """Stop at once; `drain` comes first in a planned stop."""
 
-    def run(self, stopped: threading.Event) -> int:
-        """Serve until ``stopped`` is set, then drain; return 0 if every stream ended, else 1."""
+    def run(self, stop: signals.StopSignal) -> int:
+        """Serve until the stop begins, then drain; return 0 if every stream ended, else 1."""
         self.start()
-        stopped.wait()
+        stop.wait()
         ended = self.drain()
         self.stop()
         return 0 if ended else 1
--- a/testing/test_lifecycle.py
+++ b/testing/test_lifecycle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import ctypes
 import json
 import os
 import pathlib
@@ -110,6 +111,15 @@
     raise LookupError(address)
 
 
+# Handed to another thread, a SIGTERM was not noticed, and the box served on until it was killed.
+def test_a_planned_stop_that_reaches_another_thread_is_noticed(entry_process):
+    fleet, process, address = entry_process
+    wait_until(lambda: address in named(fleet), "the process is named")
+    threads = {int(each) for each in os.listdir(f"/proc/{process.pid}/task")} - {process.pid}
+    assert ctypes.CDLL(None).tgkill(process.pid, max(threads), int(signal.SIGTERM)) == 0
+    assert process.wait(PROCESS_LIMIT_S) == 0
+
+
 @pytest.mark.parametrize("way", ["direct", "forwarded"])
 def test_a_planned_stop_cuts_off_nothing_and_exits_with_0(entry_process, way):
     fleet, process, address = entry_process
