--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,7 @@
 
 # Visits more states than the test suite does; takes minutes.
 check-model: $(STAMP)
-	CROFTPULLEY_MODEL_TERMS=2 CROFTPULLEY_MODEL_RESTARTS=2 $(BIN)/python -m pytest -s testing/model
+	CROFTPULLEY_MODEL_TERMS=2 CROFTPULLEY_MODEL_RESTARTS=2 CROFTPULLEY_MODEL_CHANGE_TERMS=3 $(BIN)/python -m pytest -s testing/model
 
 # Real programs under troubles from outside; fifty seeds take about half an hour. SEEDS=7 or 1-50.
 SEEDS ?= 1-50
