A compaction that failed ends a leader's authority until its log is loaded again

Cause: _carry_out publishes the status of the replica that it began with, after _compact has published its end. Evidence: the new test records what is published between the failure and the reload: follower, then leader before the change; follower alone after it.

--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -227,7 +227,9 @@
         for request in effects.sends:
             self._send(replica, request)
         self._apply(replica)
-        self._publish(replica)
+        if self._replica is replica:
+            # Else the disk failed in a compaction, and the status of that is published.
+            self._publish(replica)
 
     def _write(self, replica: replicas.Replica, effects: states.Effects) -> None:
         installed = replica.take_installed()
--- a/testing/controllers/test_replica_sight.py
+++ b/testing/controllers/test_replica_sight.py
@@ -214,3 +214,33 @@
     with pytest.raises(errors.CroftpulleyError, match="NOT_LEADER"):
         log.propose(replicated_state.ForgetBox("nobody")).get(timeout=5)
     assert authority_at_failure == [False]
+
+
+# A status from before the failure was published again: the box seemed to lead until the reload.
+def test_a_failed_compaction_ends_the_authority_until_the_log_is_loaded_again(start, monkeypatch):
+    _, view, log = start()
+    wait_until(lambda: has_authority(view), "the replica leads")
+    happened = []
+    publish = view.publish
+    load = replica.ReplicaController._load
+
+    def watched_publish(status):
+        happened.append(status.role)
+        publish(status)
+
+    def watched_load(controller):
+        happened.append("loaded")
+        load(controller)
+
+    def fail(_store, _stored):
+        happened.append("failed")
+        raise OSError(errno.ENOSPC, "no space left on device")
+
+    monkeypatch.setattr(view, "publish", watched_publish)
+    monkeypatch.setattr(replica.ReplicaController, "_load", watched_load)
+    monkeypatch.setattr(replica_store.ReplicaStore, "needs_rewrite", lambda _store, _bytes: True)
+    monkeypatch.setattr(replica_store.ReplicaStore, "rewrite", fail)
+    log.propose(replicated_state.ForgetBox("nobody"))
+    wait_until(lambda: "loaded" in happened, "the log is loaded again")
+    since_failure = happened[happened.index("failed") + 1 : happened.index("loaded")]
+    assert since_failure == [states.Role.FOLLOWER]
