A log's records are synced when they are read back

Cause: open_log took what it read for durable. Evidence: the two new tests fail before: no sync on opening, and a disk that fails it is not noticed. Change: one sync when a log with records is opened, and no log if that fails. Not covered: a system that drops unsynced pages after a sync that failed, and reports the next one as done.

--- a/src/croftpulley/storage/record_log.py
+++ b/src/croftpulley/storage/record_log.py
@@ -75,16 +75,26 @@
 ) -> tuple[RecordLog, Replay]:
     """Open or create the log at ``path``, read its records and truncate an incomplete end.
 
+    The records are on the disk when this returns, also if an earlier process wrote them and ended
+    before its sync.
+
     ``single_record_appends`` says that each append wrote one record, so that only the last record
     can be incomplete: whatever is left of it is truncated, even if its first bytes are missing.
 
-    Raises `errors.CroftpulleyError` (LOG_CORRUPT) for corruption other than an incomplete end.
+    Raises `OSError`, and `errors.CroftpulleyError` (LOG_CORRUPT) for corruption other than an
+    incomplete end.
     """
     data = path.read_bytes() if path.exists() else b""
     payloads, valid_bytes = _read(path, data, single_record_appends)
     file = open_file(path)
-    if valid_bytes < len(data):
-        file.truncate(valid_bytes)
+    try:
+        if valid_bytes < len(data):
+            file.truncate(valid_bytes)
+        elif data:
+            file.sync()
+    except OSError:
+        file.close()
+        raise
     return RecordLog(file, valid_bytes), Replay(tuple(payloads), len(data) - valid_bytes)
 
 
--- a/testing/storage/test_record_log.py
+++ b/testing/storage/test_record_log.py
@@ -49,6 +49,32 @@
     assert read(path).payloads == (ONE, TWO, THREE)
 
 
+# What a process wrote and did not sync was taken for durable by the next one, and acknowledged.
+def test_what_is_read_back_is_synced_before_it_counts(path):
+    happened = []
+
+    class WatchedFile(files.DiskFile):
+        def sync(self):
+            happened.append("synced")
+            super().sync()
+
+    write(path, ONE)
+    log, replay = record_log.open_log(path, WatchedFile)
+    log.close()
+    assert replay.payloads == (ONE,)
+    assert happened == ["synced"]
+
+
+def test_a_log_that_cannot_be_synced_is_not_opened(path):
+    class FailingFile(files.DiskFile):
+        def sync(self):
+            raise OSError(errno.EIO, "input/output error")
+
+    write(path, ONE)
+    with pytest.raises(OSError, match="input/output error"):
+        record_log.open_log(path, FailingFile)
+
+
 def test_an_incomplete_last_record_of_any_length_is_truncated(path):
     write(path, ONE, TWO)
     content = path.read_bytes()
