--- /dev/null
+++ b/testing/soak/endless.py
@@ -0,0 +1,43 @@
+"""Endpoints that send bytes without end, or fall silent in the middle of an answer."""
+
+from __future__ import annotations
+
+import random
+
+from croftpulley.fakes import faults
+from soak import fleet, storms, troubles
+
+_GAP_S = 0.8
+"""Mean time between two endpoints that begin."""
+_LONGEST_S = 1.5
+_FRAMED = (
+    faults.Fault.ENDLESS_INTERIM_HEADS,
+    faults.Fault.ENDLESS_HEADERS,
+    faults.Fault.ENDLESS_CHUNKS,
+    faults.Fault.ENDLESS_TRAILERS,
+)
+_UNFRAMED = (
+    faults.Fault.ENDLESS_BODY,
+    faults.Fault.ENDLESS_LINES,
+    faults.Fault.UNFRAMED,
+    faults.Fault.UNFRAMED_SLOWLY,
+    faults.Fault.UNFRAMED_SILENT,
+)
+"""Only where no endpoint ends: whether it has answered then, nothing on the wire tells."""
+_MOST_IN_A_ROW = 6
+
+
+def drawn(seed: int, site: fleet.Fleet, seconds_s: float) -> list[troubles.Timed]:
+    """Return what goes wrong: one endpoint or several, each for a few requests."""
+    chance = random.Random(f"{seed} endless")
+    kinds = _FRAMED if seed % 2 else (*_FRAMED, *_UNFRAMED)
+    found = []
+    at_s = chance.expovariate(1 / _GAP_S)
+    while at_s < seconds_s:
+        served = 2 * fleet.ENDPOINTS
+        picks = tuple(chance.sample(range(served), chance.randint(1, served)))
+        queue = tuple(chance.choices(kinds, k=chance.randint(1, _MOST_IN_A_ROW)))
+        for_s = chance.uniform(troubles.RESTART_S, _LONGEST_S)
+        found.append(troubles.Timed(at_s, for_s, storms.Failing(site, picks, queue)))
+        at_s += chance.expovariate(1 / _GAP_S)
+    return found
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -23,6 +23,7 @@
     callers,
     crashing,
     cuts,
+    endless,
     fleet,
     parts,
     places,
@@ -77,6 +78,9 @@
     VERSIONS = "versions"
     """Engines are rolled to other versions and back while callers break streams off and take them
     up at other routers, and routers and leaders are killed; every other seed has all else too."""
+    ENDLESS = "endless"
+    """Endpoints send bytes without end, or fall silent within an answer without a length, while
+    routers and leaders are killed; every other seed has all else too."""
 
 
 @attrs.frozen
@@ -233,7 +237,9 @@
     if kind is Kind.VERSIONS:
         drawn += versions.rolls(seed, site, seconds_s)
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
-    if kind is Kind.PARTS:
+    if kind is Kind.ENDLESS:
+        drawn += endless.drawn(seed, site, seconds_s)
+    if kind in (Kind.PARTS, Kind.ENDLESS):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
     if kind in (Kind.CRASHES, Kind.PLACES, Kind.ROOM):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -43,6 +43,9 @@
 VERSIONS = {2: 12.0}
 """Engines are rolled to other versions while streams are taken up, and routers are killed."""
 
+ENDLESS = {2: 10.0}
+"""Endpoints that send bytes without end, while routers and leaders are killed."""
+
 RESTS = {4: 10.0}
 """Endpoints that ask for rest and say that they leave, while routers and leaders are killed."""
 
@@ -95,3 +98,8 @@
 @pytest.mark.parametrize("seed", ROOM)
 def test_routers_together_send_no_more_than_there_is_room_for(seed, tmp_path):
     assert run.run_seed(seed, ROOM[seed], tmp_path, run.Kind.ROOM).broken == []
+
+
+@pytest.mark.parametrize("seed", ENDLESS)
+def test_bytes_without_end_break_no_promise(seed, tmp_path):
+    assert run.run_seed(seed, ENDLESS[seed], tmp_path, run.Kind.ENDLESS).broken == []
