A closed exchange is freed at once; an endless answer of the stand-in is its answer

Cause: response_class referred to the exchange that holds the connection, a cycle that only the garbage collector ends, of every request (memory is priced). test_an_exchange_that_is_closed_is_freed fails on. It sends the request's answer now.

--- a/src/croftpulley/core/event_splitter.py
+++ b/src/croftpulley/core/event_splitter.py
@@ -4,9 +4,9 @@
 
 import re
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
 MAX_EVENT_BYTES = 65_536
 """An event holds a few tokens; what is longer without an end is none."""
+_EVENT_END = re.compile(rb"\r?\n\r?\n")
 _ID_LINE = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 
 
@@ -31,7 +31,7 @@
     def feed(self, data: bytes) -> bytes:
         """Add bytes; return the events that are complete now.
 
-        Raises `EventTooLongError`, and returns events before what is too long first.
+        Raises `EventTooLongError` if there is none and too much has come since the last one.
         """
         self._buffer += data
         ends = [match.end() for match in _EVENT_END.finditer(self._buffer)]
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 import http.client
 import select
 import socket
@@ -31,8 +32,6 @@
     ValueError,
 )
 """Errors of a connection, including those for a malformed response."""
-
-
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 """Of lists and reports: several times the largest list of endpoints in one piece."""
 _BLOCK_SIZE_BYTES = 8192
@@ -126,23 +125,10 @@
         self._connection = urllib3.connection.HTTPConnection(
             host, int(port), timeout=target.connect_timeout_s
         )
-        self._connection.response_class = self._make_response  # type: ignore[assignment]
         self._sock: socket.socket | None = None
         """The connection's socket; the library drops its reference while the response is read."""
-        self._ends_at_s: float | None = None
         self.response: urllib3.HTTPResponse | None = None
 
-    def _make_response(
-        self, sock: socket.socket, *args: Any, **kwargs: Any
-    ) -> http.client.HTTPResponse:
-        return sockets.Response(
-            sock,
-            *args,
-            is_cancelled=lambda: self._token.reason is not None,
-            ends_at_s=self._ends_at_s,
-            **kwargs,
-        )
-
     def begin(
         self, request: HttpRequest, on_headers: attempts.Phase = attempts.Phase.ANSWERING
     ) -> urllib3.HTTPResponse:
@@ -183,13 +169,22 @@
         self._send_request(request)
         request.on_send()
         sock = self._connection.sock
-        if self._target.total_timeout_s is not None:
-            self._ends_at_s = time.monotonic() + self._target.total_timeout_s
+        self._connection.response_class = self._response_class()
         response = self._connection.getresponse()
         sockets.flush_after_close(sock)
         self.response = response
         return response
 
+    def _response_class(self) -> Any:
+        """Return what makes the library's response; it must not refer to this exchange."""
+        token = self._token
+        total_s = self._target.total_timeout_s
+        return functools.partial(
+            sockets.Response,
+            is_cancelled=lambda: token.reason is not None,
+            ends_at_s=None if total_s is None else time.monotonic() + total_s,
+        )
+
     def _send_request(self, request: HttpRequest) -> None:
         """Send the request; stop sending a long body when the peer responds early."""
         headers = request.headers()
--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -39,15 +39,19 @@
     """
 
     def __init__(
-        self, sock: socket.socket, raw: io.RawIOBase, is_cancelled: Callable[[], bool]
+        self,
+        sock: socket.socket,
+        raw: io.RawIOBase,
+        is_cancelled: Callable[[], bool],
+        ends_at_s: float | None,
     ) -> None:
         super().__init__()
         self._sock = sock
         self._raw = raw
         self._is_cancelled = is_cancelled
+        self._ends_at_s = ends_at_s
         self._is_head_complete = False
         self._left_bytes: int | None = MAX_HEAD_BYTES
-        self.ends_at_s: float | None = None
 
     def readable(self) -> bool:
         """Tell that it can be read."""
@@ -87,9 +91,9 @@
 
     def _limit_wait(self) -> None:
         """Have the next read wait no longer than the response may take."""
-        if self.ends_at_s is None:
+        if self._ends_at_s is None:
             return
-        left_s = self.ends_at_s - time.monotonic()
+        left_s = self._ends_at_s - time.monotonic()
         if left_s <= 0:
             raise TimeoutError("the response is not complete within the time limit")
         set_timeout(self._sock, socket.SO_RCVTIMEO, left_s)
@@ -116,8 +120,7 @@
     ) -> None:
         super().__init__(sock, *args, **kwargs)
         buffered: io.BufferedReader = self.fp
-        self._received = ResponseBytes(sock, buffered.detach(), is_cancelled)
-        self._received.ends_at_s = ends_at_s
+        self._received = ResponseBytes(sock, buffered.detach(), is_cancelled, ends_at_s)
         self.fp = io.BufferedReader(self._received)
         self._heads = 0
 
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -39,7 +39,7 @@
         b"1000\r\n%b\r\n" % bytes(4096),
     ),
     faults.Fault.ENDLESS_TRAILERS: (
-        b"Transfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\n",
         b"X-More: more\r\n",
     ),
     faults.Fault.ENDLESS_LINES: (
@@ -300,6 +300,8 @@
     ) -> None:
         """Send bytes that are no answer until the caller closes, which ends this."""
         framing, unit = _ENDLESS[fault]
+        if fault is faults.Fault.ENDLESS_TRAILERS:
+            framing += _chunk(body_of(request)) + b"0\r\n"
         if fault is not faults.Fault.ENDLESS_INTERIM_HEADS:
             await connection.send(self._head(request, 200, None) + framing)
         block = unit if self.pause_s else unit * (_ENDLESS_BLOCK_BYTES // len(unit))
--- a/testing/endpoints/test_connection.py
+++ b/testing/endpoints/test_connection.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import gc
 import socket
 import threading
 import time
+import weakref
 
 import pytest
 
@@ -219,3 +221,18 @@
         )
     thread.join(20.0)
     assert not thread.is_alive()
+
+
+def test_an_exchange_that_is_closed_is_freed_at_once(listener, answering):
+    answering(UNFRAMED_HEAD + b"whole", closes=True)
+    exchange = exchange_with(listener)
+    exchange.begin(connection.HttpRequest("GET", "/x"))
+    exchange.read(100)
+    exchange.close()
+    freed = weakref.ref(exchange)
+    gc.disable()
+    try:
+        del exchange
+        assert freed() is None
+    finally:
+        gc.enable()
