--- a/review/kit-2/site_2.py
+++ b/review/kit-2/site_2.py
@@ -213,14 +213,10 @@
 
     def start(self) -> None:
         """Start the command of the deploy file with the platform's variables."""
-        command = self._site.deploy["roles"][self.role]["run"]
-        if self.machine.has_disk:
-            command = command.replace("{{#dataDirectory}}", "").replace("{{/dataDirectory}}", "")
-            command = command.replace("{{^dataDirectory}}0", "").replace("{{/dataDirectory}}", "")
-            command = command.replace("0.3{{^dataDirectory}}0", "0.3")
-        words = command.split()
+        words = self._site.deploy["roles"][self.role]["run"].split()
         if self.role == "entry":
-            words = [*words[:5], "0.3" if self.machine.has_disk else "0"]
+            # The gap in the deploy file: 0.3 where there is a disk, else 0.
+            words[-1] = "0.3" if self.machine.has_disk else "0"
         environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         environment["CROFTPULLEY_BOOT"] = str(self.machine.boot_path(self.role))
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
@@ -251,13 +247,14 @@
 class Machine:
     """One machine, at one loopback address."""
 
-    def __init__(self, site: Site, name: str, zone: str, ip: str, *, has_disk: bool) -> None:
+    def __init__(self, site: Site, name: str, zone: str, ip: str, *, has_disk: bool, serves_control: bool) -> None:
         self._site = site
         self.name = name
         self.zone = zone
         self.ip = ip
         self.has_disk = has_disk
-        roles = ["control", "entry"] if has_disk else ["entry"]
+        # The deploy file: two machines of each zone serve control, the first of them has the disk.
+        roles = ["control", "entry"] if serves_control else ["entry"]
         self.programs = {role: Program(site, self, role) for role in roles}
 
     def boot_path(self, role: str) -> pathlib.Path:
@@ -284,7 +281,7 @@
                 "controlPlane": f"{self.ip}:{CONTROL_PORT}", "directory": f"{self.ip}:{DIRECTORY_PORT}",
             },
             "internalPortRange": list(INTERNAL_PORTS),
-            "seedNodes": [f"{each.ip}:{CONTROL_PORT}" for each in self._site.machines if each.has_disk][:3],
+            "seedNodes": [f"{each.ip}:{CONTROL_PORT}" for each in self._site.seeds],
             "bootstrap": first, "faultDomainMember": self.has_disk,
             "limits": {"cpuShare": 0.968, "cpuCores": 2, "memoryMb": 300, "fileDescriptors": 4100, "linkMbps": 1000.0, "diskMb": 64},
             "discovery": "cloud", "entryPoint": "directory", "heartbeatIntervalMs": 1200,
@@ -322,10 +319,12 @@
         self.machines: list[Machine] = []
         zones = ("hall-a", "hall-b", "hall-c")
         for number, zone in enumerate(zones):
-            self.machines.append(Machine(self, f"front-{zone}-1", zone, f"{self._base}.{number + 1}", has_disk=True))
+            self.machines.append(Machine(self, f"front-{zone}-1", zone, f"{self._base}.{number + 1}", has_disk=True, serves_control=True))
         for number in range(plain):
             zone = zones[number % 3]
-            self.machines.append(Machine(self, f"front-{zone}-{number // 3 + 2}", zone, f"{self._base}.{number + 11}", has_disk=False))
+            self.machines.append(Machine(self, f"front-{zone}-{number // 3 + 2}", zone, f"{self._base}.{number + 11}", has_disk=False, serves_control=number < len(zones)))
+        self.seeds = [each for each in self.machines if each.has_disk]
+        """The machines that the settings name; the first start names those with a disk."""
         self._ended = threading.Event()
         self._watcher: threading.Thread | None = None
 
@@ -394,6 +393,14 @@
         """Return the address for requesters of a machine."""
         return f"{self.machines[index].ip}:{FRONTEND_PORT}"
 
+    def exchange_seeds(self, machines: list[Machine]) -> None:
+        """Name other seeds in all settings files, and tell the processes."""
+        self.seeds = machines
+        self.record(f"settings name other seeds: {[each.name for each in machines]}")
+        for each in self.programs():
+            each.machine.write_boot(each.role, first=False)
+            each.signal(signal.SIGHUP)
+
     def end(self) -> None:
         """End every process that was started."""
         for each in self.programs():
