--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""The settings name the three control boxes without a disk as seeds; then all processes are killed."""
+"""The settings name control boxes without a disk as seeds; then all processes are killed."""
 
 from __future__ import annotations
 
@@ -17,17 +17,30 @@
 
 
 def play(site: kit.Site, is_troubled: bool) -> bool:
-    """Return whether under a quarter is served later than `recoveryS` after the processes are back."""
+    """Return whether under a quarter is served later than `recoveryS` after all are back."""
     for zone in ("hall-a", "hall-b", "hall-c"):
         site.add_worker(f"desk-{zone}", "desk", zone)
-    site.start(kit.manifest(1, [
-        {"name": "slot", "pathPrefix": "/slot/", "kind": "idempotent", "timeoutMs": 4000, "service": "desk"},
-    ]))
+    site.start(
+        kit.manifest(
+            1,
+            [
+                {
+                    "name": "slot",
+                    "pathPrefix": "/slot/",
+                    "kind": "idempotent",
+                    "timeoutMs": 4000,
+                    "service": "desk",
+                },
+            ],
+        )
+    )
     before = ask_all(site, "before", 3.0)
     if before < 0.9:
         raise kit.CouldNotRunError(f"only {before:.2f} served before the trouble")
     if is_troubled:
-        site.exchange_seeds([each for each in site.machines if "control" in each.programs and not each.has_disk])
+        site.exchange_seeds(
+            [each for each in site.machines if "control" in each.programs and not each.has_disk]
+        )
     time.sleep(SETTLE_S)
     between = ask_all(site, "between", 3.0)
     site.record(f"served after the exchange: {between:.2f}")
@@ -52,7 +65,13 @@
         index = len(statuses) % len(site.machines)
         attempt_id = f"{name}-{len(statuses)}"
         try:
-            status: object = kit.ask(site.address(index), "GET", "/slot/1", kit.call_headers(attempt_id, BUDGET_MS), limit_s=BUDGET_MS / 1000).status
+            status: object = kit.ask(
+                site.address(index),
+                "GET",
+                "/slot/1",
+                kit.call_headers(attempt_id, BUDGET_MS),
+                limit_s=BUDGET_MS / 1000,
+            ).status
         except OSError as failure:
             status = type(failure).__name__
         statuses.append(status)
--- a/review/kit-2/site_2.py
+++ b/review/kit-2/site_2.py
@@ -35,7 +35,9 @@
 RESTART_DELAY_S = 0.3
 START_LIMIT_S = 40.0
 
-Handler = Callable[["Worker", "Request", asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+Handler = Callable[
+    ["Worker", "Request", asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
 
 
 class Record:
@@ -94,7 +96,9 @@
 class Worker:
     """A sound worker: runs what is meant for it, and answers with its proof."""
 
-    def __init__(self, loop: Loop, record: Record, name: str, service: str, ip: str, zone: str) -> None:
+    def __init__(
+        self, loop: Loop, record: Record, name: str, service: str, ip: str, zone: str
+    ) -> None:
         self.loop = loop
         self.record = record
         self.name = name
@@ -123,9 +127,15 @@
     def entry(self) -> dict[str, object]:
         """Return this worker as the platform lists it."""
         return {
-            "id": f"i-{self.name}", "service": self.service, "address": self.address,
-            "zone": self.zone, "version": "v1", "slots": 64, "state": self.state,
-            "coldRemainingMs": 0, "stage": "prefill_decode",
+            "id": f"i-{self.name}",
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 64,
+            "state": self.state,
+            "coldRemainingMs": 0,
+            "stage": "prefill_decode",
             "models": [{"name": "m", "version": 1, "adapters": []}],
         }
 
@@ -133,14 +143,25 @@
         try:
             request = await read_request(reader)
             if request.path == "/health" and not request.attempt_id:
-                await self._send(writer, head(request, 200, 4, f"Croftpulley-Instance-Id: i-{self.name}\r\n") + b"well")
+                await self._send(
+                    writer,
+                    head(request, 200, 4, f"Croftpulley-Instance-Id: i-{self.name}\r\n") + b"well",
+                )
             elif not request.attempt_id:
                 await self._send(writer, head(request, 404, 0, proof=False))
-            elif request.headers.get("croftpulley-expected-instance") not in (None, f"i-{self.name}"):
-                await self._send(writer, head(request, 421, 0, "Croftpulley-Not-Executed: 1\r\n", proof=False))
+            elif request.headers.get("croftpulley-expected-instance") not in (
+                None,
+                f"i-{self.name}",
+            ):
+                await self._send(
+                    writer, head(request, 421, 0, "Croftpulley-Not-Executed: 1\r\n", proof=False)
+                )
             else:
                 self.runs.append(request)
-                self.record(f"run {self.name} {request.method} {request.path} id={request.attempt_id} body={len(request.body)}")
+                self.record(
+                    f"run {self.name} {request.method} {request.path}"
+                    f" id={request.attempt_id} body={len(request.body)}"
+                )
                 await self.handler(self, request, reader, writer)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -153,16 +174,22 @@
         await writer.drain()
 
 
-def head(request: Request, status: int, length: int | None, extra: str = "", *, proof: bool = True) -> bytes:
+def head(
+    request: Request, status: int, length: int | None, extra: str = "", *, proof: bool = True
+) -> bytes:
     """Return the head of an answer; without a length it is sent in chunks."""
     lines = [f"HTTP/1.1 {status} Fine", f"Croftpulley-Attempt-Id: {request.attempt_id}"]
     if proof:
         lines.append(f"Croftpulley-Server-Signature: {PROOF}")
     framing = "Transfer-Encoding: chunked" if length is None else f"Content-Length: {length}"
-    return ("\r\n".join([*lines, framing, "Connection: close"]) + "\r\n" + extra + "\r\n").encode("latin-1")
+    return ("\r\n".join([*lines, framing, "Connection: close"]) + "\r\n" + extra + "\r\n").encode(
+        "latin-1"
+    )
 
 
-async def answer_whole(worker: Worker, request: Request, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+async def answer_whole(
+    worker: Worker, request: Request, _reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
     """Answer with 800 bytes after a short while."""
     await asyncio.sleep(0.02)
     writer.write(head(request, 200, 800) + b"x" * 800)
@@ -185,8 +212,13 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await read_request(reader)
-            body = json.dumps({"instances": [each.entry() for each in self.workers], "nextPageToken": None}).encode()
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\nConnection: close\r\n\r\n" % len(body) + body)
+            body = json.dumps(
+                {"instances": [each.entry() for each in self.workers], "nextPageToken": None}
+            ).encode()
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                b"Content-Length: %d\r\nConnection: close\r\n\r\n" % len(body) + body
+            )
             await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -195,7 +227,7 @@
 
 
 class Program:
-    """One program of the deploy file on one machine; restarted when it ends, as the platform does."""
+    """One program on one machine; started again when it ends, as the platform does."""
 
     def __init__(self, site: Site, machine: Machine, role: str) -> None:
         self._site = site
@@ -217,7 +249,9 @@
         if self.role == "entry":
             # The gap in the deploy file: 0.3 where there is a disk, else 0.
             words[-1] = "0.3" if self.machine.has_disk else "0"
-        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
+        environment = {
+            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+        }
         environment["CROFTPULLEY_BOOT"] = str(self.machine.boot_path(self.role))
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["TMPDIR"] = str(self.machine.temporary(self.role))
@@ -247,7 +281,9 @@
 class Machine:
     """One machine, at one loopback address."""
 
-    def __init__(self, site: Site, name: str, zone: str, ip: str, *, has_disk: bool, serves_control: bool) -> None:
+    def __init__(
+        self, site: Site, name: str, zone: str, ip: str, *, has_disk: bool, serves_control: bool
+    ) -> None:
         self._site = site
         self.name = name
         self.zone = zone
@@ -272,31 +308,77 @@
         data = self._site.folder / "data" / self.name
         data.mkdir(parents=True, exist_ok=True)
         document = {
-            "nodeName": self.name, "role": role, "machineClass": "frontend",
-            "serves": ["frontend", "control_plane", "directory"], "ipAddress": self.ip,
-            "zone": self.zone, "region": "here",
+            "nodeName": self.name,
+            "role": role,
+            "machineClass": "frontend",
+            "serves": ["frontend", "control_plane", "directory"],
+            "ipAddress": self.ip,
+            "zone": self.zone,
+            "region": "here",
             "zones": {each.zone: "here" for each in self._site.machines},
             "listenAddresses": {
-                "frontend": f"{self.ip}:{FRONTEND_PORT}", "ready": f"{self.ip}:{READY_PORT}",
-                "controlPlane": f"{self.ip}:{CONTROL_PORT}", "directory": f"{self.ip}:{DIRECTORY_PORT}",
+                "frontend": f"{self.ip}:{FRONTEND_PORT}",
+                "ready": f"{self.ip}:{READY_PORT}",
+                "controlPlane": f"{self.ip}:{CONTROL_PORT}",
+                "directory": f"{self.ip}:{DIRECTORY_PORT}",
             },
             "internalPortRange": list(INTERNAL_PORTS),
             "seedNodes": [f"{each.ip}:{CONTROL_PORT}" for each in self._site.seeds],
-            "bootstrap": first, "faultDomainMember": self.has_disk,
-            "limits": {"cpuShare": 0.968, "cpuCores": 2, "memoryMb": 300, "fileDescriptors": 4100, "linkMbps": 1000.0, "diskMb": 64},
-            "discovery": "cloud", "entryPoint": "directory", "heartbeatIntervalMs": 1200,
-            "contracts": ["base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants"],
+            "bootstrap": first,
+            "faultDomainMember": self.has_disk,
+            "limits": {
+                "cpuShare": 0.968,
+                "cpuCores": 2,
+                "memoryMb": 300,
+                "fileDescriptors": 4100,
+                "linkMbps": 1000.0,
+                "diskMb": 64,
+            },
+            "discovery": "cloud",
+            "entryPoint": "directory",
+            "heartbeatIntervalMs": 1200,
+            "contracts": [
+                "base",
+                "drain",
+                "config",
+                "cost",
+                "retry",
+                "recover",
+                "engine",
+                "stream",
+                "tenants",
+            ],
             "faultTolerance": {"machines": 1, "zones": 0, "regions": 0},
             "bounds": {
-                "seedLagS": 3, "addressReuseS": 2, "contactMs": 3000, "ackMs": 4000, "catchUpS": 4,
-                "drainMs": 3000, "graceS": GRACE_S, "lossSlackMs": 200, "configApplyMs": 2000,
-                "downgradeSlackMs": 250, "maxExtensionMs": 5000, "strictRevocation": True,
-                "revokeMs": 5000, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
-                "retryBudgetExtra": 64, "recoveryS": 12, "iterationMs": 120, "retryAfterS": 10,
-                "capacityMultiplier": 2, "ttl_max_s": 5,
+                "seedLagS": 3,
+                "addressReuseS": 2,
+                "contactMs": 3000,
+                "ackMs": 4000,
+                "catchUpS": 4,
+                "drainMs": 3000,
+                "graceS": GRACE_S,
+                "lossSlackMs": 200,
+                "configApplyMs": 2000,
+                "downgradeSlackMs": 250,
+                "maxExtensionMs": 5000,
+                "strictRevocation": True,
+                "revokeMs": 5000,
+                "retryBudgetRatio": 0.2,
+                "budgetWindowS": 10,
+                "retryBudgetExtra": 64,
+                "recoveryS": 12,
+                "iterationMs": 120,
+                "retryAfterS": 10,
+                "capacityMultiplier": 2,
+                "ttl_max_s": 5,
             },
             "configurationMode": "highest",
-            "cloudApi": {"address": self._site.listing.address, "ratePerS": 47.0, "duties": [], "maxLagMs": 800},
+            "cloudApi": {
+                "address": self._site.listing.address,
+                "ratePerS": 47.0,
+                "duties": [],
+                "maxLagMs": 800,
+            },
         }
         if self.has_disk:
             document["dataDirectory"] = str(data)
@@ -319,10 +401,28 @@
         self.machines: list[Machine] = []
         zones = ("hall-a", "hall-b", "hall-c")
         for number, zone in enumerate(zones):
-            self.machines.append(Machine(self, f"front-{zone}-1", zone, f"{self._base}.{number + 1}", has_disk=True, serves_control=True))
+            self.machines.append(
+                Machine(
+                    self,
+                    f"front-{zone}-1",
+                    zone,
+                    f"{self._base}.{number + 1}",
+                    has_disk=True,
+                    serves_control=True,
+                )
+            )
         for number in range(plain):
             zone = zones[number % 3]
-            self.machines.append(Machine(self, f"front-{zone}-{number // 3 + 2}", zone, f"{self._base}.{number + 11}", has_disk=False, serves_control=number < len(zones)))
+            self.machines.append(
+                Machine(
+                    self,
+                    f"front-{zone}-{number // 3 + 2}",
+                    zone,
+                    f"{self._base}.{number + 11}",
+                    has_disk=False,
+                    serves_control=number < len(zones),
+                )
+            )
         self.seeds = [each for each in self.machines if each.has_disk]
         """The machines that the settings name; the first start names those with a disk."""
         self._ended = threading.Event()
@@ -359,7 +459,7 @@
                 each.watch()
 
     def submit(self, manifest: dict[str, object]) -> int:
-        """Send a manifest to one box after another until it is acknowledged; 0 without an answer."""
+        """Send a manifest to one box after another until one answers; 0 without an answer."""
         body = json.dumps(manifest).encode()
         for machine in self.machines:
             if not machine.has_disk:
@@ -374,7 +474,14 @@
     def _submit_to(self, address: str, body: bytes) -> int:
         for _ in range(3):
             try:
-                answer = ask(address, "POST", "/Configuration.Replace", {"Content-Type": "application/json"}, body, limit_s=5.0)
+                answer = ask(
+                    address,
+                    "POST",
+                    "/Configuration.Replace",
+                    {"Content-Type": "application/json"},
+                    body,
+                    limit_s=5.0,
+                )
             except OSError:
                 return 0
             if answer.status != 307:
@@ -385,7 +492,10 @@
     def is_ready(self, machine: Machine) -> bool:
         """Ask a router whether it is ready."""
         try:
-            return ask(f"{machine.ip}:{READY_PORT}", "GET", "/readiness", {}, limit_s=1.0).status == 200
+            return (
+                ask(f"{machine.ip}:{READY_PORT}", "GET", "/readiness", {}, limit_s=1.0).status
+                == 200
+            )
         except OSError:
             return False
 
@@ -418,7 +528,9 @@
 class Answer:
     """What a requester got."""
 
-    def __init__(self, status: int, headers: dict[str, str], body: bytes, *, is_whole: bool, took_s: float) -> None:
+    def __init__(
+        self, status: int, headers: dict[str, str], body: bytes, *, is_whole: bool, took_s: float
+    ) -> None:
         self.status = status
         self.headers = headers
         self.body = body
@@ -462,7 +574,10 @@
     raw, _, body = data.partition(b"\r\n\r\n")
     lines = raw.decode("latin-1").split("\r\n")
     status = int(lines[0].split(" ", 2)[1])
-    headers = {name.strip().lower(): value.strip() for name, value in (line.split(":", 1) for line in lines[1:])}
+    headers = {
+        name.strip().lower(): value.strip()
+        for name, value in (line.split(":", 1) for line in lines[1:])
+    }
     body_began_s = time.monotonic()
     pieces = [body]
     size = len(body)
@@ -484,7 +599,9 @@
             break
         pieces.append(piece)
         size += len(piece)
-    return Answer(status, headers, b"".join(pieces), is_whole=not broke, took_s=time.monotonic() - began_s)
+    return Answer(
+        status, headers, b"".join(pieces), is_whole=not broke, took_s=time.monotonic() - began_s
+    )
 
 
 def _receive(sock: socket.socket, size: int, until_s: float) -> bytes:
@@ -492,7 +609,15 @@
     return sock.recv(size)
 
 
-def ask(address: str, method: str, path: str, headers: dict[str, str], body: bytes = b"", *, limit_s: float = 5.0) -> Answer:
+def ask(
+    address: str,
+    method: str,
+    path: str,
+    headers: dict[str, str],
+    body: bytes = b"",
+    *,
+    limit_s: float = 5.0,
+) -> Answer:
     """Send one request on a new channel and return the answer; raises `OSError`."""
     with connect(address) as sock:
         sock.sendall(request_bytes(method, path, headers, body))
@@ -502,7 +627,8 @@
 def call_headers(attempt_id: str, budget_ms: int) -> dict[str, str]:
     """Return the headers of a requester's request."""
     return {
-        "Croftpulley-Attempt-Id": attempt_id, "Croftpulley-Credential": KEY,
+        "Croftpulley-Attempt-Id": attempt_id,
+        "Croftpulley-Credential": KEY,
         "Croftpulley-Deadline-Ms": str(budget_ms),
     }
 
@@ -513,12 +639,35 @@
     return {
         "version": version,
         "routes": [
-            {"host": HOST, "targetLatencyMs": 500, "priority": 0, "maxAttempts": 2, "anonymous": False,
-             "stickySessions": False, "streamResumption": False, "gapTargetMs": 300} | each
+            {
+                "host": HOST,
+                "targetLatencyMs": 500,
+                "priority": 0,
+                "maxAttempts": 2,
+                "anonymous": False,
+                "stickySessions": False,
+                "streamResumption": False,
+                "gapTargetMs": 300,
+            }
+            | each
             for each in routes
         ],
-        "services": [{"name": each, "healthCheckPath": "/health", "connectionLimit": 370, "protocol": "h1", "tls": False} for each in services],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        "services": [
+            {
+                "name": each,
+                "healthCheckPath": "/health",
+                "connectionLimit": 370,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for each in services
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
         "tenants": [{"name": TENANT, "apiKeys": [KEY], "priority": 0}],
     }
 
@@ -532,7 +681,15 @@
 
 
 def _is_free(ip: str) -> bool:
-    for port in (FRONTEND_PORT, READY_PORT, CONTROL_PORT, DIRECTORY_PORT, 9464, 9465, *range(INTERNAL_PORTS[0], INTERNAL_PORTS[0] + 2)):
+    for port in (
+        FRONTEND_PORT,
+        READY_PORT,
+        CONTROL_PORT,
+        DIRECTORY_PORT,
+        9464,
+        9465,
+        *range(INTERNAL_PORTS[0], INTERNAL_PORTS[0] + 2),
+    ):
         with socket.socket() as sock:
             try:
                 sock.bind((ip, port))
