--- a/review/kit-2/site_2.py
+++ b/review/kit-2/site_2.py
@@ -11,6 +11,7 @@
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -503,6 +504,37 @@
         """Return the address for requesters of a machine."""
         return f"{self.machines[index].ip}:{FRONTEND_PORT}"
 
+    def lose_disk(self, machine: Machine, dark_s: float) -> None:
+        """Have a machine lose power and its disk, and start it again at its address."""
+        self.record(f"{machine.name} loses power and its disk")
+        for each in machine.programs.values():
+            each.is_wanted = False
+            each.signal(signal.SIGKILL)
+        time.sleep(dark_s)
+        shutil.rmtree(self.folder / "data" / machine.name)
+        for each in machine.programs.values():
+            each.start()
+            each.is_wanted = True
+        self.record(f"{machine.name} is back, its disk is empty")
+
+    def read_manifest(self) -> int:
+        """Ask the control boxes with a disk for the manifest; return its version, 0 without one."""
+        for machine in self.machines:
+            if not machine.has_disk:
+                continue
+            address = f"{machine.ip}:{CONTROL_PORT}"
+            for _ in range(3):
+                try:
+                    answer = ask(address, "GET", "/Configuration.Read", {}, limit_s=1.0)
+                except OSError:
+                    break
+                if answer.status == 200:
+                    return int(json.loads(answer.body)["version"])
+                if answer.status != 307:
+                    break
+                address = answer.headers["location"].removeprefix("http://").partition("/")[0]
+        return 0
+
     def exchange_seeds(self, machines: list[Machine]) -> None:
         """Name other seeds in all settings files, and tell the processes."""
         self.seeds = machines
