--- a/review/4/case.py
+++ b/review/4/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 import signal
 import sys
@@ -10,6 +11,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "kit-2"))
 import site_2 as kit
 
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
 RECOVERY_S = 12
 SETTLE_S = 5.0
 ASKED_S = 15.0
@@ -81,4 +84,4 @@
 
 
 if __name__ == "__main__":
-    kit.main(__file__, play, plain=3)
+    kit.main(__file__, play, is_troubled=IS_TROUBLED, plain=3)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import pathlib
 import sys
 import time
@@ -9,6 +10,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "kit-2"))
 import site_2 as kit
 
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
+
 DARK_S = 3.0
 CATCH_UP_S = 4.0
 BETWEEN_S = 10.0
@@ -62,4 +65,4 @@
 
 
 if __name__ == "__main__":
-    kit.main(__file__, play, plain=3)
+    kit.main(__file__, play, is_troubled=IS_TROUBLED, plain=3)
--- a/review/kit-2/site_2.py
+++ b/review/kit-2/site_2.py
@@ -555,6 +555,7 @@
             each.signal(signal.SIGKILL)
             if each.process is not None:
                 each.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Answer:
@@ -739,18 +740,21 @@
     """The case could not be set up."""
 
 
-def run_case(case: pathlib.Path, play: Callable[[Site, bool], bool], *, plain: int = 0) -> int:
+def run_case(
+    case: pathlib.Path, play: Callable[[Site, bool], bool], *, is_troubled: bool, plain: int
+) -> int:
     """Play a case; return 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    is_troubled = os.environ.get("TROUBLE", "1") != "0"
     if not (ROOT / "target" / "deps").is_dir():
         print("the build of the deploy file is missing")
         return 2
     site = Site(case, plain=plain)
+    site.record(f"TROUBLE={int(is_troubled)}")
     try:
         broken = play(site, is_troubled)
-    except (CouldNotRunError, OSError, AssertionError) as failure:
+    except Exception as failure:
+        # Whatever goes wrong in the script itself must not look like a broken rule.
         site.record(f"could not run: {type(failure).__name__}: {failure}")
-        print(f"could not run: {failure}")
+        print(f"could not run: {type(failure).__name__}: {failure}")
         return 2
     finally:
         site.end()
@@ -760,6 +764,9 @@
     return 1 if broken else 0
 
 
-def main(case_file: str, play: Callable[[Site, bool], bool], *, plain: int = 0) -> None:
+def main(
+    case_file: str, play: Callable[[Site, bool], bool], *, is_troubled: bool, plain: int = 0
+) -> None:
     """Run a case as a program."""
-    sys.exit(run_case(pathlib.Path(case_file).resolve().parent, play, plain=plain))
+    case = pathlib.Path(case_file).resolve().parent
+    sys.exit(run_case(case, play, is_troubled=is_troubled, plain=plain))
