The load limits of endpoints stand beside the other bounds of waiting

core/load_limits.py had two functions and one user. They are in core/permits.py now, whose MAX_QUEUE_RATIO one of them took. Nothing else changes; the doctests moved with them.

--- a/src/croftpulley/core/permits.py
+++ b/src/croftpulley/core/permits.py
@@ -1,4 +1,4 @@
-"""How many requests of a pool one box may have in flight.
+"""How many requests of a pool one box may have in flight, and how many one endpoint may have.
 
 Protects endpoints when demand exceeds the capacity of a pool. Boxes learn each other's loads with a
 delay. If all of them filled the capacity that they last knew to be free, endpoints would get many
@@ -23,6 +23,11 @@
 are."""
 DEFAULT_QUEUE_RATIO = 0.25
 """The same before any request has ended."""
+URGENT_QUEUE_RATIO = 0.5
+"""The same for the most urgent requests where boxes do not share the capacity; the least urgent may
+not wait at all there. When most of a pool is down, the few remaining engines get all of its
+requests, and the memory that waiting ones take makes others start over."""
+_LEAST_URGENT = 9
 MIN_PERMITS = 3.0
 """Requests that a box may always have while any capacity is left. With more boxes than slots an
 even share is less than one, and callers would wait for each other in a box next to idle slots."""
@@ -57,6 +62,31 @@
     return min(MAX_QUEUE_RATIO, QUEUE_TIME_SHARE * objective_s / service_time_s)
 
 
+def max_load(slots: int, urgency: int) -> float:
+    """Return how many requests of all boxes an engine may have after one more goes there.
+
+    ``slots`` is how many requests the engine runs at once, or 0 where that isn't known: then there
+    is no limit. ``urgency`` runs from 0, the most urgent, to 9.
+
+    >>> max_load(64, 0), max_load(64, 9), max_load(0, 9)
+    (96.0, 64.0, inf)
+    """
+    if not slots:
+        return float("inf")
+    return slots * (1 + URGENT_QUEUE_RATIO * (_LEAST_URGENT - urgency) / _LEAST_URGENT)
+
+
+def max_endpoint_load(slots: int) -> float:
+    """Return how many requests an endpoint may have where boxes share the capacity of its pool.
+
+    Without known slots (0) there is no limit.
+
+    >>> max_endpoint_load(4), max_endpoint_load(0)
+    (12.0, inf)
+    """
+    return slots * (1 + MAX_QUEUE_RATIO) if slots else float("inf")
+
+
 def pool_capacity(slots: Iterable[int], waiting_ratio: float) -> float:
     """Return how many requests endpoints with these slots should have in total.
 
--- a/src/croftpulley/forwarding/place.py
+++ b/src/croftpulley/forwarding/place.py
@@ -8,7 +8,8 @@
 
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors, permits, router_state, traffic
-from croftpulley.core import load_limits, membership, prompt_part_index, selection, send_quotas
+from croftpulley.core import membership, prompt_part_index, selection, send_quotas
+from croftpulley.core import permits as capacities
 from croftpulley.forwarding import base, headers, refusals, service, steer
 from croftpulley.observe import events
 
@@ -108,8 +109,8 @@
         if self._counts.shares_room:
             # Permits are granted by urgency already: a request that has one must not be rejected
             # for its urgency again.
-            return load_limits.max_endpoint_load(slots)
-        return load_limits.max_load(slots, headers.urgency(exchange))
+            return capacities.max_endpoint_load(slots)
+        return capacities.max_load(slots, headers.urgency(exchange))
 
     def _eligible(self, survey: service.Survey, excluded: set[str]) -> list[selection.Candidate]:
         """Return the endpoints that may be sent one more request now, without ``excluded``."""
