--- a/src/croftpulley/bench/agreement.py
+++ b/src/croftpulley/bench/agreement.py
@@ -103,6 +103,7 @@
             _LEASE_S,
             _MARGIN_S,
             retry_budget.Allowance().counted_s,
+            actors.View(()),
             self._clock,
         )
         self._known = {
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -19,8 +19,8 @@
     suspicion,
     traffic,
 )
-from croftpulley.core import incarnation_tracker as listed_endpoints
 from croftpulley.core import (
+    control_announcements,
     leases,
     listed_counts,
     membership,
@@ -30,6 +30,7 @@
     tables,
     versions,
 )
+from croftpulley.core import incarnation_tracker as listed_endpoints
 from croftpulley.observe import events, metrics
 from croftpulley.settings import formats
 from croftpulley.transport import box_messages, json_codec, links
@@ -58,6 +59,13 @@
     control_addresses: tuple[str, ...]
 
 
+@attrs.frozen
+class ControlAnnounced:
+    """Tells where the control boxes are, as one of them announced it to this box."""
+
+    announcement: control_announcements.ControlAnnouncement
+
+
 @attrs.frozen
 class _FetchPart:
     """Fetches one part of a configuration; messages queued meanwhile come before the next part."""
@@ -90,6 +98,7 @@
         self._addresses = control_addresses
         self._current_addresses = control_addresses
         self._source_addresses = control_addresses
+        self._announcements = control_announcements.HeardAnnouncements()
         self._lease = leases.HeldLease(lease_margin_s)
         self._interval_s = interval_s
         self._due_at_s = float("-inf")
@@ -114,7 +123,7 @@
         self._renewal_fails = False
 
     def handle(self, message: object) -> None:
-        """Renew if due, continue a download, set the seed addresses or begin to drain."""
+        """Renew if due, continue a download, learn addresses or begin to drain."""
         match message:
             case actors.Tick():
                 if self._clock.monotonic_s() >= self._due_at_s:
@@ -125,6 +134,9 @@
             case SetSeedAddresses(addresses):
                 self._seed_addresses = addresses
                 self._merge_addresses()
+            case ControlAnnounced(announcement):
+                self._hear(announcement)
+                self._due_at_s = min(self._due_at_s, self._clock.monotonic_s())
             case StartDraining():
                 self._box = attrs.evolve(self._box, draining=True)
                 self._view.publish(attrs.evolve(self._view.get(), draining=True))
@@ -194,6 +206,19 @@
             attrs.evolve(self._with_endpoints(known, self._endpoint_list), cold=zero_quotas)
         )
 
+    def _hear(self, announcement: control_announcements.ControlAnnouncement) -> None:
+        """Ask at announced addresses too; a leader that this box knows already is kept."""
+        if self._announcements.hear(announcement, self._clock.monotonic_s()):
+            events.emit(
+                _LOG,
+                events.Event.CONTROL_ANNOUNCED,
+                leader_address=announcement.leader_address,
+                control_addresses=list(announcement.addresses),
+                term=announcement.term,
+            )
+        self._leader = self._leader or announcement.leader_address
+        self._merge_addresses()
+
     def _renew_once(self) -> None:
         address = self._leader or self._rng.choice(self._addresses)
         for _ in range(_MAX_ATTEMPTS_PER_RENEWAL):
@@ -209,6 +234,11 @@
                 self._leader = address
                 self._handle_grant(answer, sent_at_s, own_loads)
                 return
+            if answer.is_from_redirector:
+                if not self._may_ask_announced(answer, address):
+                    return
+                address = self._leader
+                continue
             self._view.publish(attrs.evolve(self._view.get(), heard_no_leader=True))
             self._update_addresses(answer)
             if answer.configuration_version and answer.leader_address == address:
@@ -221,6 +251,16 @@
                 return
             address = answer.leader_address
 
+    def _may_ask_announced(self, answer: box_messages.BoxReportAnswer, asked: str) -> bool:
+        """Learn from a box without a disk; return whether it named a leader to ask at once."""
+        if answer.announced is None:
+            # That box has just started, and many others may be asking it.
+            self._due_at_s = self._clock.monotonic_s() + self._interval_s
+            return False
+        self._leader = ""
+        self._hear(answer.announced)
+        return self._leader not in ("", asked)
+
     def _send_report(
         self, address: str, own_loads: listed_counts.EndpointLoads
     ) -> box_messages.BoxReportAnswer:
@@ -306,7 +346,8 @@
         self._links.retain({*self._addresses, answer.leader_address})
 
     def _merge_addresses(self) -> None:
-        known = (*self._current_addresses, *self._seed_addresses)
+        announced = self._announcements.addresses
+        known = (*self._current_addresses, *announced, *self._seed_addresses)
         self._addresses = tuple(dict.fromkeys(known))
 
     def _apply_answer(
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -38,6 +38,8 @@
 
 _LOG = logging.getLogger(__name__)
 _NOTE_NUMBERS_PER_TERM = 1 << 32
+_HEARD_WITHIN_S = 2.0
+"""Boxes that look for a new leader have found it by then: they renew four times a second."""
 MAX_LIST_AGE_S = 2.0
 """Maximum age of a list. An older one may be from an earlier term of this box as leader, or from
 its start: boxes that have a list keep it until the leader reads a new one, which it does every
@@ -120,9 +122,11 @@
         lease_s: float,
         margin_s: float,
         repeats_counted_s: float,
+        missed_addresses: actors.View[tuple[str, ...]],
         clock: clocks.Clock,
     ) -> None:
         super().__init__()
+        self._missed_addresses = missed_addresses
         self._retention_s = max(MIN_RETENTION_S, repeats_counted_s)
         self._command_log = log
         self._replica_status = replica_status
@@ -343,6 +347,7 @@
 
     def _tick(self) -> None:
         if not self._leads():
+            self._missed_addresses.publish(())
             if self._has_lost_leadership():
                 self._waiters.fail_all()
             return
@@ -354,12 +359,22 @@
         # Once per tick: at each renewal the cost would be quadratic in the number of boxes.
         self._boxes.set(self._sessions.boxes(now_s))
         self._unregister_expired(now_s)
+        self._missed_addresses.publish(self._find_missed(now_s))
         self._quotas.drop_unused(now_s)
         self._pool_responses.forget(now_s)
         self._unreached = self._sessions.unreached()
         self._hold_off_outliers(now_s)
         self._complete_waiters()
 
+    def _find_missed(self, now_s: float) -> tuple[str, ...]:
+        """Return where registered boxes can be reached that have stopped renewing."""
+        if now_s - self._leading_since_s < _HEARD_WITHIN_S:
+            return ()
+        heard = {box.name for box in self._sessions.boxes(now_s)}
+        registered = tuple(self._command_log.read().boxes.values())
+        missed = (box.peer_address for box in registered if box.name not in heard)
+        return tuple(address for address in missed if address)
+
     def _hold_off_outliers(self, now_s: float) -> None:
         """Hold off endpoints with a higher failure rate than their peers."""
         pools: dict[str, list[str]] = {}
--- a/src/croftpulley/daemons/redirector.py
+++ b/src/croftpulley/daemons/redirector.py
@@ -1,6 +1,7 @@
-"""The daemon of a control box without a disk: it sends operators on to those that have one.
+"""The daemon of a control box without a disk: it sends others on to those that have one.
 
-Such a box can keep nothing, so it has no part in the replicated state and gives no leases.
+Such a box can keep nothing, so it has no part in the replicated state and gives no leases. Settings
+may name it as a seed all the same: it tells other boxes what control boxes announced to it.
 """
 
 from __future__ import annotations
@@ -11,24 +12,28 @@
 import uuid
 from collections.abc import Iterator
 
+from croftpulley import clock as clocks
 from croftpulley import codes, errors
-from croftpulley.http import health_app, server, wsgi
+from croftpulley.http import health_app, redirector_app, server, wsgi
 from croftpulley.observe import events, metrics
 from croftpulley.settings import schema
 from croftpulley.transport import leader_finder
 
 _LOG = logging.getLogger(__name__)
 _THREADS = 4
+_PEER_THREADS = 16
 
 
 class RedirectorDaemon:
-    """Answers every call with a redirection to the leader, or to the next of the other boxes."""
+    """Redirects each operator's call to the leader, or to the next of the other boxes."""
 
     def __init__(self, settings: schema.RedirectorSettings) -> None:
         counters = metrics.Metrics()
         self._targets = _targets(settings)
+        rng = random.Random(uuid.uuid4().int)
+        self._peers = redirector_app.RedirectorApp(clocks.SystemClock(), counters)
         self._finder = leader_finder.LeaderFinder(
-            settings.control_addresses, counters, random.Random(uuid.uuid4().int)
+            _others(settings), self._peers.newest, counters, rng
         )
         self._port = settings.operator_address.rpartition(":")[2]
         health = health_app.HealthApp(counters, lambda: "", dict)
@@ -36,6 +41,11 @@
             _make_http(self._redirect, settings.operator_address),
             _make_http(health.handle, settings.metrics_address),
         ]
+        if settings.peer_address:
+            self._servers.append(
+                _make_http(self._peers.handle, settings.peer_address, _PEER_THREADS)
+            )
+        self.peer_address = self._servers[-1].address if settings.peer_address else ""
         self.operator_address = self._servers[0].address
 
     def start(self) -> None:
@@ -43,7 +53,11 @@
         for each in self._servers:
             each.start()
         events.emit(
-            _LOG, events.Event.DAEMON_STARTED, operator_address=self.operator_address, disk=False
+            _LOG,
+            events.Event.DAEMON_STARTED,
+            peer_address=self.peer_address,
+            operator_address=self.operator_address,
+            disk=False,
         )
 
     def stop(self) -> None:
@@ -56,7 +70,7 @@
     def use_settings(self, settings: schema.RedirectorSettings) -> None:
         """Send on to other boxes from now on."""
         self._targets = _targets(settings)
-        self._finder.use_addresses(settings.control_addresses)
+        self._finder.use_addresses(_others(settings))
 
     def _redirect(self, request: wsgi.Request) -> wsgi.Response:
         target = self._leader() or next(self._targets, "")
@@ -81,7 +95,11 @@
     return itertools.cycle(others)
 
 
-def _make_http(handler: wsgi.Handler, address: str) -> server.HttpServer:
+def _others(settings: schema.RedirectorSettings) -> tuple[str, ...]:
+    return tuple(each for each in settings.control_addresses if each != settings.peer_address)
+
+
+def _make_http(handler: wsgi.Handler, address: str, threads: int = _THREADS) -> server.HttpServer:
     limits = schema.HttpLimits(body_size_bytes=schema.OPERATOR_BODY_SIZE_BYTES)
     application = wsgi.Application(handler, limits.header_count)
-    return server.HttpServer(application, address, _THREADS, limits)
+    return server.HttpServer(application, address, threads, limits)
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -13,6 +13,7 @@
 from croftpulley import clock as clocks
 from croftpulley.controllers import (
     actors,
+    announcing,
     configuration_parts,
     configured_pools,
     control_plane,
@@ -83,6 +84,7 @@
         self._counters = metrics.Metrics()
         self._replica_status = actors.View(replica_standing.ReplicaStatus())
         self._endpoints = actors.View(listing.Listing())
+        self._missed_addresses: actors.View[tuple[str, ...]] = actors.View(())
         self._state = replicated_state.ReplicatedState(submissions=submissions.HighestNumber())
         self._replica = self._start_replica()
         self._log = replica.ReplicatedLog(self._replica, self._state)
@@ -107,6 +109,15 @@
             settings.lease_s,
             settings.drift_margin_s,
             retry_budget.Allowance(window_s=settings.retry_window_s).counted_s,
+            self._missed_addresses,
+            self._clock,
+        )
+        self._announcing = announcing.AnnouncementController.start(
+            settings.peer_address,
+            settings.seeds,
+            self._replica_status,
+            self._missed_addresses,
+            senders.Senders(settings.peer_timeout_s, self._counters),
             self._clock,
         )
         self._inventory = inventory.InventoryController.start(
@@ -134,6 +145,7 @@
             actors.Ticker(self._sessions, settings.tick_s),
             actors.Ticker(self._listing, settings.tick_s),
             actors.Ticker(self._inventory, settings.tick_s),
+            actors.Ticker(self._announcing, settings.tick_s),
         ]
         events.emit(
             _LOG,
@@ -145,6 +157,7 @@
     def use_settings(self, settings: schema.ReplicaSettings) -> None:
         """Look for other control boxes at other addresses from now on."""
         self._replica.tell(replica.SetSeedAddresses(settings.seeds))
+        self._announcing.tell(announcing.SetSeedAddresses(settings.seeds))
 
     def replica_status(self) -> replica_standing.ReplicaStatus:
         """Return what the replica is at the moment."""
@@ -165,7 +178,13 @@
             ticker.stop()
         for each in (self._operator_http, self._peer_http, self._metrics_http):
             each.stop()
-        for controller in (self._inventory, self._listing, self._sessions, self._replica):
+        for controller in (
+            self._announcing,
+            self._inventory,
+            self._listing,
+            self._sessions,
+            self._replica,
+        ):
             controller.stop()
         events.emit(_LOG, events.Event.DAEMON_STOPPED)
 
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -25,7 +25,7 @@
     traffic,
     withdrawals,
 )
-from croftpulley.core import halls, membership, retry_budget, selection
+from croftpulley.core import control_announcements, halls, membership, retry_budget, selection
 from croftpulley.daemons import caller_limits, entry_box
 from croftpulley.endpoints import dialing
 from croftpulley.forwarding import (
@@ -256,9 +256,12 @@
         if not address:
             return None
         hop = forward_app.HopApp(self._view, self._chain, self._interface.names, self._clock)
-        application = forward_app.PeerApp(self._origins, hop, self._counters)
+        application = forward_app.PeerApp(self._origins, hop, self._hear, self._counters)
         return self._make_forward_http(application.handle, address, hops.MAX_HEADERS_ADDED)
 
+    def _hear(self, announcement: control_announcements.ControlAnnouncement) -> None:
+        self._renewal.tell(renewal.ControlAnnounced(announcement))
+
     def _make_caller_http(self) -> server.HttpServer:
         application = forward_app.ForwardApp(
             self._view, self._chain, self._interface.names, self._clock
--- a/src/croftpulley/http/forward_app.py
+++ b/src/croftpulley/http/forward_app.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 import attrs
 
 from croftpulley import clock as clocks
 from croftpulley import codes, errors
 from croftpulley.controllers import actors, router_state, stream_origins
+from croftpulley.core import control_announcements
 from croftpulley.forwarding import base, headers, hops, vocabulary
 from croftpulley.http import wsgi
 from croftpulley.observe import events, metrics
@@ -124,16 +126,21 @@
 
 
 class PeerApp:
-    """For other boxes: where streams began, as they tell and ask each other, and requests.
+    """For other boxes: where streams began and where control is, as they tell, and requests.
 
     A hop names the box that hands it over, a message does not, so no caller's request is taken for
     one.
     """
 
     def __init__(
-        self, known: stream_origins.StreamOrigins, hop: HopApp, counters: metrics.Metrics
+        self,
+        known: stream_origins.StreamOrigins,
+        hop: HopApp,
+        hear: Callable[[control_announcements.ControlAnnouncement], None],
+        counters: metrics.Metrics,
     ) -> None:
         self._known = known
+        self._hear = hear
         self._hop = hop
         self._counters = counters
 
@@ -146,6 +153,8 @@
                 body = self._told(request.body)
             case box_messages.ORIGIN_QUERY_PATH:
                 body = self._asked(request.body)
+            case box_messages.CONTROL_ANNOUNCEMENTS_PATH:
+                body = self._hear_control(request.body)
             case _:
                 return self._hop.handle(request)
         self._counters.control_bytes(request.path, len(body), len(request.body))
@@ -156,6 +165,10 @@
         self._known.remember_announced(message.streams)
         return json_codec.encode(box_messages.OriginAnnouncementsAck())
 
+    def _hear_control(self, body: bytes) -> bytes:
+        self._hear(json_codec.decode(body, control_announcements.ControlAnnouncement))
+        return json_codec.encode(box_messages.ControlAnnouncementAck())
+
     def _asked(self, body: bytes) -> bytes:
         message = json_codec.decode(body, box_messages.OriginQuery)
         record = self._known.remembered(message.stream)
--- a/src/croftpulley/platform/boot.py
+++ b/src/croftpulley/platform/boot.py
@@ -87,6 +87,7 @@
     try:
         return schema.RedirectorSettings(
             box=boot.text("nodeName"),
+            peer_address=f"{boot.text('ipAddress')}:{_peer_port(boot)}",
             operator_address=boot.object("listenAddresses").text("controlPlane"),
             metrics_address=f"{boot.text('ipAddress')}:{CONTROL_METRICS_PORT}",
             targets=boot.texts("seedNodes"),
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -222,7 +222,8 @@
     ``targets`` are the operator addresses of control boxes. ``control_addresses`` are where they
     reach each other: the redirector asks there for the leader and redirects operators to the
     leader's machine, at the port of its own operator address. Without an answer it redirects them
-    to the targets in turn.
+    to the targets in turn. At ``peer_address``, if there is one, it tells other boxes where control
+    boxes are, as these announce it there.
     """
 
     box: str = attrs.field(validator=_name)
@@ -230,6 +231,7 @@
     metrics_address: str = attrs.field(validator=_address)
     targets: tuple[str, ...] = attrs.field(validator=_addresses)
     control_addresses: tuple[str, ...] = ()
+    peer_address: str = attrs.field(default="", validator=_optional_address)
     log_level: str = attrs.field(default="INFO", validator=_level)
 
 
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -5,6 +5,7 @@
 import attrs
 
 from croftpulley.core import (
+    control_announcements,
     halls,
     membership,
     origins,
@@ -17,6 +18,7 @@
 CONFIGURATION_PARTS_PATH = "/v1/boxes/configuration-parts"
 SUSPECT_REPORTS_PATH = "/v1/suspects/reports"
 TRIALS_PATH = "/v1/suspects/trials"
+CONTROL_ANNOUNCEMENTS_PATH = "/v1/control/announcements"
 ORIGIN_ANNOUNCEMENTS_PATH = "/v1/streams/told"
 ORIGIN_QUERY_PATH = "/v1/streams/asked"
 
@@ -96,6 +98,9 @@
         answering: Pools that answered other boxes recently.
         mixed: Pools whose endpoints have, or recently had, several versions; ``None`` if the
             control box cannot tell.
+        is_from_redirector: Whether a control box without a disk answers, which can say no more than
+            where to ask.
+        announced: What control boxes announced to that box; ``None`` if nothing yet.
     """
 
     lease_s: float = 0.0
@@ -121,6 +126,8 @@
     reaching: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     answering: tuple[str, ...] = ()
     mixed: tuple[str, ...] | None = None
+    is_from_redirector: bool = False
+    announced: control_announcements.ControlAnnouncement | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -155,6 +162,11 @@
     answer: suspect_messages.TrialAnswer | None = None
 
 
+@attrs.frozen(kw_only=True)
+class ControlAnnouncementAck:
+    """Confirms that a `control_announcements.ControlAnnouncement` was received."""
+
+
 @attrs.frozen(kw_only=True)
 class OriginAnnouncements:
     """Announces the origins of streams to an origin holder. Sending it again is safe."""
--- a/src/croftpulley/transport/leader_finder.py
+++ b/src/croftpulley/transport/leader_finder.py
@@ -4,8 +4,10 @@
 
 import random
 import threading
+from collections.abc import Callable
 
 from croftpulley import errors
+from croftpulley.core import control_announcements
 from croftpulley.observe import metrics
 from croftpulley.transport import box_messages, json_codec, links
 
@@ -20,9 +22,14 @@
     """Finds the leader by asking control boxes, one after the other. Thread-safe."""
 
     def __init__(
-        self, addresses: tuple[str, ...], counters: metrics.Metrics, rng: random.Random
+        self,
+        addresses: tuple[str, ...],
+        announced: Callable[[], control_announcements.ControlAnnouncement | None],
+        counters: metrics.Metrics,
+        rng: random.Random,
     ) -> None:
         self._configured_addresses = addresses
+        self._announced = announced
         self._learned_addresses: tuple[str, ...] = ()
         self._leader = ""
         self._links = links.Links(_TIMEOUT_S, counters)
@@ -41,7 +48,7 @@
                 answer = self._ask(address)
                 if answer is None:
                     continue
-                self._learned_addresses = answer.control_addresses
+                self._learned_addresses = answer.control_addresses or self._learned_addresses
                 if answer.leader_address:
                     self._leader = answer.leader_address
                     return answer.leader_address
@@ -49,12 +56,22 @@
             return ""
 
     def _addresses_to_ask(self) -> list[str]:
-        """Return the addresses to ask: the last known leader first, then others in random order."""
-        others = set(self._configured_addresses) | set(self._learned_addresses)
-        ordered = sorted(others - {self._leader})
+        """Return the addresses to ask.
+
+        The leader comes first, as last found or announced, then what was announced, then the
+        others, each group in random order.
+        """
+        announced = self._announced()
+        leaders = [self._leader, announced.leader_address if announced else ""]
+        told = self._shuffled(announced.addresses if announced else ())
+        others = self._shuffled((*self._configured_addresses, *self._learned_addresses))
+        ordered = dict.fromkeys((*leaders, *told, *others))
+        return [each for each in ordered if each][:_MAX_ASKED]
+
+    def _shuffled(self, addresses: tuple[str, ...]) -> list[str]:
+        ordered = sorted(set(addresses))
         self._rng.shuffle(ordered)
-        first = [self._leader] if self._leader else []
-        return [*first, *ordered][:_MAX_ASKED]
+        return ordered
 
     def _ask(self, address: str) -> box_messages.LeaderAnswer | None:
         try:
--- a/testing/controllers/test_retry_sharing.py
+++ b/testing/controllers/test_retry_sharing.py
@@ -184,6 +184,7 @@
             LEASE_S,
             MARGIN_S,
             self.allowance.counted_s,
+            actors.View(()),
             self.clock,
         )
 
--- a/testing/controllers/test_sessions.py
+++ b/testing/controllers/test_sessions.py
@@ -79,6 +79,7 @@
             LEASE_S,
             MARGIN_S,
             KEPT_S,
+            actors.View(()),
             clock,
         )
         return controller, clock
--- a/testing/site_of_routers.py
+++ b/testing/site_of_routers.py
@@ -137,6 +137,8 @@
         self.reserved = [ReservedPort() for _ in range(2 * control)]
         self.peers = [each.address for each in self.reserved[:control]]
         self.operators = [each.address for each in self.reserved[control:]]
+        self.seeds = tuple(self.peers)
+        """What the settings of boxes name that start from now on."""
         self.control: list[replica.ReplicaDaemon | None] = [None] * control
         for number in range(control):
             self.start_control(number, first_start=True)
@@ -201,7 +203,7 @@
             operator_address=self.operators[number],
             metrics_address=ANY_PORT,
             data_folder=str(self.folder / f"control-{number}"),
-            seeds=tuple(self.peers),
+            seeds=self.seeds,
             first_start=first_start,
             platform_address=self.instances.address,
             tick_s=0.01,
@@ -232,7 +234,7 @@
             "ready_address": ANY_PORT,
             "metrics_address": ANY_PORT,
             "peer_address": ANY_PORT,
-            "control_addresses": tuple(self.peers),
+            "control_addresses": self.seeds,
             "platform_address": self.instances.address,
             "renew_interval_s": 0.03,
             "platform_interval_s": 0.05,
