--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -385,7 +385,7 @@
             unreached=answer.unreached,
             reaching={pool: frozenset(names) for pool, names in answer.reaching.items()},
             answering=frozenset(answer.answering),
-            mixed=None if answer.mixed is None else frozenset(answer.mixed),
+            settled=answer.settled,
             heard_no_leader=answer.lease_s <= 0,
             leader_address=self._leader,
             registered_boxes=answer.registered_boxes or known.registered_boxes,
--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -10,8 +10,8 @@
 SETTLED_TTL_S = 2.0
 """How long the leader's report that a pool's endpoints have one version remains valid."""
 MAX_SETTLED_TIME_LIMIT_S = 60.0
-"""Longest time limit of a route whose streams may rely on `RouterState.is_settled`: longer streams
-may outlast the leader's record of versions that are gone
+"""Longest time limit of a route whose streams may rely on `RouterState.settled_version`: longer
+streams may outlast the leader's record of versions that are gone
 (`core.pool_versions.RESUMABLE_AFTER_UNLISTED_S`)."""
 
 
@@ -32,8 +32,8 @@
     ``unreached`` is the number of boxes that reach no endpoint of a pool, ``reaching`` are some
     boxes that do, for each pool that this one cannot reach, and ``answering`` are the pools from
     which other boxes had recent responses.
-    ``mixed`` are the pools whose endpoints have, or recently had, several versions; ``None`` if the
-    leading control box does not know.
+    ``settled`` is the version of each pool whose endpoints have, and recently had, no other one;
+    ``None`` if the leading control box does not know.
     ``registered_boxes`` is the number of routers in the fleet, as last reported with a lease.
     """
 
@@ -64,7 +64,7 @@
     unreached: dict[str, int] = attrs.field(factory=dict)
     reaching: dict[str, frozenset[str]] = attrs.field(factory=dict)
     answering: frozenset[str] = frozenset()
-    mixed: frozenset[str] | None = None
+    settled: dict[str, str] | None = None
 
     @property
     def is_cut_off(self) -> bool:
@@ -117,14 +117,21 @@
         returned_at_s = self.returned_at_s.get(endpoint.hall, float("-inf"))
         return 0 if now_s < returned_at_s + send_quotas.RETURNED_HALL_COLD_S else None
 
-    def is_settled(self, pool: str, now_s: float) -> bool:
-        """Tell whether all endpoints of a pool have had one version for longer than streams last.
+    def settled_version(self, pool: str, now_s: float) -> str | None:
+        """Return the version that all streams of a pool have, ``None`` if there are several.
 
         This relies on the leading control box's report; without a recent one no pool is settled.
+        ``endpoints`` may have other versions all the same, from a list that this box read itself.
         """
-        if self.mixed is None or now_s > self.heard_at_s + SETTLED_TTL_S:
-            return False
-        return pool not in self.mixed
+        if self.settled is None or now_s > self.heard_at_s + SETTLED_TTL_S:
+            return None
+        return self.settled.get(pool)
+
+    def mixed_pools(self) -> list[str] | None:
+        """Return the pools of ``endpoints`` that are not settled, ``None`` if that is not known."""
+        if self.settled is None:
+            return None
+        return sorted({each.pool for each in self.endpoints} - self.settled.keys())
 
     def lease_holds(self, now_s: float) -> bool:
         """Tell whether this box may take work that needs a lease."""
--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -290,7 +290,7 @@
             answering=self._pool_responses.pools_answering_others(
                 report.box.name, self._clock.monotonic_s()
             ),
-            mixed=self._mixed(listed),
+            settled=self._settled(listed),
             suspects=state.suspects.published.changes_since(
                 report.suspects_revision, self._clock.wall_s()
             ),
@@ -321,9 +321,9 @@
         reaching = [box.name for box in self._boxes.value if box.name not in lost]
         return tuple(random.sample(reaching, min(MAX_REACHING_BOXES, len(reaching))))
 
-    def _mixed(self, listed: listing.Listing) -> tuple[str, ...] | None:
-        """Return the pools with several versions, ``None`` while the list is too old to tell."""
-        return None if self._is_list_stale(listed) else self._versions.mixed()
+    def _settled(self, listed: listing.Listing) -> dict[str, str] | None:
+        """Return the pools of one version with it, ``None`` while the list is too old to tell."""
+        return None if self._is_list_stale(listed) else self._versions.settled()
 
     def _is_list_stale(self, listed: listing.Listing) -> bool:
         return self._clock.monotonic_s() - listed.read_at_s > MAX_LIST_AGE_S
--- a/src/croftpulley/controllers/stream_origins.py
+++ b/src/croftpulley/controllers/stream_origins.py
@@ -88,8 +88,9 @@
         """
         now_s = self._clock.monotonic_s()
         state = self._view.get()
-        is_settled = state.is_settled(announcement.origin.pool, now_s)
-        is_new = not is_settled and self._is_new(announcement.origin, now_s)
+        origin = announcement.origin
+        is_settled = state.settled_version(origin.pool, now_s) == origin.version
+        is_new = not is_settled and self._is_new(origin, now_s)
         with self._lock:
             self._origins.remember(announcement, now_s, is_announced=False)
         if is_new:
@@ -184,7 +185,7 @@
             pools = [
                 pool
                 for pool in self._origins.pools_with_unannounced()
-                if pool in always_announced or not state.is_settled(pool, now_s)
+                if pool in always_announced or state.settled_version(pool, now_s) is None
             ]
             return self._origins.take_unannounced(pools, now_s)
 
--- a/src/croftpulley/controllers/version_notes.py
+++ b/src/croftpulley/controllers/version_notes.py
@@ -56,9 +56,9 @@
         """Return a list without endpoints whose version is not in the replicated state yet."""
         return self._derive(listed).committed
 
-    def mixed(self) -> tuple[str, ...]:
-        """Return the pools with streams of several versions that callers may resume."""
-        return self._known().mixed(self._clock.wall_s())
+    def settled(self) -> dict[str, str]:
+        """Return the version of each pool whose streams that callers may resume all have it."""
+        return self._known().settled(self._clock.wall_s())
 
     def _known(self) -> pool_versions.PoolVersions:
         return self._command_log.read().pool_versions
--- a/src/croftpulley/core/pool_versions.py
+++ b/src/croftpulley/core/pool_versions.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import collections
 from collections.abc import Iterable
 
 import attrs
@@ -46,11 +45,11 @@
 
     >>> one, two = PoolVersion("llm", "v1"), PoolVersion("llm", "v2")
     >>> both = PoolVersions().with_listed([one], 0.0).with_listed([one, two], 1.0)
-    >>> both.mixed(1.0), both.differs_from([one, two])
-    (('llm',), False)
+    >>> both.settled(1.0), both.differs_from([one, two])
+    ({}, False)
     >>> after = both.with_listed([two], 2.0)
-    >>> after.mixed(121.0), after.mixed(122.0)
-    (('llm',), ())
+    >>> after.settled(121.0), after.settled(122.0)
+    ({}, {'llm': 'v2'})
     """
 
     entries: tuple[PoolVersionEntry, ...] = ()
@@ -76,11 +75,10 @@
         """Return the versions in the last recorded list."""
         return frozenset(each.pool_version for each in self.entries if each.gone_at_wall_s is None)
 
-    def mixed(self, now_wall_s: float) -> tuple[str, ...]:
-        """Return the pools that have resumable streams of several versions, sorted."""
-        counts = collections.Counter(
-            each.pool_version.pool
-            for each in self.entries
-            if each.has_resumable_streams(now_wall_s)
-        )
-        return tuple(sorted(pool for pool, count in counts.items() if count > 1))
+    def settled(self, now_wall_s: float) -> dict[str, str]:
+        """Return the version of each pool whose resumable streams all have the same one."""
+        found: dict[str, list[str]] = {}
+        for each in self.entries:
+            if each.has_resumable_streams(now_wall_s):
+                found.setdefault(each.pool_version.pool, []).append(each.pool_version.version)
+        return {pool: names[0] for pool, names in found.items() if len(names) == 1}
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -408,7 +408,7 @@
             "waiting_for_room": self._permits.waiting(),
             "unread_bytes": self._unread_bytes(),
             "out_of_reach": sorted(self._reach.lost),
-            "mixed": sorted(known.mixed) if known.mixed is not None else None,
+            "mixed": known.mixed_pools(),
             "streams_remembered": len(self._origins),
             "held_off": sorted(known.held_off),
             "withdrawn": {
--- a/src/croftpulley/forwarding/take_up.py
+++ b/src/croftpulley/forwarding/take_up.py
@@ -43,13 +43,14 @@
             exchange.origin = self._origin(exchange)
         return proceed(exchange)
 
-    def _origin(self, exchange: base.Exchange) -> origins.Origin | None:
-        """Return the origin of the stream, ``None`` if any endpoint of its pool may resume it."""
+    def _origin(self, exchange: base.Exchange) -> origins.Origin:
+        """Return the origin of the stream."""
         found = self._known_origins.find(exchange.stream_id) if exchange.facts.resumes else None
         if found is None:
-            if self._may_resume_anywhere(exchange):
-                self._log(exchange, "fits_anywhere", None)
-                return None
+            only = self._only_origin(exchange)
+            if only is not None:
+                self._log(exchange, "fits_anywhere", stream_origins.FoundOrigin(only))
+                return only
             raise self._unknown_error(exchange, "no box that was asked knows where it began")
         if found.origin is None:
             raise self._unknown_error(exchange, "two streams had its id")
@@ -63,17 +64,23 @@
         self._log(exchange, "known", found)
         return found.origin
 
-    def _may_resume_anywhere(self, exchange: base.Exchange) -> bool:
-        """Return whether all endpoints of the pool have had one version for long enough."""
+    def _only_origin(self, exchange: base.Exchange) -> origins.Origin | None:
+        """Return where all streams of the pool began, ``None`` if that may have been in several.
+
+        The stream is bound to it: this box may know of an endpoint of a newer version before the
+        leading control box does.
+        """
         if not exchange.facts.resumes and exchange.known_route.is_split:
-            return False
+            return None
         if exchange.known_route.time_limit_ms / 1000 > router_state.MAX_SETTLED_TIME_LIMIT_S:
-            return False
-        return self._view.get().is_settled(exchange.pool, self._clock.monotonic_s())
+            return None
+        now_s = self._clock.monotonic_s()
+        version = self._view.get().settled_version(exchange.pool, now_s)
+        return None if version is None else origins.Origin(exchange.pool, version)
 
     def _unknown_error(self, exchange: base.Exchange, why: str) -> errors.CroftpulleyError:
         self._log(exchange, "unknown", None)
-        is_heard = self._view.get().mixed is not None
+        is_heard = self._view.get().settled is not None
         return errors.CroftpulleyError(
             codes.ResultCode.ORIGIN_UNKNOWN,
             f"stream {exchange.facts.resumes[: origins.MAX_REQUEST_ID_LENGTH]!r}: {why}",
--- a/src/croftpulley/transport/box_messages.py
+++ b/src/croftpulley/transport/box_messages.py
@@ -96,8 +96,8 @@
         unreached: Number of boxes that reach no endpoint of a pool, by pool.
         reaching: Some boxes that reach a pool, for each pool that the router cannot reach itself.
         answering: Pools that answered other boxes recently.
-        mixed: Pools whose endpoints have, or recently had, several versions; ``None`` if the
-            control box cannot tell.
+        settled: The version of each pool whose endpoints have, and recently had, no other one;
+            ``None`` if the control box cannot tell.
         is_from_redirector: Whether a control box without a disk answers, which can say no more than
             where to ask.
         announced: What control boxes announced to that box; ``None`` if nothing yet.
@@ -125,7 +125,7 @@
     unreached: dict[str, int] = attrs.field(factory=dict)
     reaching: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     answering: tuple[str, ...] = ()
-    mixed: tuple[str, ...] | None = None
+    settled: dict[str, str] | None = None
     is_from_redirector: bool = False
     announced: control_announcements.ControlAnnouncement | None = None
 
--- a/testing/controllers/test_stream_origins.py
+++ b/testing/controllers/test_stream_origins.py
@@ -30,7 +30,7 @@
 @pytest.fixture
 def view(clock):
     state = router_state.RouterState(
-        boxes=NOBODY_LISTENS, mixed=frozenset({"llm"}), heard_at_s=clock.monotonic_s()
+        boxes=NOBODY_LISTENS, settled={}, heard_at_s=clock.monotonic_s()
     )
     return actors.View(state)
 
@@ -62,15 +62,15 @@
 
 
 def test_a_stream_of_a_settled_pool_is_announced_once_its_pool_is_mixed(known, view):
-    view.publish(attrs.evolve(view.get(), mixed=frozenset()))
+    view.publish(attrs.evolve(view.get(), settled={"llm": "v2"}))
     known.remember_begun(ANNOUNCEMENT, always_announced=False)
     assert known.take_unannounced(frozenset()) == []
-    view.publish(attrs.evolve(view.get(), mixed=frozenset({"llm"})))
+    view.publish(attrs.evolve(view.get(), settled={}))
     assert [each.stream for each in known.take_unannounced(frozenset())] == [ANNOUNCEMENT.stream]
 
 
 def test_streams_of_split_pools_are_always_announced(known, view):
-    view.publish(attrs.evolve(view.get(), mixed=frozenset()))
+    view.publish(attrs.evolve(view.get(), settled={"llm": "v2"}))
     known.remember_begun(ANNOUNCEMENT, always_announced=True)
     assert [each.stream for each in known.take_unannounced(frozenset({"llm"}))] == [
         ANNOUNCEMENT.stream
@@ -81,11 +81,18 @@
 def test_a_pool_counts_as_settled_only_while_the_leaders_answer_is_recent(
     view, clock, age_s, is_settled
 ):
-    state = attrs.evolve(view.get(), mixed=frozenset())
+    state = attrs.evolve(view.get(), settled={"llm": "v2"})
     clock.advance(age_s)
-    assert state.is_settled("llm", clock.monotonic_s()) is is_settled
+    assert (state.settled_version("llm", clock.monotonic_s()) == "v2") is is_settled
 
 
 def test_no_pool_counts_as_settled_while_the_leader_cannot_tell(view, clock):
-    state = attrs.evolve(view.get(), mixed=None)
-    assert not state.is_settled("llm", clock.monotonic_s())
+    state = attrs.evolve(view.get(), settled=None)
+    assert state.settled_version("llm", clock.monotonic_s()) is None
+
+
+def test_a_stream_of_another_version_than_the_settled_one_is_announced(known, view):
+    view.publish(attrs.evolve(view.get(), settled={"llm": "v1"}))
+    with pytest.raises(errors.CroftpulleyError) as caught:
+        known.remember_begun(ANNOUNCEMENT, always_announced=False)
+    assert caught.value.code is codes.ResultCode.ORIGIN_UNTOLD
--- a/testing/core/test_origins.py
+++ b/testing/core/test_origins.py
@@ -242,4 +242,4 @@
         if now_s - at_s < pool_versions.RESUMABLE_AFTER_UNLISTED_S
     }
     if len(resumable) > 1:
-        assert known.mixed(now_s) == ("llm",)
+        assert known.settled(now_s) == {}
--- a/testing/daemons/test_versions.py
+++ b/testing/daemons/test_versions.py
@@ -225,7 +225,7 @@
     def are_settled():
         views = [router._view.get() for router in site.routers]
         now_s = site.routers[0]._clock.monotonic_s()
-        return all(state.is_settled("llm", now_s) for state in views)
+        return all(state.settled_version("llm", now_s) is not None for state in views)
 
     wait_until(are_settled, "every router knows that the pool has one version")
 
--- a/testing/forwarding/test_forwarding.py
+++ b/testing/forwarding/test_forwarding.py
@@ -305,7 +305,10 @@
 
     def test_the_callers_last_event_id_is_forwarded(self, site):
         state = site.routers[0]._view
-        wait_until(lambda: state.get().mixed == frozenset(), "each pool has a single version")
+        wait_until(
+            lambda: state.get().settled is not None and state.get().mixed_pools() == [],
+            "each pool has a single version",
+        )
         answer = site.ask("POST", "/stream/note/x", headers={"Last-Event-ID": "3"})
         assert answer.body.startswith(b"id: 4\n")
 
--- a/testing/soak/versions.py
+++ b/testing/soak/versions.py
@@ -163,22 +163,27 @@
         """Ask any router and read some events."""
         wanted = chance.randint(1, forwarded.EVENTS - 1)
         way = self._site.router_ways[chance.randrange(fleet.ROUTERS)]
-        host, _, port = way.address.rpartition(":")
-        connection = http.client.HTTPConnection(host, int(port), timeout=_TIMEOUT_S)
         headers = {
-            "Host": fleet.HOST,
             "X-Request-Id": request_id,
             "X-Key": fleet.key_of(max(1, self._book.accepted_version)),
-            "X-Deadline-Ms": "4000",
             **given,
         }
-        try:
-            connection.request("POST", stream.path, b"body", headers)
-            response = connection.getresponse()
-            if response.status == 200:
-                stream.read(response, wanted)
-        except (OSError, http.client.HTTPException):
-            # A router that is down or an answer that broke off: what came before counts.
-            return
-        finally:
-            connection.close()
+        read_on(way.address, stream, headers, wanted)
+
+
+def read_on(address: str, stream: held_streams.Stream, headers: dict[str, str], wanted: int) -> int:
+    """Ask a router and read so many events; return the status, 0 if there was none."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=_TIMEOUT_S)
+    try:
+        given = {"Host": fleet.HOST, "X-Deadline-Ms": "4000", **headers}
+        connection.request("POST", stream.path, b"body", given)
+        response = connection.getresponse()
+        if response.status == 200:
+            stream.read(response, wanted)
+        return response.status
+    except (OSError, http.client.HTTPException):
+        # A router that is down or an answer that broke off: what came before counts.
+        return 0
+    finally:
+        connection.close()
