Control boxes say when one more loss ends control

The announcing controller looks every 0.1 s instead of at each tick of the replica: nothing that it sends is due sooner.

--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -208,6 +208,8 @@
             "term": replica_status.term,
             "leader_address": replica_status.leader_address,
             "members": [attrs.asdict(member) for member in replica_status.members.members],
+            "spare_voters": replica_status.spare_voters,
+            "silent_addresses": list(replica_status.silent_addresses),
             "configuration_version": self._command_log.read().submissions.held.version,
             "evacuated": list(self._command_log.read().evacuated.names),
             "boxes": [attrs.asdict(box) for box in answer.boxes],
--- a/src/croftpulley/controllers/replica_standing.py
+++ b/src/croftpulley/controllers/replica_standing.py
@@ -40,6 +40,21 @@
         """The addresses of all members."""
         return tuple(member.address for member in self.members.members)
 
+    @property
+    def spare_voters(self) -> int | None:
+        """How many more voters may fail until none can lead, ``None`` if this box doesn't lead.
+
+        >>> three = messages.Members(tuple(messages.Member(each, each) for each in "abc"))
+        >>> lead = ReplicaStatus(role=states.Role.LEADER, members=three, silent_addresses=("b",))
+        >>> lead.spare_voters, ReplicaStatus(members=three).spare_voters
+        (0, None)
+        """
+        if self.role is not states.Role.LEADER:
+            return None
+        voters = [each for each in self.members.members if each.voter]
+        answering = [each for each in voters if each.address not in self.silent_addresses]
+        return max(0, len(answering) - self.members.quorum)
+
 
 def publish(
     view: actors.View[ReplicaStatus], replica: replicas.Replica, now_s: float
@@ -66,8 +81,24 @@
             last_index=replica.log.last_index,
             commit_index=replica.commit_index,
         )
+    if None not in (status.spare_voters, previous.spare_voters):
+        _log_spare_voters(status, previous)
     return status
 
 
+def _log_spare_voters(status: ReplicaStatus, previous: ReplicaStatus) -> None:
+    """Log when more or fewer voters may fail than before; a lost one is also a lost spare."""
+    if status.spare_voters == previous.spare_voters:
+        return
+    events.emit(
+        _LOG,
+        events.Event.SPARE_VOTERS_CHANGED,
+        level=logging.INFO if status.spare_voters else logging.WARNING,
+        spare_voters=status.spare_voters,
+        voters=len(status.members.voters),
+        silent_addresses=list(status.silent_addresses),
+    )
+
+
 def _role_and_leader(status: ReplicaStatus) -> tuple[states.Role, int, str]:
     return status.role, status.term, status.leader_address
--- a/src/croftpulley/core/control_announcements.py
+++ b/src/croftpulley/core/control_announcements.py
@@ -15,6 +15,7 @@
 """After an announcement without an answer, and while one that has changed is not acknowledged."""
 FRESH_S = 5.0
 """An announcement that was not repeated for this long gives way to one of a lower rank."""
+CHECK_INTERVAL_S = 0.1
 MAX_DUE = 16
 """Announcements sent at a time, since each takes a thread until it is answered or times out."""
 
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -24,7 +24,12 @@
     sessions,
     suspect_register,
 )
-from croftpulley.core import replicated_state, retry_budget, submissions
+from croftpulley.core import (
+    control_announcements,
+    replicated_state,
+    retry_budget,
+    submissions,
+)
 from croftpulley.core.replication import messages
 from croftpulley.core.replication import state as states
 from croftpulley.http import health_app, replica_app, server, wsgi
@@ -145,7 +150,7 @@
             actors.Ticker(self._sessions, settings.tick_s),
             actors.Ticker(self._listing, settings.tick_s),
             actors.Ticker(self._inventory, settings.tick_s),
-            actors.Ticker(self._announcing, settings.tick_s),
+            actors.Ticker(self._announcing, control_announcements.CHECK_INTERVAL_S),
         ]
         events.emit(
             _LOG,
--- a/src/croftpulley/observe/events.py
+++ b/src/croftpulley/observe/events.py
@@ -89,6 +89,7 @@
     ENTRY_NOT_APPLIED = 416
     JOIN_UNANSWERED = 417
     CONTROL_ANNOUNCED = 418
+    SPARE_VOTERS_CHANGED = 419
     INTERNAL_ERROR = 900
     LOG_LINES_LEFT_OUT = 901
 
@@ -186,6 +187,9 @@
         "A control box asks in vain to be a replica again; it takes no part meanwhile."
     ),
     Event.CONTROL_ANNOUNCED: "A box was told where the control boxes are, or of another leader.",
+    Event.SPARE_VOTERS_CHANGED: (
+        "More or fewer control boxes may fail until none can lead; the line has how many."
+    ),
     Event.INTERNAL_ERROR: "An unexpected error; the line carries the traceback.",
     Event.LOG_LINES_LEFT_OUT: "Log lines were left out to stay within the budget of a second.",
 }
--- a/testing/daemons/test_seeds_without_disk.py
+++ b/testing/daemons/test_seeds_without_disk.py
@@ -175,6 +175,15 @@
     lose_disk(site, followers[0])
 
 
+def test_the_leader_says_when_one_more_loss_ends_control(site, caplog):
+    (leader,) = [each for each in site.control if each.leads()]
+    wait_until(lambda: leader.replica_status().spare_voters == 1, "all three answer")
+    site.stop_control(next(n for n, each in enumerate(site.control) if each is not leader))
+    wait_until(lambda: leader.replica_status().spare_voters == 0, "one is silent")
+    told = events.MEANINGS[events.Event.SPARE_VOTERS_CHANGED]
+    wait_until(lambda: told in caplog.messages, "it is in the log")
+
+
 def test_a_router_that_starts_again_is_found_though_every_seed_is_down(site):
     reserved = ReservedPort()
     site.changes = {"peer_address": reserved.address}
