--- a/src/croftpulley/controllers/sessions.py
+++ b/src/croftpulley/controllers/sessions.py
@@ -370,7 +370,7 @@
         """Return where registered boxes can be reached that have stopped renewing."""
         if now_s - self._leading_since_s < _HEARD_WITHIN_S:
             return ()
-        heard = {box.name for box in self._sessions.boxes(now_s)}
+        heard = {box.name for box in self._boxes.value}
         registered = tuple(self._command_log.read().boxes.values())
         missed = (box.peer_address for box in registered if box.name not in heard)
         return tuple(address for address in missed if address)
