Soak kind seeds: settings name other seeds while disks, routers and all programs are lost

None of our own checks had a control box without a disk, nor an exchange of seeds. The kind has three such boxes as real programs; even seeds name these alone, odd ones any boxes.

--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -1,4 +1,4 @@
-"""``croftpulley entry``, ``control``, ``router`` and ``replica``."""
+"""``croftpulley entry``, ``control``, ``router``, ``replica`` and ``redirector``."""
 
 from __future__ import annotations
 
@@ -10,6 +10,7 @@
 from croftpulley.daemons import control as control_daemon
 from croftpulley.daemons import entry as entry_daemon
 from croftpulley.daemons import entry_box, settings_watch, signals
+from croftpulley.daemons import redirector as redirector_daemon
 from croftpulley.daemons import replica as replica_daemon
 from croftpulley.daemons import router as router_daemon
 from croftpulley.observe import logs
@@ -21,6 +22,7 @@
     schema.ControlSettings,
     schema.RouterSettings,
     schema.ReplicaSettings,
+    schema.RedirectorSettings,
 )
 _SETTINGS = click.option(
     "--settings", "path", required=True, type=click.Path(), help="JSON with comments."
@@ -78,6 +80,17 @@
     _run_control_box(replica_daemon.ReplicaDaemon(watch.in_use), watch)
 
 
+@click.command()
+@_SETTINGS
+def redirector(path: str) -> None:
+    """Run a control box without a disk, which sends others on to those that have one.
+
+    Example: croftpulley redirector --settings redirector-1.jsonc
+    """
+    watch = _watch(path, schema.RedirectorSettings)
+    _run_control_box(redirector_daemon.RedirectorDaemon(watch.in_use), watch)
+
+
 def _watch(path: str, kind: type[T]) -> settings_watch.SettingsWatch[T]:
     """Read the settings, and log as they say."""
     watch = settings_watch.SettingsWatch(path, lambda: loader.load(path, kind))
@@ -95,7 +108,9 @@
 
 
 def _run_control_box(
-    daemon: control_daemon.ControlDaemon | replica_daemon.ReplicaDaemon,
+    daemon: control_daemon.ControlDaemon
+    | replica_daemon.ReplicaDaemon
+    | redirector_daemon.RedirectorDaemon,
     watch: settings_watch.SettingsWatch[Any],
 ) -> None:
     """Serve until SIGTERM."""
--- a/src/croftpulley/cli/settings.py
+++ b/src/croftpulley/cli/settings.py
@@ -11,6 +11,7 @@
     "control": schema.ControlSettings,
     "router": schema.RouterSettings,
     "replica": schema.ReplicaSettings,
+    "redirector": schema.RedirectorSettings,
     "fake": schema.FakeSettings,
 }
 
--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -143,7 +143,8 @@
 
     Each control box sends over a link of ``link_bytes_per_s``; ``allowance`` is the budget of
     repeats that routers share. With ``slots`` of each endpoint they share room as well, with
-    ``cuts`` the links of single routers to endpoints may be harmed.
+    ``cuts`` the links of single routers to endpoints may be harmed. ``redirectors`` is how many
+    control boxes without a disk there are.
     """
 
     def __init__(
@@ -154,6 +155,7 @@
         slots: int = 0,
         *,
         cuts: bool = False,
+        redirectors: int = 0,
     ) -> None:
         self.folder = folder
         self.cuts: dict[int, proxy.Harm] = {}
@@ -180,14 +182,17 @@
         self.control_ways = [
             proxy.Proxy(self.loop, lane=lane, lane_of=self._lane_of) for lane in self.lanes
         ]
+        self.seeds = [each.address for each in self.control_ways]
+        """What the settings of programs name at first."""
         self.control = [self._make_control(number) for number in range(CONTROL)]
+        self.redirectors = [self._make_redirector(number) for number in range(redirectors)]
         self.router_ways = [proxy.Proxy(self.loop) for _ in range(ROUTERS)]
         self.routers = [self._make_router(number) for number in range(ROUTERS)]
 
     @property
     def programs(self) -> list[processes.Program]:
         """Every program."""
-        return [*self.control, *self.routers]
+        return [*self.control, *self.redirectors, *self.routers]
 
     @property
     def ways(self) -> list[proxy.Proxy]:
@@ -198,9 +203,16 @@
         """Start all programs for the first time."""
         for each in self.control:
             each.start(first_start=True)
-        for each in self.routers:
+        for each in (*self.redirectors, *self.routers):
             each.start()
 
+    def use_seeds(self, addresses: list[str]) -> None:
+        """Name other seeds in the settings of all programs; they see that by themselves."""
+        for each in self.programs:
+            key = "seeds" if each in self.control else "control_addresses"
+            each.settings[key] = addresses
+            each.write_settings()
+
     def start_again(self, program: processes.Program) -> None:
         """Start a program that has ended."""
         program.start(**({"first_start": False} if program in self.control else {}))
@@ -330,11 +342,22 @@
             "operator_address": self._port(),
             "metrics_address": self._port(),
             "data_folder": str(self.folder / f"data-{number}"),
-            "seeds": [each.address for each in self.control_ways],
+            "seeds": self.seeds,
             "platform_address": self.listed.address,
         }
         return processes.Program("replica", settings, self.folder)
 
+    def _make_redirector(self, number: int) -> processes.Program:
+        settings = {
+            "box": f"redirector-{number}",
+            "peer_address": self._port(),
+            "operator_address": self._port(),
+            "metrics_address": self._port(),
+            "targets": [each.settings["operator_address"] for each in self.control],
+            "control_addresses": self.seeds,
+        }
+        return processes.Program("redirector", settings, self.folder)
+
     def _make_router(self, number: int) -> processes.Program:
         way = self.router_ways[number]
         way.target = self._port()
@@ -346,7 +369,7 @@
             "ready_address": self._port(),
             "metrics_address": self._port(),
             "peer_address": self._port(),
-            "control_addresses": [each.address for each in self.control_ways],
+            "control_addresses": self.seeds,
             "platform_address": self.listed.address,
             "grace_s": 8.0,
             "retry_ratio": self.allowance.ratio,
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -57,7 +57,7 @@
             self.starts += 1
             self._disturb()
             self.settings |= changes
-            self._path.write_bytes(orjson.dumps(self.settings))
+            self.write_settings()
             with self._log_path.open("ab") as log:
                 self._process = subprocess.Popen(
                     [sys.executable, "-c", _MAIN, self._command, "--settings", str(self._path)],
@@ -65,6 +65,10 @@
                     stderr=log,
                 )
 
+    def write_settings(self) -> None:
+        """Write the settings as they are now."""
+        self._path.write_bytes(orjson.dumps(self.settings))
+
     def was_calm(self, since_s: float, until_s: float) -> bool:
         """Tell whether it was neither started, paused nor ended between two times."""
         return not any(since_s <= at_s <= until_s for at_s in self._disturbed_s)
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -32,6 +32,7 @@
     records,
     rests,
     room,
+    seeds,
     storms,
     troubles,
     versions,
@@ -81,6 +82,9 @@
     ENDLESS = "endless"
     """Endpoints send bytes without end, or fall silent within an answer without a length, while
     routers and leaders are killed; every other seed has all else too."""
+    SEEDS = "seeds"
+    """Settings name other seeds, without a disk or mixed, while disks are lost one after the other,
+    routers are stopped as planned and all programs are killed."""
 
 
 @attrs.frozen
@@ -120,6 +124,7 @@
         fleet.TIGHT if kind is Kind.STORM else None,
         room.SLOTS if kind is Kind.ROOM else 0,
         cuts=kind is Kind.CUTS,
+        redirectors=seeds.REDIRECTORS if kind is Kind.SEEDS else 0,
     )
     book = records.Book()
     crowd = callers.Crowd(
@@ -224,7 +229,7 @@
 ) -> list[troubles.Timed]:
     """Return what goes wrong in a run."""
     drawn = []
-    if kind is Kind.MIXED or seed % 2:
+    if kind is Kind.MIXED or (seed % 2 and kind is not Kind.SEEDS):
         drawn += troubles.Draw(seed, site, book, planned_only=planned_only).all(seconds_s)
     if kind is Kind.STORM:
         drawn += storms.Storm(seed, site).all(seconds_s)
@@ -237,6 +242,8 @@
     if kind is Kind.VERSIONS:
         drawn += versions.rolls(seed, site, seconds_s)
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
+    if kind is Kind.SEEDS:
+        drawn += seeds.drawn(seed, site, book, seconds_s)
     if kind is Kind.ENDLESS:
         drawn += endless.drawn(seed, site, seconds_s)
     if kind in (Kind.PARTS, Kind.ENDLESS):
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -46,6 +46,9 @@
 ENDLESS = {2: 10.0}
 """Endpoints that send bytes without end, while routers and leaders are killed."""
 
+SEEDS_EXCHANGED = {2: 14.0, 3: 14.0}
+"""Settings name seeds without a disk, or any; disks are lost, routers stopped, all killed."""
+
 RESTS = {4: 10.0}
 """Endpoints that ask for rest and say that they leave, while routers and leaders are killed."""
 
@@ -90,6 +93,11 @@
     assert run.run_seed(seed, VERSIONS[seed], tmp_path, run.Kind.VERSIONS).broken == []
 
 
+@pytest.mark.parametrize("seed", SEEDS_EXCHANGED)
+def test_control_is_found_again_after_an_exchange_of_seeds(seed, tmp_path):
+    assert run.run_seed(seed, SEEDS_EXCHANGED[seed], tmp_path, run.Kind.SEEDS).broken == []
+
+
 @pytest.mark.parametrize("seed", RESTS)
 def test_endpoints_get_the_rest_that_they_ask_for(seed, tmp_path):
     assert run.run_seed(seed, RESTS[seed], tmp_path, run.Kind.RESTS).broken == []
