--- a/testing/daemons/test_seeds_without_disk.py
+++ b/testing/daemons/test_seeds_without_disk.py
@@ -87,6 +87,14 @@
     made.close()
 
 
+def exchange_seeds(site, seeds):
+    """Have the settings of all control boxes, and of what starts from now on, name these seeds."""
+    seeds.start()
+    site.seeds = seeds.addresses
+    for each in site.control:
+        each.use_settings(attrs.evolve(each._settings, seeds=seeds.addresses))
+
+
 def lose_disk(site, number):
     """Lose a disk, and wait until that control box has a vote again under its new id."""
     before = site.control[number].replica_status().members
@@ -137,10 +145,7 @@
 
 
 def test_routers_stop_and_start_in_turn_after_an_exchange_of_seeds(site, seeds):
-    seeds.start()
-    site.seeds = seeds.addresses
-    for each in site.control:
-        each.use_settings(attrs.evolve(each._settings, seeds=seeds.addresses))
+    exchange_seeds(site, seeds)
     for number in range(len(site.routers)):
         site.routers[number].stop()
         site.routers[number] = site.start_router(f"router-{number}")
@@ -148,10 +153,7 @@
 
 
 def test_seeds_that_start_again_are_told_again(site, seeds):
-    seeds.start()
-    site.seeds = seeds.addresses
-    for each in site.control:
-        each.use_settings(attrs.evolve(each._settings, seeds=seeds.addresses))
+    exchange_seeds(site, seeds)
     seeds.stop()
     seeds.start()
     site.routers.append(site.start_router("new"))
@@ -159,10 +161,7 @@
 
 
 def test_disks_lost_one_after_the_other_join_by_seeds_without_a_disk(site, seeds):
-    seeds.start()
-    site.seeds = seeds.addresses
-    for each in site.control:
-        each.use_settings(attrs.evolve(each._settings, seeds=seeds.addresses))
+    exchange_seeds(site, seeds)
     for number in range(3):
         lose_disk(site, number)
     assert json.loads(site.operator.read().body) == DOCUMENT
