--- /dev/null
+++ b/testing/daemons/test_client_crowds.py
@@ -0,0 +1,104 @@
+"""Crowds of clients that send too much, or stop just short of the end and stay.
+
+Each test starts the real programs. A crowd is at all addresses of one of them at once; together its
+clients send more than the machine has memory.
+"""
+
+from __future__ import annotations
+
+import grpc
+import pytest
+
+import client_crowds
+import crowd_site
+import grpc_crowds
+from client_crowds import Shape
+from croftpulley.transport._generated import fleet_pb2 as wire
+from croftpulley.transport._generated import fleet_pb2_grpc as services
+from soak import processes
+
+CLAIM_PATH = "/croftpulley.Control/Claim"
+PROGRAMS = ("router", "replica", "redirector", "entry", "control")
+
+
+@pytest.fixture
+def make_place(tmp_path):
+    site = crowd_site.Site(tmp_path)
+
+    def make(program, **http):
+        site.http |= http
+        place = getattr(site, program)()
+        processes.wait_until(place.ordinary.is_answered, f"the {program} serves")
+        return place
+
+    yield make
+    site.stop()
+
+
+@pytest.mark.parametrize("shape", client_crowds.LARGE)
+@pytest.mark.parametrize("program", PROGRAMS)
+def test_a_crowd_does_not_end_a_process_nor_keep_it_from_ordinary_clients(
+    make_place, program, shape
+):
+    place = make_place(program)
+    # Only at the first address do whole requests stay.
+    addresses = place.addresses[:1] if shape is Shape.WHOLE else place.addresses
+    crowd = client_crowds.Crowd(shape, addresses, place.crowd_head)
+    try:
+        crowd.send_all()
+        descriptors = client_crowds.open_descriptors(place.program.pid)
+        is_answered_beside = place.ordinary.is_answered()
+        peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
+    finally:
+        crowd.close()
+    assert place.program.runs
+    assert peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    assert descriptors <= crowd.size + client_crowds.SPARE_DESCRIPTORS
+    assert is_answered_beside
+    assert place.ordinary.is_answered()
+
+
+def test_a_crowd_at_the_grpc_listener_does_not_end_the_process_nor_keep_it_from_others(make_place):
+    place = make_place("control")
+    address = place.program.settings["peer_address"]
+    size = client_crowds.crowd_size(Shape.SHORT)
+    crowd = grpc_crowds.Crowd(address, CLAIM_PATH, size, client_crowds.BODY_BYTES)
+    try:
+        crowd.send_all()
+        descriptors = client_crowds.open_descriptors(place.program.pid)
+        peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
+    finally:
+        crowd.close()
+    assert place.program.runs
+    assert peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    assert descriptors <= crowd.size + client_crowds.SPARE_DESCRIPTORS
+    assert claim(address)
+    assert place.ordinary.is_answered()
+
+
+def claim(address):
+    """Return whether the control box answers a claim."""
+    request = wire.ClaimRequest(workspace="clinic", key="k", digest="d", claim_id="c")
+    with grpc.insecure_channel(address) as channel:
+        services.ControlStub(channel).Claim(request, timeout=20, wait_for_ready=True)
+    return True
+
+
+@pytest.mark.parametrize("program", ["router", "replica", "entry", "control"])
+def test_a_crowd_beyond_the_limit_on_connections_does_not_keep_others_out(make_place, program):
+    place = make_place(program, connections=client_crowds.FEW_CONNECTIONS)
+    crowd = client_crowds.Crowd(Shape.SHORT_SMALL, place.addresses[:1], place.crowd_head)
+    try:
+        crowd.send_all()
+        descriptors = client_crowds.open_descriptors(place.program.pid)
+        is_answered_beside = place.ordinary.is_answered()
+        peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
+    finally:
+        crowd.close()
+    assert place.program.runs
+    assert peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    listeners = len(place.addresses)
+    allowed = listeners * client_crowds.FEW_CONNECTIONS + client_crowds.SPARE_DESCRIPTORS
+    assert descriptors <= allowed
+    assert is_answered_beside
+    assert place.ordinary.is_answered()
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -11,6 +11,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 
 import orjson
 
@@ -44,6 +45,11 @@
         written = self._log_path.read_text(errors="replace")
         return self.runs and written.count('"daemon_started"') >= self.starts
 
+    @property
+    def pid(self) -> int:
+        """The process's id; it must have been started."""
+        return self._process.pid
+
     @property
     def runs(self) -> bool:
         """Tell whether the process is there; a paused one is."""
@@ -127,6 +133,14 @@
         return "\n".join(self._log_path.read_text(errors="replace").splitlines()[-lines:])
 
 
+def wait_until(holds: Callable[[], bool], what: str, limit_s: float = 30.0) -> None:
+    """Wait on a condition of programs; the limit only ends a test that would hang."""
+    ends_at_s = time.monotonic() + limit_s
+    while not holds():
+        assert time.monotonic() < ends_at_s, f"waited {limit_s} s in vain until {what}"
+        time.sleep(0.05)
+
+
 def socket_between(port: int, listening_port: int) -> str:
     """Return the kernel's name of the socket at ``port`` that is connected to the other one."""
     wanted = re.compile(rf"^ *\d+: \w+:{port:04X} \w+:{listening_port:04X} .*$", re.MULTILINE)
