Answers whose head is spoilt are no answers: the bytes are checked before the library reads them

Callers saw a complete 200, with its proof, whose body was not the worker's: where a head's length was no plain number, where its name held a blank or a control byte, or where a line before it was no field. Streams came with the frames of their chunks as text.

Cause: http.client reads heads with a parser made for mail, which never fails.

Ruled out: that the router spoils heads as it writes; that its own checks have a gap (it has none).

Change: endpoints/sockets.Response reads status line, fields, sizes of chunks and trailers itself, by RFC 9110 and 9112, and hands on only what was checked. The same class reads what boxes say to each other, and the command line's answers.

Status 000 was refused before as well.

--- a/src/croftpulley/bench/caller.py
+++ b/src/croftpulley/bench/caller.py
@@ -9,6 +9,8 @@
 import orjson
 import urllib3
 
+from croftpulley.endpoints import sockets
+
 _TIMEOUT_S = 60.0
 _TRIES = 4
 
@@ -31,7 +33,7 @@
 
     def __init__(self, any_entry: str) -> None:
         self._any_entry = any_entry
-        self._pool = urllib3.PoolManager(
+        self._pool = sockets.strict_pools(
             num_pools=16, maxsize=64, retries=False, timeout=urllib3.Timeout(_TIMEOUT_S)
         )
         self._entries: dict[str, tuple[float, list[str]]] = {}
--- a/src/croftpulley/bench/scrape.py
+++ b/src/croftpulley/bench/scrape.py
@@ -8,7 +8,9 @@
 import urllib3
 from prometheus_client import parser
 
-_POOL = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(10.0))
+from croftpulley.endpoints import sockets
+
+_POOL = sockets.strict_pools(retries=False, timeout=urllib3.Timeout(10.0))
 
 
 def get_json(address: str, path: str) -> Any:
--- a/src/croftpulley/cli/ctl.py
+++ b/src/croftpulley/cli/ctl.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from croftpulley import codes, errors
+from croftpulley.endpoints import sockets
 from croftpulley.settings import loader
 
 _SUBMISSIONS = "/v1/config/submissions"
@@ -29,7 +30,7 @@
         self._addresses = addresses
         self._token_file = token_file
         self._as_json = as_json
-        self._pool = urllib3.PoolManager(retries=False, timeout=urllib3.Timeout(10.0))
+        self._pool = sockets.strict_pools(retries=False, timeout=urllib3.Timeout(10.0))
 
     def ask(self, method: str, path: str, document: Any = None) -> Any:
         """Ask one box after the other and return the answer; raises `errors.CroftpulleyError`.
--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -6,18 +6,28 @@
 down itself.
 
 What never ends is given up: heads and trailers after a number of bytes, everything after a time.
+
+A head, or the framing of a chunk, that is not exactly what RFC 9110 and 9112 allow is no part of a
+response. The standard library leaves out what it cannot read, such as a length that is no number or
+all lines from the first on that is no field, and frames the body by the rest.
 """
 
 from __future__ import annotations
 
+import functools
+import http
 import http.client
 import io
+import re
 import socket
 import struct
 import time
 from collections.abc import Callable
 from typing import Any
 
+import urllib3
+import urllib3.connection
+
 MAX_HEAD_BYTES = 65_536
 """For all heads of one response together: four times what a caller's head may have."""
 MAX_INTERIM_HEADS = 8
@@ -25,6 +35,14 @@
 MAX_TRAILER_BYTES = 16_384
 """After the last chunk; as much as a caller's head may have."""
 
+_LINE_END = b"\r\n"
+_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?\r\n")
+_FIELD = re.compile(
+    rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t\x20-\x7e\x80-\xff]*)\r\n",
+)
+_LENGTH = re.compile(rb"[0-9]{1,18}")
+_CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?\r\n")
+_CONTENT_LENGTH, _TRANSFER_ENCODING = b"content-length", b"transfer-encoding"
 _RESET = struct.pack("ii", 1, 0)
 """SO_LINGER with timeout 0."""
 _FLUSH = struct.pack("ii", 0, 0)
@@ -107,6 +125,41 @@
             raise ConnectionAbortedError(f"the response's {part} is longer than the limit")
 
 
+class SpoiltResponseError(http.client.HTTPException):
+    """What was received is no response, or its end cannot be told."""
+
+
+def _is_interim(status_line: bytes) -> bool:
+    """Tell whether another head follows the one with this status line; raises for no such line."""
+    match = _STATUS_LINE.fullmatch(status_line)
+    if match is None:
+        raise SpoiltResponseError(f"got status line {status_line[:100]!r}")
+    status = int(match[2])
+    if status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+        raise SpoiltResponseError("the peer switches protocols, which nobody asked for")
+    return status < http.HTTPStatus.OK
+
+
+def _parse_field(line: bytes) -> tuple[bytes, bytes]:
+    """Return the name of a header field in lower case, and its value."""
+    match = _FIELD.fullmatch(line)
+    if match is None:
+        raise SpoiltResponseError(f"got {line[:100]!r} for a header field")
+    return match[1].lower(), match[2].strip(b" \t")
+
+
+def _check_framing(status_line: bytes, fields: list[tuple[bytes, bytes]]) -> None:
+    """Raise `SpoiltResponseError` unless a head says in one way only where its response ends."""
+    lengths = [value for name, value in fields if name == _CONTENT_LENGTH]
+    encodings = [value for name, value in fields if name == _TRANSFER_ENCODING]
+    if len(lengths) + len(encodings) > 1:
+        raise SpoiltResponseError(f"got lengths {lengths!r} and transfer encodings {encodings!r}")
+    if lengths and not _LENGTH.fullmatch(lengths[0]):
+        raise SpoiltResponseError(f"got length {lengths[0][:100]!r}")
+    if encodings and (encodings[0].lower() != b"chunked" or status_line.startswith(b"HTTP/1.0")):
+        raise SpoiltResponseError(f"got transfer encoding {encodings[0][:100]!r}")
+
+
 class Response(http.client.HTTPResponse):
     """A response whose head and body are read through `ResponseBytes`."""
 
@@ -122,22 +175,76 @@
         buffered: io.BufferedReader = self.fp
         self._received = ResponseBytes(sock, buffered.detach(), is_cancelled, ends_at_s)
         self.fp = io.BufferedReader(self._received)
-        self._heads = 0
 
     def begin(self) -> None:
         """Read the head; raises `OSError` or `http.client.HTTPException`."""
+        if self.headers is not None:
+            return
+        received = self.fp
+        head = self._read_final_head()
+        # The library reads what has been checked, and nothing else.
+        self.fp = io.BufferedReader(io.BytesIO(head))
         super().begin()
+        self.fp = received
         self._received.complete_head()
 
-    def _read_status(self) -> tuple[str, int, str]:
-        self._heads += 1
-        if self._heads > 1 + MAX_INTERIM_HEADS:
-            raise http.client.HTTPException(f"more than {MAX_INTERIM_HEADS} interim heads")
-        return super()._read_status()  # type: ignore[misc, no-any-return]
+    def _read_final_head(self) -> bytes:
+        for _ in range(1 + MAX_INTERIM_HEADS):
+            status_line = self.fp.readline()
+            is_interim = _is_interim(status_line)
+            lines = self._read_fields()
+            if not is_interim:
+                _check_framing(status_line, [_parse_field(each) for each in lines])
+                return b"".join((status_line, *lines, _LINE_END))
+        raise SpoiltResponseError(f"more than {MAX_INTERIM_HEADS} interim heads")
+
+    def _read_fields(self) -> list[bytes]:
+        """Read lines up to an empty one; each is a field of a head or of trailers."""
+        lines = []
+        while (line := self.fp.readline()) != _LINE_END:
+            if not line:
+                raise ConnectionResetError("the connection ended within the response")
+            _parse_field(line)
+            lines.append(line)
+        return lines
+
+    def _get_chunk_left(self) -> int | None:
+        if self.chunk_left == 0:
+            end = self._safe_read(len(_LINE_END))  # type: ignore[attr-defined]
+            if end != _LINE_END:
+                raise SpoiltResponseError(f"got {end!r} for the end of a chunk")
+            self.chunk_left = None
+        return super()._get_chunk_left()  # type: ignore[misc, no-any-return]
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline()
+        match = _CHUNK_LINE.fullmatch(line)
+        if match is None:
+            raise SpoiltResponseError(f"got {line[:100]!r} for the size of a chunk")
+        return int(match[1], 16)
 
     def _read_and_discard_trailer(self) -> None:
         self._received.begin_trailers()
-        super()._read_and_discard_trailer()  # type: ignore[misc]
+        self._read_fields()
+
+
+class _StrictConnection(urllib3.connection.HTTPConnection):
+    """A connection that others may be sent requests over once a response has been read."""
+
+    response_class: Any = functools.partial(Response, is_cancelled=lambda: False, ends_at_s=None)
+
+
+class StrictPool(urllib3.HTTPConnectionPool):
+    """Persistent connections to one address whose responses are read as `Response`."""
+
+    ConnectionCls = _StrictConnection
+
+
+def strict_pools(**options: Any) -> urllib3.PoolManager:
+    """Return a manager of such pools, with options of the library's."""
+    manager = urllib3.PoolManager(**options)
+    manager.pool_classes_by_scheme = {"http": StrictPool}
+    return manager
 
 
 def set_timeout(sock: socket.socket, option: int, timeout_s: float) -> None:
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -48,6 +48,22 @@
     ),
 }
 """What follows the first line and headers, and what then comes without end."""
+_SPOILT = {
+    faults.Fault.SPOILT_LENGTH: (
+        (b"Content-Length: ", b"Content-Length: x"),
+        (b"chunked", b"chunke"),
+    ),
+    faults.Fault.SPOILT_NAME: (
+        (b"Content-Length:", b"Content-Length :"),
+        (b"Transfer-Encoding:", b"Transfer-\x01Encoding:"),
+    ),
+    faults.Fault.NO_FIELD: (
+        (b"Content-Length:", b"no field\r\nContent-Length:"),
+        (b"Transfer-Encoding:", b"no field\r\nTransfer-Encoding:"),
+    ),
+    faults.Fault.NO_STATUS: ((b"HTTP/1.1 200", b"HTTP/1.1 000"),),
+}
+"""What a head holds, and what it holds instead."""
 _ENDLESS_BLOCK_BYTES = 262_144
 _PIECE_BYTES = 5
 """Of an answer that is sent piece by piece."""
@@ -282,6 +298,7 @@
         if fault is faults.Fault.SURPLUS:
             sent += b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
         head = self._head(request, status, fault) + length + b"Connection: close\r\n\r\n"
+        head = _spoil(head, fault)
         if fault is faults.Fault.UNFRAMED_SLOWLY:
             await connection.send(head)
             await self._send_slowly(connection, sent)
@@ -324,7 +341,8 @@
         head = self._head(request, 200, fault)
         is_framed = fault not in _UNFRAMED
         framing = b"Transfer-Encoding: chunked\r\n" if is_framed else b"Connection: close\r\n"
-        await connection.send(head + b"Content-Type: text/event-stream\r\n" + framing + b"\r\n")
+        head += b"Content-Type: text/event-stream\r\n" + framing + b"\r\n"
+        await connection.send(_spoil(head, fault))
         first = int(request.headers.get(self.names.last_event_id, "0")) + 1
         for number in range(first, EVENTS + 1):
             await asyncio.sleep(self.pause_s)
@@ -344,6 +362,12 @@
             await connection.send(b"0\r\n\r\n")
 
 
+def _spoil(head: bytes, fault: faults.Fault | None) -> bytes:
+    for sound, spoilt in _SPOILT.get(fault, ()) if fault else ():
+        head = head.replace(sound, spoilt)
+    return head
+
+
 def parts_of(request: stub.StubRequest, names: vocabulary.HeaderNames) -> tuple[str, ...]:
     """Return the parts that a request names of its prompt."""
     prompt = calls.parse_prompt(request.headers.get(names.prompt_parts, ""))
--- a/src/croftpulley/transport/links.py
+++ b/src/croftpulley/transport/links.py
@@ -11,6 +11,7 @@
 import urllib3.exceptions
 
 from croftpulley import codes, errors
+from croftpulley.endpoints import sockets
 from croftpulley.observe import metrics
 
 _HEADERS = {"Content-Type": "application/json"}
@@ -36,7 +37,7 @@
         self.address = address
         self._counters = counters
         timeout = urllib3.Timeout(connect=timeout_s, read=timeout_s)
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = sockets.StrictPool(
             host, int(port), timeout=timeout, maxsize=connections, block=False, retries=_NO_RETRIES
         )
 
--- a/testing/forwarding/test_forwarding.py
+++ b/testing/forwarding/test_forwarding.py
@@ -18,6 +18,7 @@
 
 Fault = faults.Fault
 NAMES = names.VOCABULARY
+SPOILT_HEADS = [Fault.SPOILT_LENGTH, Fault.SPOILT_NAME, Fault.NO_FIELD, Fault.NO_STATUS]
 OF_THE_FLEET = [
     name for name, owner in ownership.owners(NAMES).items() if owner is ownership.Owner.FLEET
 ]
@@ -204,6 +205,7 @@
             Fault.NO_PROOF,
             Fault.WRONG_ID,
             Fault.UNMARKED_503,
+            *SPOILT_HEADS,
         ],
     )
     def test_a_non_repeatable_request_runs_once_and_its_failure_is_not_signed(self, site, fault):
@@ -225,6 +227,7 @@
             Fault.WRONG_ID,
             Fault.UNMARKED_503,
             Fault.ERROR,
+            *SPOILT_HEADS,
         ],
     )
     def test_a_repeatable_request_is_answered_by_another_endpoint(self, site, fault):
@@ -256,7 +259,27 @@
 
 
 class TestStreams:
-    """Event streams that break off."""
+    """Event streams that break off, or whose head is spoilt."""
+
+    @pytest.mark.parametrize("fault", SPOILT_HEADS)
+    def test_a_stream_with_a_spoilt_head_is_none(self, site, fault):
+        for each in site.engines:
+            each.faults.add(fault)
+        answer = site.ask("POST", "/stream/chat/x")
+        assert answer.status == 502
+        assert NAMES.proof not in answer.headers
+        assert len(site.runs()) == 1
+
+    @pytest.mark.parametrize("fault", SPOILT_HEADS)
+    def test_a_resumable_stream_with_a_spoilt_head_comes_from_another_endpoint(self, site, fault):
+        for each in site.engines:
+            each.faults.add(fault)
+        site.engines[0].faults.take()
+        answer = site.ask("POST", "/stream/note/x")
+        assert (answer.status, answer.whole) == (200, True)
+        (run,) = site.engines[0].runs
+        events = [forwarded.event_of(run, number) for number in range(1, forwarded.EVENTS + 1)]
+        assert answer.body == b"".join(events)
 
     @pytest.mark.parametrize("fault", [Fault.HALF_EVENT, Fault.RESET_MID_STREAM])
     def test_a_resumable_stream_is_resumed_at_another_endpoint_in_the_same_response(
