What frames chunks has limits of its own

Callers got 413 for a body of legal size that came in small chunks, and exactly at the limit in any. A line before a chunk, or trailers, could take as much memory as a body.

Cause: the library counts all bytes that it reads after the head against the limit on bodies, and bounds no line.

Change: the body counts against its limit; a line may have 1 KiB, trailers as much as a head, and all framing eight times the limit, which chunks of one byte do not reach.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -24,6 +24,10 @@
     413: codes.ResultCode.BODY_TOO_LARGE,
     431: codes.ResultCode.HEADER_TOO_LARGE,
 }
+_MAX_CHUNK_LINE_BYTES = 1024
+"""The line before a chunk, with what a client may add to its size."""
+_MAX_FRAMING_RATIO = 8
+"""What may frame the chunks of a body, by the limit on bodies: five bytes for a chunk of one."""
 
 
 class _Refusal(waitress.utilities.Error):
@@ -74,6 +78,7 @@
         super().__init__(adj)
         self._channel = channel
         self._held = request_room.HeldRequest(time.monotonic(), self._ask_to_give_up)
+        self._framing_bytes = 0
         self.has_to_give_up = False
 
     @property
@@ -90,7 +95,7 @@
         if self.has_to_give_up:
             self.give_up()
             return len(data)
-        consumed = int(super().received(data))
+        consumed = self._parse(data)
         if self.error is not None:
             self._refuse()
         if not self.empty:
@@ -127,6 +132,30 @@
                 raise waitress.parser.ParsingError(f"{name.decode()} is given twice")
         super().parse_header(header_plus)
 
+    def _parse(self, data: bytes) -> int:
+        chunks = self.body_rcv if self.chunked else None
+        if chunks is None:
+            return int(super().received(data))
+        before_bytes = len(chunks)
+        # The library counts what frames the chunks as well; `_check_chunks` counts the body.
+        self.body_bytes_received = before_bytes - len(data)
+        consumed = int(super().received(data))
+        self._framing_bytes += consumed - (len(chunks) - before_bytes)
+        self._check_chunks(chunks)
+        return consumed
+
+    def _check_chunks(self, chunks: Any) -> None:
+        limits: Any = self.adj
+        limit_bytes = limits.max_request_body_size
+        if len(chunks) >= limit_bytes:
+            self.error = waitress.utilities.RequestEntityTooLarge(f"exceeds {limit_bytes - 1}")
+        elif len(chunks.control_line) > _MAX_CHUNK_LINE_BYTES:
+            self.error = waitress.utilities.BadRequest("The line before a chunk is too long")
+        elif len(chunks.trailer) >= limits.max_request_header_size:
+            self.error = waitress.utilities.RequestHeaderFieldsTooLarge("The trailers are too long")
+        elif self._framing_bytes > _MAX_FRAMING_RATIO * limit_bytes:
+            self.error = waitress.utilities.RequestEntityTooLarge("The chunks are too small")
+
     def _refuse(self) -> None:
         """Have the request answered with its error, and drop what it has sent."""
         self.completed = True
--- a/testing/http/test_request_bodies.py
+++ b/testing/http/test_request_bodies.py
@@ -81,6 +81,45 @@
     return POST + b"Content-Length: %d\r\n\r\n" % size_bytes + b"b" * (size_bytes - 1)
 
 
+# What framed the chunks counted against the limit on bodies: this got a 413.
+@pytest.mark.parametrize("size_bytes", [1, 2, 100, LIMIT_BYTES])
+def test_a_body_of_the_largest_legal_size_may_come_in_chunks_of_any_size(served, size_bytes):
+    body = bytes(range(250)) * (LIMIT_BYTES // 250)
+    status, _, answer = served.ask(CHUNKED + chunks(body, size_bytes))
+    assert (status, answer) == (200, b"%d" % LIMIT_BYTES)
+    assert served.bodies == [body]
+
+
+@pytest.mark.parametrize("size_bytes", [1, 100, LIMIT_BYTES + 1])
+def test_a_body_beyond_the_limit_in_chunks_is_refused(served, size_bytes):
+    status, headers, _ = served.ask(CHUNKED + chunks(b"b" * (LIMIT_BYTES + 1), size_bytes))
+    assert (status, headers["X-Run-State"]) == (413, "not_run")
+    assert served.bodies == []
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"1;" + b"a" * 2000, 400),
+        (b"0" * 2000, 400),
+        (b"1\r\nb\r\n0\r\n" + b"X-More: more\r\n" * 4000, 431),
+        (b"1;" + b"a" * 900 + b"\r\nb\r\n", 413),
+    ],
+    ids=["line", "size", "trailers", "framing"],
+)
+def test_what_frames_chunks_has_limits_of_its_own(served, data, status):
+    client = served.send(CHUNKED)
+    try:
+        # The last of the cases is refused by all of its chunks together.
+        for _ in range(10 * LIMIT_BYTES // len(data) if status == 413 else 1):
+            client.sendall(data)
+    except ConnectionError:
+        # It is refused while it is still sent.
+        pass
+    assert read_answer(client)[0] == status
+    assert served.bodies == []
+
+
 def test_a_request_that_stops_short_gives_way_to_others(served):
     staying = [served.send(short_of_its_end(LIMIT_BYTES)) for _ in range(20)]
     answers = [read_answer(client)[0] for client in staying[:4]]
