Heads with far too many lines are refused before their body is read

A head of some thousand short lines takes twenty times its size once it is parsed, and was counted only by the application, after its body.

Change: four times the limit on headers, which counts names, for lines; 431 at once.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -28,6 +28,8 @@
 """The line before a chunk, with what a client may add to its size."""
 _MAX_FRAMING_RATIO = 8
 """What may frame the chunks of a body, by the limit on bodies: five bytes for a chunk of one."""
+_MAX_HEADER_REPEATS = 4
+"""Header lines, by the limit on headers, which counts those of one name once."""
 
 
 class _Refusal(waitress.utilities.Error):
@@ -39,6 +41,11 @@
         self.code = codes.INFO[code].http_status
 
 
+def max_header_lines(header_count: int) -> int:
+    """Return how many header lines a request may have that may have so many headers."""
+    return header_count * _MAX_HEADER_REPEATS
+
+
 def _error_of(refused: Any) -> errors.CroftpulleyError:
     """Return the error for what the library or a `_Refusal` says."""
     fallback = codes.ResultCode.INTERNAL if refused.code >= 500 else codes.ResultCode.BAD_REQUEST
@@ -79,6 +86,7 @@
         self._channel = channel
         self._held = request_room.HeldRequest(time.monotonic(), self._ask_to_give_up)
         self._framing_bytes = 0
+        self._refusal: _Refusal | None = None
         self.has_to_give_up = False
 
     @property
@@ -96,6 +104,8 @@
             self.give_up()
             return len(data)
         consumed = self._parse(data)
+        if self._refusal is not None:
+            self.error = self._refusal
         if self.error is not None:
             self._refuse()
         if not self.empty:
@@ -125,6 +135,10 @@
                 raise waitress.parser.ParsingError("A header is folded")
             names.append(line.partition(b":")[0].strip().lower())
         limits: Any = self.adj
+        if len(names) > limits.max_header_lines:
+            detail = f"got {len(names)} lines, allowed are {limits.max_header_lines}"
+            self._refusal = _Refusal(codes.ResultCode.TOO_MANY_HEADERS, detail)
+            raise waitress.parser.ParsingError(detail)
         if b"content-length" in names and b"transfer-encoding" in names:
             raise waitress.parser.ParsingError("Both lengths are given")
         for name in limits.single_headers:
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -126,6 +126,7 @@
             *self._server.adj.socket_options,
             (socket.SOL_SOCKET, socket.SO_SNDBUF, _SEND_BUFFER_BYTES),
         ]
+        self._server.adj.max_header_lines = channel.max_header_lines(limits.header_count)
         self._server.adj.single_headers = tuple(name.encode() for name in single_headers)
         self._idle_s = float(limits.idle_connection_s)
         self._header_wait_s = self._idle_s
--- a/testing/http/test_request_bodies.py
+++ b/testing/http/test_request_bodies.py
@@ -146,6 +146,13 @@
     wait_until(lambda: served.room.held_bytes < LIMIT_BYTES + 100, "it is given back")
 
 
+def test_a_request_with_far_too_many_header_lines_is_refused_before_its_body(served):
+    lines = b"".join(b"X-%d: 1\r\n" % number for number in range(50))
+    status, headers, body = served.ask(POST + lines + b"Content-Length: 5\r\n\r\n")
+    assert (status, headers["X-Run-State"]) == (431, "not_run")
+    assert b"too_many_headers" in body
+
+
 def test_no_memory_is_counted_once_every_request_is_over(served):
     request = POST + b"Content-Length: 5\r\n\r\nhello"
     ways = (
