Clients that are refused while they send get their answer

Callers saw a reset in place of the 413 that had been sent; what followed a refused request on its connection was read as another one (and thrown away).

Cause: a connection that is closed with unread data is reset, and the other side drops what it has received.

Change: after a refusal what still comes is dropped for two seconds or 256 KiB.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -30,6 +30,11 @@
 """What may frame the chunks of a body, by the limit on bodies: five bytes for a chunk of one."""
 _MAX_HEADER_REPEATS = 4
 """Header lines, by the limit on headers, which counts those of one name once."""
+_LINGER_S = 2.0
+"""How long a refused client may go on sending, so that it gets its answer: a connection that is
+closed with unread data is reset."""
+_LINGER_BYTES = 262_144
+"""How much of that is taken, and dropped."""
 
 
 class _Refusal(waitress.utilities.Error):
@@ -247,6 +252,8 @@
         """When the caller last took something, or something first waited for it."""
         self.is_refused = False
         """One of its requests was refused: what comes after it is dropped."""
+        self._lingers_until_s = float("inf")
+        self._linger_left_bytes = _LINGER_BYTES
         super().__init__(*args, **kwargs)
 
     def parser_class(self, adj: Any) -> _StrictParser:  # type: ignore[override]
@@ -256,6 +263,8 @@
     def received(self, data: bytes) -> bool:
         """Take what has come; false if nobody is to read it."""
         if self.is_refused:
+            self._linger_left_bytes -= len(data)
+            self.will_close = self.will_close or self._has_lingered()
             return False
         # The beginning of a request counts, not each piece of it: its headers have a time limit.
         if self.request is None:
@@ -279,6 +288,17 @@
         super().service()
         self.used_at_s = time.monotonic()
 
+    def handle_write(self) -> None:
+        """Send what waits; after the answer to a refused request its client may still send."""
+        lingers = self.is_refused and self.close_when_flushed
+        if lingers:
+            self.close_when_flushed = False
+        super().handle_write()
+        if lingers and self.total_outbufs_len:
+            self.close_when_flushed = True
+        elif lingers and self.connected:
+            self._linger()
+
     def del_channel(self, map: Any = None) -> None:
         """Forget the connection, and what has come of a request."""
         super().del_channel(map)
@@ -297,6 +317,18 @@
             self.taken_at_s = time.monotonic()
         return has_sent
 
+    def _linger(self) -> None:
+        self._lingers_until_s = time.monotonic() + _LINGER_S
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            # The client has ended the connection.
+            self.will_close = True
+
+    def _has_lingered(self) -> bool:
+        is_answered = self._lingers_until_s < float("inf")
+        return is_answered and self._linger_left_bytes < 0
+
     def is_unread(self, unread_s: float) -> bool:
         """Tell whether the caller has taken nothing of what waits for it for so long."""
         waits = bool(self.total_outbufs_len)
@@ -306,6 +338,8 @@
         """Return when this connection should be closed if nothing happens until then."""
         if self.requests or self.total_outbufs_len:
             return float("inf")
+        if self.is_refused:
+            return self._lingers_until_s
         if self.request is not None and not self.request.headers_finished:
             return self.used_at_s + header_wait_s
         return self.used_at_s + idle_s
--- a/testing/http/test_request_bodies.py
+++ b/testing/http/test_request_bodies.py
@@ -153,6 +153,23 @@
     assert b"too_many_headers" in body
 
 
+# The connection was closed with unread data, which resets it: the client never saw the refusal.
+def test_a_client_that_goes_on_sending_gets_its_refusal(served):
+    client = served.send(POST + b"Content-Length: 99999999\r\n\r\n")
+    wait_until(lambda: bool(client.recv(1, socket.MSG_PEEK)), "it is refused")
+    client.sendall(b"b" * 100_000)
+    assert read_answer(client)[0] == 413
+
+
+def test_what_follows_a_refused_request_is_no_request(served):
+    follows = POST + b"Content-Length: 5\r\n\r\nhello"
+    client = served.send(POST + b"Content-Length: 99999999\r\n\r\n" + follows)
+    assert read_answer(client)[0] == 413
+    client.sendall(follows)
+    assert client.recv(1) == b""
+    assert served.bodies == []
+
+
 def test_no_memory_is_counted_once_every_request_is_over(served):
     request = POST + b"Content-Length: 5\r\n\r\nhello"
     ways = (
