Expect: 100-continue is answered by what has been decided

Callers that asked first were told to send a body that was refused after it; those without a body got no answer, and their next request was taken for a part of this one.

Cause: the library sends 100 Continue before it looks at its own verdict, and reopens the request.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -271,6 +271,14 @@
             self.used_at_s = time.monotonic()
         return bool(super().received(data))
 
+    def send_continue(self) -> None:
+        """Ask for the body that a client announces, unless it has none or is refused."""
+        request: Any = self.request
+        if request.completed:
+            request.expect_continue = False
+            return
+        super().send_continue()
+
     def give_up(self) -> None:
         """Refuse the request that is being received if it has to give way; in the loop's thread."""
         with self.requests_lock:
--- a/testing/http/test_request_bodies.py
+++ b/testing/http/test_request_bodies.py
@@ -170,6 +170,27 @@
     assert served.bodies == []
 
 
+# It was asked for the whole of a body that was then refused.
+def test_a_client_that_asks_first_is_refused_at_once(served):
+    data = POST + b"Content-Length: 99999999\r\nExpect: 100-continue\r\n\r\n"
+    with served.send(data) as client:
+        assert client.recv(12) == b"HTTP/1.1 413"
+
+
+# It waited for a body that never came, and took the next request for a part of this one.
+def test_a_client_that_asks_first_and_has_no_body_is_answered(served):
+    request = POST + b"Expect: 100-continue\r\n\r\n"
+    assert served.ask(request)[0] == 200
+
+
+def test_a_client_that_asks_first_is_told_to_go_on(served):
+    client = served.send(POST + b"Content-Length: 5\r\nExpect: 100-continue\r\n\r\n")
+    asked = b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert client.recv(len(asked), socket.MSG_WAITALL) == asked
+    client.sendall(b"hello")
+    assert read_answer(client)[2] == b"5"
+
+
 def test_no_memory_is_counted_once_every_request_is_over(served):
     request = POST + b"Content-Length: 5\r\n\r\nhello"
     ways = (
