A connection beyond the limit takes the place of the one that has rested longest

Ordinary callers were not taken in while as many connections as allowed stayed open and sent nothing more, for as long as their limit on idling (15 to 60 s).

Cause: at its limit a listener stops accepting.

Change: at the limit the connection that rests longest, with no request being served and nothing unread, is closed.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -337,6 +337,11 @@
         is_answered = self._lingers_until_s < float("inf")
         return is_answered and self._linger_left_bytes < 0
 
+    @property
+    def is_resting(self) -> bool:
+        """Tell whether closing this connection now takes nobody's answer away."""
+        return not (self.requests or self.total_outbufs_len or self.will_close)
+
     def is_unread(self, unread_s: float) -> bool:
         """Tell whether the caller has taken nothing of what waits for it for so long."""
         waits = bool(self.total_outbufs_len)
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -119,6 +119,8 @@
         self._server.room = self._room
         self._server.give_up_soon = self._give_up_soon
         self._server.closes_connections = False
+        self._is_accepting = self._server.readable
+        self._server.readable = self._accepts
         # The library's own looks at the time of day, which may jump.
         self._server.maintenance = self._end_idle
         # What the system holds for a caller hides for as long whether it reads.
@@ -171,6 +173,17 @@
         self._server.trigger.pull_trigger(self._close_all)
         self._thread.join(_SHUTDOWN_TIMEOUT_S)
 
+    def _accepts(self) -> bool:
+        """Tell whether new connections are accepted; at the limit, one that rests makes way."""
+        if len(self._map) >= self._server.adj.connection_limit:
+            self._close_longest_resting()
+        return bool(self._is_accepting())
+
+    def _close_longest_resting(self) -> None:
+        resting = [each for each in self._server.active_channels.values() if each.is_resting]
+        if resting:
+            min(resting, key=lambda each: each.used_at_s).will_close = True
+
     def _fit(self, body_size_bytes: int) -> None:
         """Have room for one request of the largest size that is allowed here."""
         head_size_bytes = self._server.adj.max_request_header_size
--- a/testing/http/test_request_bodies.py
+++ b/testing/http/test_request_bodies.py
@@ -191,6 +191,13 @@
     assert read_answer(client)[2] == b"5"
 
 
+def test_a_connection_beyond_the_limit_takes_the_place_of_one_that_rests(served):
+    served.server._server.adj.connection_limit = 10
+    for _ in range(30):
+        served.send(short_of_its_end(100))
+    assert served.ask(POST + b"Content-Length: 5\r\n\r\nhello")[0] == 200
+
+
 def test_no_memory_is_counted_once_every_request_is_over(served):
     request = POST + b"Content-Length: 5\r\n\r\nhello"
     ways = (
