Heads of requests that could be read in two ways are refused

What a caller sent as a body was taken for another request: with a transfer coding in HTTP/1.0, 1.2 or 2.0, an empty one, one given twice. A length of thousands of digits ended the connection with an error of the server's; control bytes in a target were passed on as they came.

Cause: the library looks at transfer codings in HTTP/1.1 alone and leaves out empty ones.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import re
 import socket
 import threading
 import time
@@ -28,6 +29,9 @@
 """The line before a chunk, with what a client may add to its size."""
 _MAX_FRAMING_RATIO = 8
 """What may frame the chunks of a body, by the limit on bodies: five bytes for a chunk of one."""
+_MAX_LENGTH_DIGITS = 18
+_VERSIONS = ("1.0", "1.1")
+_CONTROL = re.compile(r"[\x00-\x20\x7f]")
 _MAX_HEADER_REPEATS = 4
 """Header lines, by the limit on headers, which counts those of one name once."""
 _LINGER_S = 2.0
@@ -134,11 +138,16 @@
 
     def parse_header(self, header_plus: bytes) -> None:
         """Read the head; raises the library's errors."""
-        names = []
+        names, codings = [], []
         for line in header_plus.split(b"\r\n")[1:]:
             if line[:1] in (b" ", b"\t"):
                 raise waitress.parser.ParsingError("A header is folded")
-            names.append(line.partition(b":")[0].strip().lower())
+            name, _, value = line.partition(b":")
+            names.append(name.strip().lower())
+            if names[-1] == b"transfer-encoding":
+                codings.append(value.strip(b" \t").lower())
+            if names[-1] == b"content-length" and len(value.strip()) > _MAX_LENGTH_DIGITS:
+                raise waitress.parser.ParsingError("A length has too many digits")
         limits: Any = self.adj
         if len(names) > limits.max_header_lines:
             detail = f"got {len(names)} lines, allowed are {limits.max_header_lines}"
@@ -150,6 +159,12 @@
             if names.count(name) > 1:
                 raise waitress.parser.ParsingError(f"{name.decode()} is given twice")
         super().parse_header(header_plus)
+        if self.version not in _VERSIONS:
+            raise waitress.parser.ParsingError(f"The version is {self.version!r:.20}")
+        if codings and (codings != [b"chunked"] or self.version != _VERSIONS[-1]):
+            raise waitress.parser.ParsingError("Its transfer coding says not where a body ends")
+        if _CONTROL.search(self.request_uri):  # type: ignore[attr-defined]
+            raise waitress.parser.ParsingError("The target holds a control character")
 
     def _parse(self, data: bytes) -> int:
         chunks = self.body_rcv if self.chunked else None
--- a/testing/http/test_request_bodies.py
+++ b/testing/http/test_request_bodies.py
@@ -229,3 +229,35 @@
             client.close()
     wait_until(lambda: served.room.held_bytes == 0, "all of it is given back")
     assert served.ask(request)[0] == 200
+
+
+INNER = b"POST /inner HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+
+
+# The body of the first request was taken for another one, or its target was passed on as it came.
+@pytest.mark.parametrize(
+    "head",
+    [
+        POST.replace(b"1.1", b"1.0") + b"Transfer-Encoding: chunked\r\n",
+        POST.replace(b"1.1", b"1.2") + b"Transfer-Encoding: chunked\r\n",
+        POST.replace(b"1.1", b"2.0") + b"Content-Length: 0\r\n",
+        POST.replace(b" HTTP/1.1", b"") + b"Content-Length: 0\r\n",
+        POST + b"Transfer-Encoding:\r\n",
+        POST + b"Transfer-Encoding: ,\r\n",
+        POST + b"Transfer-Encoding: chunked, chunked\r\n",
+        POST + b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        POST + b"Content-Length: " + b"9" * 5000 + b"\r\n",
+        POST + b"Content-Length: " + b"0" * 5000 + b"\r\n",
+        POST.replace(b"/ ", b"/a\x01b ") + b"Content-Length: 0\r\n",
+        POST.replace(b"/ ", b"/a\tb ") + b"Content-Length: 0\r\n",
+        POST.replace(b"/ ", b"/a\x7fb ") + b"Content-Length: 0\r\n",
+    ],
+)
+def test_a_head_that_could_be_read_in_two_ways_is_refused(served, head):
+    client = served.send(
+        head.replace(b"\r\nHost", b"\r\nConnection: keep-alive\r\nHost") + b"\r\n" + INNER
+    )
+    status, headers, _ = read_answer(client)
+    assert (status, headers["X-Run-State"]) == (400, "not_run")
+    assert client.recv(1) == b""
+    assert served.bodies == []
