--- a/testing/soak/endless.py
+++ b/testing/soak/endless.py
@@ -1,4 +1,4 @@
-"""Endpoints that send bytes without end, or fall silent in the middle of an answer."""
+"""Endpoints that send bytes without end, fall silent within an answer, or spoil its head."""
 
 from __future__ import annotations
 
@@ -24,13 +24,32 @@
     faults.Fault.UNFRAMED_SILENT,
 )
 """Only where no endpoint ends: whether it has answered then, nothing on the wire tells."""
+_SPOILT = (
+    faults.Fault.SPOILT_LENGTH,
+    faults.Fault.SPOILT_NAME,
+    faults.Fault.NO_FIELD,
+    faults.Fault.NO_STATUS,
+)
 _MOST_IN_A_ROW = 6
 
 
 def drawn(seed: int, site: fleet.Fleet, seconds_s: float) -> list[troubles.Timed]:
     """Return what goes wrong: one endpoint or several, each for a few requests."""
-    chance = random.Random(f"{seed} endless")
     kinds = _FRAMED if seed % 2 else (*_FRAMED, *_UNFRAMED)
+    return _failures(random.Random(f"{seed} endless"), kinds, site, seconds_s)
+
+
+def spoilt(seed: int, site: fleet.Fleet, seconds_s: float) -> list[troubles.Timed]:
+    """Return the same with endpoints that spoil the heads of their answers."""
+    return _failures(random.Random(f"{seed} spoilt"), _SPOILT, site, seconds_s)
+
+
+def _failures(
+    chance: random.Random,
+    kinds: tuple[faults.Fault, ...],
+    site: fleet.Fleet,
+    seconds_s: float,
+) -> list[troubles.Timed]:
     found = []
     at_s = chance.expovariate(1 / _GAP_S)
     while at_s < seconds_s:
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -82,6 +82,9 @@
     ENDLESS = "endless"
     """Endpoints send bytes without end, or fall silent within an answer without a length, while
     routers and leaders are killed; every other seed has all else too."""
+    SPOILT = "spoilt"
+    """Endpoints spoil the heads of their answers, while routers and leaders are killed; every other
+    seed has all else too."""
     SEEDS = "seeds"
     """Settings name other seeds, without a disk or mixed, while disks are lost one after the other,
     routers are stopped as planned and all programs are killed."""
@@ -246,7 +249,9 @@
         drawn += seeds.drawn(seed, site, book, seconds_s)
     if kind is Kind.ENDLESS:
         drawn += endless.drawn(seed, site, seconds_s)
-    if kind in (Kind.PARTS, Kind.ENDLESS):
+    if kind is Kind.SPOILT:
+        drawn += endless.spoilt(seed, site, seconds_s)
+    if kind in (Kind.PARTS, Kind.ENDLESS, Kind.SPOILT):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
     if kind in (Kind.CRASHES, Kind.PLACES, Kind.ROOM):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -46,6 +46,9 @@
 ENDLESS = {2: 10.0}
 """Endpoints that send bytes without end, while routers and leaders are killed."""
 
+SPOILT = {2: 8.0}
+"""Endpoints that spoil the heads of their answers, while routers and leaders are killed."""
+
 SEEDS_EXCHANGED = {2: 14.0, 3: 14.0}
 """Settings name seeds without a disk, or any; disks are lost, routers stopped, all killed."""
 
@@ -111,3 +114,8 @@
 @pytest.mark.parametrize("seed", ENDLESS)
 def test_bytes_without_end_break_no_promise(seed, tmp_path):
     assert run.run_seed(seed, ENDLESS[seed], tmp_path, run.Kind.ENDLESS).broken == []
+
+
+@pytest.mark.parametrize("seed", SPOILT)
+def test_promises_hold_while_endpoints_spoil_heads(seed, tmp_path):
+    assert run.run_seed(seed, SPOILT[seed], tmp_path, run.Kind.SPOILT).broken == []
