The request room: one of exactly the largest size fits, whatever the rounding

Found by reading: the room for long requests was rounded down from the largest size that is allowed, so it could lack a byte. The test draws sizes.

--- a/src/croftpulley/core/request_room.py
+++ b/src/croftpulley/core/request_room.py
@@ -70,9 +70,9 @@
         """Have room for a request of this size from now on, whatever short ones take."""
         with self._lock:
             self._largest_bytes[listener] = largest_bytes
-            least_bytes = math.ceil(max(self._largest_bytes.values()) / _LONG_SHARE)
-            self._room_bytes = max(self._wanted_bytes, least_bytes)
-            self._long_room_bytes = int(self._room_bytes * _LONG_SHARE)
+            least_bytes = max(self._largest_bytes.values())
+            self._room_bytes = max(self._wanted_bytes, math.ceil(least_bytes / _LONG_SHARE))
+            self._long_room_bytes = max(int(self._room_bytes * _LONG_SHARE), least_bytes)
 
     def grow(
         self, request: HeldRequest, size_bytes: int, now_s: float, *, is_complete: bool
--- a/testing/core/test_request_room.py
+++ b/testing/core/test_request_room.py
@@ -99,6 +99,14 @@
     assert requests.given_up == []
 
 
+@hypothesis.given(st.integers(SHORT, 2**40))
+def test_a_request_of_exactly_the_largest_size_fits(size_bytes):
+    requests = Requests(room_bytes=SHORT)
+    requests.room.fit("callers", size_bytes)
+    requests.grow("largest", size_bytes, 0.0)
+    assert requests.given_up == []
+
+
 def test_the_room_follows_the_limit_on_one_request_both_ways():
     requests = Requests(room_bytes=SHORT)
     for limit_bytes, expected in ((30 * SHORT, []), (3 * SHORT, ["largest"])):
