--- a/testing/daemons/test_client_crowds.py
+++ b/testing/daemons/test_client_crowds.py
@@ -35,6 +35,19 @@
     site.stop()
 
 
+class Seen:
+    """What a crowd costs a process, and whether an ordinary client is answered beside it."""
+
+    def __init__(self, place, crowd):
+        try:
+            crowd.send_all()
+            self.descriptors = client_crowds.open_descriptors(place.program.pid)
+            self.is_answered_beside = place.ordinary.is_answered()
+            self.peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
+        finally:
+            crowd.close()
+
+
 @pytest.mark.parametrize("shape", client_crowds.LARGE)
 @pytest.mark.parametrize("program", PROGRAMS)
 def test_a_crowd_does_not_end_a_process_nor_keep_it_from_ordinary_clients(
@@ -44,17 +57,11 @@
     # Only at the first address do whole requests stay.
     addresses = place.addresses[:1] if shape is Shape.WHOLE else place.addresses
     crowd = client_crowds.Crowd(shape, addresses, place.crowd_head)
-    try:
-        crowd.send_all()
-        descriptors = client_crowds.open_descriptors(place.program.pid)
-        is_answered_beside = place.ordinary.is_answered()
-        peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
-    finally:
-        crowd.close()
+    seen = Seen(place, crowd)
     assert place.program.runs
-    assert peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
-    assert descriptors <= crowd.size + client_crowds.SPARE_DESCRIPTORS
-    assert is_answered_beside
+    assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    assert seen.descriptors <= crowd.size + client_crowds.SPARE_DESCRIPTORS
+    assert seen.is_answered_beside
     assert place.ordinary.is_answered()
 
 
@@ -88,17 +95,11 @@
 def test_a_crowd_beyond_the_limit_on_connections_does_not_keep_others_out(make_place, program):
     place = make_place(program, connections=client_crowds.FEW_CONNECTIONS)
     crowd = client_crowds.Crowd(Shape.SHORT_SMALL, place.addresses[:1], place.crowd_head)
-    try:
-        crowd.send_all()
-        descriptors = client_crowds.open_descriptors(place.program.pid)
-        is_answered_beside = place.ordinary.is_answered()
-        peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
-    finally:
-        crowd.close()
-    assert place.program.runs
-    assert peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    seen = Seen(place, crowd)
     listeners = len(place.addresses)
     allowed = listeners * client_crowds.FEW_CONNECTIONS + client_crowds.SPARE_DESCRIPTORS
-    assert descriptors <= allowed
-    assert is_answered_beside
+    assert place.program.runs
+    assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    assert seen.descriptors <= allowed
+    assert seen.is_answered_beside
     assert place.ordinary.is_answered()
