--- a/testing/client_crowds.py
+++ b/testing/client_crowds.py
@@ -27,6 +27,8 @@
 _CROWD_BYTES = 210 * 1000 * 1000
 """More than the machine has, whatever else is in memory."""
 _SMALL_CROWD = 200
+_DOCUMENT = b'{"number": 1, "document": [' + b"[]," * 330_000 + b"[]]}"
+_DOCUMENTS = 40
 _BYTE = b"x"
 _BLOCK_BYTES = 65_536
 _LONGEST_S = 120.0
@@ -46,6 +48,7 @@
     SHORT_LARGE = "of nearly the largest legal size, all but the last byte"
     SHORT_PIECES = "of legal size, piece by piece, all but the last byte"
     SHORT_LARGE_CHUNKS = "of legal size, in large chunks, all but the last byte"
+    DOCUMENTS = "whole documents of legal size, mostly empty lists"
     SHORT_SMALL = "of a small size, all but the last byte"
     SHORT_SMALL_CHUNKS = "of legal size, in very small chunks, all but the last byte"
 
@@ -61,6 +64,8 @@
     sent_bytes: int
     chunk_bytes: int = 0
     piece_bytes: int = _BLOCK_BYTES
+    content: bytes = b""
+    """What is sent in place of so many equal bytes."""
 
 
 _PLANS = {
@@ -69,6 +74,7 @@
     Shape.WHOLE: _Plan(BODY_BYTES, BODY_BYTES),
     Shape.SHORT: _Plan(BODY_BYTES, BODY_BYTES - 1),
     Shape.SHORT_SMALL: _Plan(1000, 999),
+    Shape.DOCUMENTS: _Plan(len(_DOCUMENT), len(_DOCUMENT), content=_DOCUMENT),
     Shape.SHORT_LARGE: _Plan(_LARGE_BODY_BYTES, _LARGE_BODY_BYTES - 1),
     Shape.SHORT_PIECES: _Plan(BODY_BYTES, BODY_BYTES - 1, piece_bytes=4096),
     Shape.SHORT_LARGE_CHUNKS: _Plan(BODY_BYTES, BODY_BYTES - 1, chunk_bytes=100_000),
@@ -76,7 +82,7 @@
 }
 
 
-LARGE = tuple(each for each in Shape if each is not Shape.SHORT_SMALL)
+LARGE = tuple(each for each in Shape if each not in (Shape.DOCUMENTS, Shape.SHORT_SMALL))
 """Those of which a crowd sends more than the machine has memory."""
 
 
@@ -84,6 +90,8 @@
     """Return how many clients a crowd has."""
     if shape is Shape.SHORT_SMALL:
         return _SMALL_CROWD
+    if shape is Shape.DOCUMENTS:
+        return _DOCUMENTS
     legal_bytes = min(_PLANS[shape].sent_bytes, MAX_BODY_BYTES)
     return -(-_CROWD_BYTES // legal_bytes)
 
@@ -92,6 +100,9 @@
     """Yield what one client sends, in pieces."""
     framing = b"Transfer-Encoding: chunked" if plan.chunk_bytes else b"Content-Length: %d"
     yield head + (framing if plan.chunk_bytes else framing % plan.announced_bytes) + b"\r\n\r\n"
+    if plan.content:
+        yield plan.content
+        return
     if not plan.chunk_bytes:
         for start in range(0, plan.sent_bytes, plan.piece_bytes):
             yield _BYTE * min(plan.piece_bytes, plan.sent_bytes - start)
--- a/testing/daemons/test_client_crowds.py
+++ b/testing/daemons/test_client_crowds.py
@@ -103,3 +103,13 @@
     assert seen.descriptors <= allowed
     assert seen.is_answered_beside
     assert place.ordinary.is_answered()
+
+
+def test_a_crowd_of_operators_documents_does_not_end_a_control_box(make_place):
+    place = make_place("replica")
+    crowd = client_crowds.Crowd(Shape.DOCUMENTS, [place.ordinary.address], place.crowd_head)
+    seen = Seen(place, crowd)
+    assert place.program.runs
+    assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    assert seen.is_answered_beside
+    assert place.ordinary.is_answered()
