A refused client whose whole request has come is let go with its refusal

Cause: a refused client may go on sending for two seconds, so that it gets its answer. That was so too when all that it had announced had come: there is nothing more to wait for then.

Change: what is missing of a refused request is counted; at zero its connection is closed with the answer, as any other that is not kept. Unknown (chunks, a head that cannot be read) or negative (the client sends more), it stays as it was.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import re
 import socket
 import threading
@@ -11,6 +12,7 @@
 
 import waitress.channel
 import waitress.parser
+import waitress.receiver
 import waitress.task
 import waitress.utilities
 
@@ -110,26 +112,29 @@
         What follows a request that is refused belongs to it too: nobody reads it.
         """
         if self.has_to_give_up:
-            self.give_up()
+            self.give_up(dropped_bytes=len(data))
             return len(data)
         consumed = self._parse(data)
         if self._refusal is not None:
             self.error = self._refusal
         if self.error is not None:
-            self._refuse()
+            self._refuse(len(data) - consumed)
         if not self.empty:
             room = self._channel.server.room
             room.grow(self._held, self.held_bytes, time.monotonic(), is_complete=self.completed)
         if self.has_to_give_up and self.error is None:
-            self.give_up()
+            self.give_up(dropped_bytes=len(data) - consumed)
         return consumed if self.error is None else len(data)
 
-    def give_up(self) -> None:
-        """End a request that is not complete, for want of room."""
+    def give_up(self, dropped_bytes: int = 0) -> None:
+        """End a request that is not complete, for want of room.
+
+        ``dropped_bytes`` is what has come of it and was not parsed.
+        """
         detail = f"gave way at {self.held_bytes} bytes, not complete"
         self._log_given_up()
         self.error = _Refusal(codes.ResultCode.BOX_FULL, detail)
-        self._refuse()
+        self._refuse(dropped_bytes)
 
     def close(self) -> None:
         """Give the memory back; called by the library when the request is over."""
@@ -190,14 +195,20 @@
         elif self._framing_bytes > _MAX_FRAMING_RATIO * limit_bytes:
             self.error = waitress.utilities.RequestEntityTooLarge("The chunks are too small")
 
-    def _refuse(self) -> None:
+    def _refuse(self, dropped_bytes: int) -> None:
         """Have the request answered with its error, and drop what it has sent."""
         self.completed = True
-        self._channel.is_refused = True
+        self._channel.refuse(self._missing_bytes() - dropped_bytes)
         if self.body_rcv is not None:
             self.body_rcv.getbuf().close()
         self.body_rcv = None
 
+    def _missing_bytes(self) -> float:
+        """Return how much of the request has not been parsed; infinite if nothing tells."""
+        if isinstance(self.body_rcv, waitress.receiver.FixedStreamReceiver):
+            return float(self.body_rcv.remain)
+        return math.inf
+
     def _ask_to_give_up(self) -> None:
         self.has_to_give_up = True
         self._channel.server.give_up_soon(self._channel)
@@ -267,18 +278,26 @@
         """When the caller last took something, or something first waited for it."""
         self.is_refused = False
         """One of its requests was refused: what comes after it is dropped."""
-        self._lingers_until_s = float("inf")
+        self._lingers_until_s = math.inf
         self._linger_left_bytes = _LINGER_BYTES
+        self._missing_bytes = math.inf
+        """What a refused client has still to send of its request."""
         super().__init__(*args, **kwargs)
 
     def parser_class(self, adj: Any) -> _StrictParser:  # type: ignore[override]
         """Make the parser of one request."""
         return _StrictParser(adj, self)
 
+    def refuse(self, missing_bytes: float) -> None:
+        """Drop what comes from now on; so much of the refused request has not come yet."""
+        self.is_refused = True
+        self._missing_bytes = missing_bytes
+
     def received(self, data: bytes) -> bool:
         """Take what has come; false if nobody is to read it."""
         if self.is_refused:
             self._linger_left_bytes -= len(data)
+            self._missing_bytes -= len(data)
             self.will_close = self.will_close or self._has_lingered()
             return False
         # The beginning of a request counts, not each piece of it: its headers have a time limit.
@@ -313,7 +332,7 @@
 
     def handle_write(self) -> None:
         """Send what waits; after the answer to a refused request its client may still send."""
-        lingers = self.is_refused and self.close_when_flushed
+        lingers = self.is_refused and self.close_when_flushed and self._missing_bytes != 0
         if lingers:
             self.close_when_flushed = False
         super().handle_write()
@@ -349,8 +368,8 @@
             self.will_close = True
 
     def _has_lingered(self) -> bool:
-        is_answered = self._lingers_until_s < float("inf")
-        return is_answered and self._linger_left_bytes < 0
+        is_answered = self._lingers_until_s < math.inf
+        return is_answered and (self._linger_left_bytes < 0 or self._missing_bytes == 0)
 
     @property
     def is_resting(self) -> bool:
@@ -365,7 +384,7 @@
     def ends_at_s(self, header_wait_s: float, idle_s: float) -> float:
         """Return when this connection should be closed if nothing happens until then."""
         if self.requests or self.total_outbufs_len:
-            return float("inf")
+            return math.inf
         if self.is_refused:
             return self._lingers_until_s
         if self.request is not None and not self.request.headers_finished:
--- a/testing/http/test_request_bodies.py
+++ b/testing/http/test_request_bodies.py
@@ -9,7 +9,7 @@
 
 from conftest import wait_until
 from croftpulley.core import request_room
-from croftpulley.http import server, wsgi
+from croftpulley.http import channel, server, wsgi
 from croftpulley.settings import schema
 
 LIMIT_BYTES = 200_000
@@ -53,6 +53,10 @@
     def ask(self, data):
         return read_answer(self.send(data))
 
+    def keeps(self, client):
+        channels = list(self.server._server.active_channels.values())
+        return client.getsockname() in [each.addr for each in channels]
+
     def stop(self):
         for each in self._clients:
             each.close()
@@ -161,6 +165,32 @@
     assert read_answer(client)[0] == 413
 
 
+# It was kept for seconds, a descriptor more for each client of a crowd.
+@pytest.mark.parametrize("size_bytes", [LIMIT_BYTES, LIMIT_BYTES + 1])
+def test_a_refused_client_is_not_kept_once_its_whole_request_has_come(
+    served, monkeypatch, size_bytes
+):
+    monkeypatch.setattr(channel, "_LINGER_S", 600.0)
+    # Of the legal ones the first give way, before their last byte.
+    client, *_ = [served.send(short_of_its_end(size_bytes)) for _ in range(20)]
+    status, headers, _ = read_answer(client)
+    assert (status, headers["X-Run-State"]) == (
+        503 if size_bytes == LIMIT_BYTES else 413,
+        "not_run",
+    )
+    assert served.keeps(client)
+    client.sendall(b"b")
+    wait_until(lambda: not served.keeps(client), "it is not kept")
+    assert served.bodies == []
+
+
+def test_a_client_that_sends_more_than_its_refused_request_gets_its_refusal(served):
+    body = b"b" * (LIMIT_BYTES + 1)
+    data = POST + b"Content-Length: %d\r\n\r\n" % len(body) + body + b"more"
+    assert served.ask(data)[0] == 413
+    assert served.bodies == []
+
+
 def test_what_follows_a_refused_request_is_no_request(served):
     follows = POST + b"Content-Length: 5\r\n\r\nhello"
     client = served.send(POST + b"Content-Length: 99999999\r\n\r\n" + follows)
