Operators' documents are decoded in one thread, and not kept by errors

What callers saw: nothing while it lasts; on a small machine the control box ends.

Cause: decoded, such a document takes 27 MB. Every thread that answers decodes, so several are in memory together; and the allocator keeps what was freed for each of the 16 threads by itself: 185 MB were still resident after the crowd.

Change: settings/decoding.py decodes in one thread of the process, for all three listeners of operators and for the check before a commit; an error's frames are cleared. What is read back is passed on as text and not decoded again.

--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -23,7 +23,7 @@
 from croftpulley.core import sessions as box_sessions
 from croftpulley.core.replication import state as states
 from croftpulley.observe import events
-from croftpulley.settings import formats
+from croftpulley.settings import decoding, formats
 
 _LOG = logging.getLogger(__name__)
 _Value = TypeVar("_Value")
@@ -80,7 +80,7 @@
         self._wait_for_authority()
         self._require_authority()
         try:
-            self._document_format.parse(document_json)
+            decoding.decode(self._document_format.parse, document_json)
         except errors.CroftpulleyError as failure:
             self._emit(events.Event.CONFIGURATION_REFUSED, number, problem=failure.detail)
             raise
--- a/src/croftpulley/http/operator_app.py
+++ b/src/croftpulley/http/operator_app.py
@@ -11,7 +11,7 @@
 from croftpulley.controllers import directory
 from croftpulley.core import submissions
 from croftpulley.http import health_app, tokens, wsgi
-from croftpulley.settings import formats
+from croftpulley.settings import decoding, formats
 
 _SUBMISSIONS = "/v1/config/submissions"
 
@@ -54,7 +54,7 @@
         raise errors.CroftpulleyError(codes.ResultCode.NOT_FOUND, f"got path {request.path!r}")
 
     def _take_submission(self, request: wsgi.Request) -> wsgi.Response:
-        submission = _parse_submission(request.body)
+        submission = decoding.decode(_parse_submission, request.body)
         answer = self._submit(submission)
         if answer.code is not codes.ResultCode.OK:
             raise errors.CroftpulleyError(
@@ -88,7 +88,7 @@
 
     def _current(self) -> wsgi.Response:
         known = self._read().held
-        document = {"version": known.version, "document": orjson.loads(known.document_json)}
+        document = {"version": known.version, "document": orjson.Fragment(known.document_json)}
         return wsgi.json_response(document)
 
     def _fleet_status(self) -> wsgi.Response:
--- a/src/croftpulley/interfaces/operators.py
+++ b/src/croftpulley/interfaces/operators.py
@@ -13,6 +13,7 @@
 from croftpulley.endpoints import caches
 from croftpulley.http import tokens, wsgi
 from croftpulley.interfaces import base, callers
+from croftpulley.settings import decoding
 
 SUSPECTS_PATH = "/v1/suspects"
 """Requests under which endpoints ended; the fleet's own call, whatever interface is spoken."""
@@ -56,7 +57,7 @@
             if self._token is not None:
                 self._token.check(request)
             if (request.method, request.path) == ("POST", "/v1/config/submissions"):
-                number, document = _parse_submission(request.body)
+                number, document = decoding.decode(_parse_submission, request.body)
                 version = plane.submit(number, document)
                 return wsgi.json_response({"version": version, "in_force": True})
             if (request.method, request.path) == ("GET", "/v1/status"):
@@ -65,8 +66,8 @@
                 return own_response(plane, request)
             callers.require(request, "GET", "/v1/config")
             current = plane.read_configuration()
-            document_json = orjson.loads(current.document_json)
-            return wsgi.json_response({"version": current.version, "document": document_json})
+            held = orjson.Fragment(current.document_json)
+            return wsgi.json_response({"version": current.version, "document": held})
 
         return handle
 
--- a/src/croftpulley/platform/operators.py
+++ b/src/croftpulley/platform/operators.py
@@ -9,6 +9,7 @@
 from croftpulley.interfaces import callers, operators
 from croftpulley.platform import caches as platform_caches
 from croftpulley.platform import documents, instances
+from croftpulley.settings import decoding
 
 _SUBMIT_PATH = "/Configuration.Replace"
 _READ_PATH = "/Configuration.Read"
@@ -47,7 +48,8 @@
     if request.path == _SUBMIT_PATH:
         wsgi.require_method(request, "POST")
         document_json = _text(request.body)
-        version = plane.submit(documents.number(document_json), document_json)
+        number = decoding.decode(documents.number, document_json)
+        version = plane.submit(number, document_json)
         return wsgi.json_response({"version": version})
     callers.require(request, "GET", _READ_PATH)
     current = plane.read_configuration()
--- /dev/null
+++ b/testing/settings/test_decoding.py
@@ -0,0 +1,61 @@
+"""Submitted documents: decoded one at a time, and not kept."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import itertools
+import threading
+import weakref
+
+import pytest
+
+from croftpulley import errors
+from croftpulley.settings import decoding, formats
+
+
+def test_no_two_documents_are_decoded_at_the_same_time():
+    running = threading.Semaphore(1)
+    others_begin = threading.Barrier(8)
+
+    def parse(document):
+        assert running.acquire(blocking=False)
+        result = sum(itertools.repeat(1, 10_000)) + int(document)
+        running.release()
+        return result
+
+    def decode(number):
+        others_begin.wait()
+        return [decoding.decode(parse, str(number)) for _ in range(50)]
+
+    with concurrent.futures.ThreadPoolExecutor(8) as threads:
+        results = list(threads.map(decode, range(8)))
+    assert results == [[10_000 + number] * 50 for number in range(8)]
+
+
+class Decoded:
+    pass
+
+
+def test_an_error_keeps_nothing_that_was_decoded():
+    kept = []
+
+    def fail(decoded):
+        raise ValueError("a cause")
+
+    def parse(document):
+        decoded = Decoded()
+        kept.append(weakref.ref(decoded))
+        try:
+            fail(decoded)
+        except ValueError as cause:
+            raise errors.SettingsErrorGroup("not valid", [ValueError(document)]) from cause
+
+    with pytest.raises(errors.SettingsErrorGroup) as raised:
+        decoding.decode(parse, "text")
+    assert [each() for each in kept] == [None]
+    assert [str(each) for each in raised.value.exceptions] == ["text"]
+
+
+def test_an_invalid_configuration_says_what_is_wrong():
+    with pytest.raises(errors.CroftpulleyError, match="pools"):
+        decoding.decode(formats.NativeFormat().parse, '{"pools": 1}')
