An answer lists the first faults of a document, not all of them

What callers saw: nothing; a control box ended for want of memory, or answered with 25 MB.

Cause: the loader makes an exception, with notes and traceback, and then a line of the answer, for each missing or wrong field, without end; so does the check of references: some 5,000 times the document's size.

Change: a list ends with its 20th faulty element, the unknown keys of an object with the 20th, the check of references with the 100th; a value stands in a line with 100 characters. Found on the way: a text where a list is expected was read as the list of its characters ("keys": "abc" gave three keys), an object as that of its keys; both are refused.

--- a/src/croftpulley/settings/fleet.py
+++ b/src/croftpulley/settings/fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import enum
+import itertools
+from collections.abc import Iterator
 from typing import Any
 
 import attrs
@@ -11,6 +13,9 @@
 from croftpulley.policy import arms, language
 from croftpulley.settings import loader
 
+_MOST_FAULTS = 100
+"""Of a configuration's references; an error for each could take far more memory than it."""
+
 
 def _positive(_instance: object, _attribute: attrs.Attribute[Any], value: float) -> None:
     if value <= 0:
@@ -228,19 +233,19 @@
 def check(configuration: FleetConfiguration, path: str = "(submission)") -> None:
     """Validate a configuration's references and uniqueness rules.
 
-    Raises `errors.SettingsErrorGroup` with one error for each fault.
+    Raises `errors.SettingsErrorGroup` with one error for each fault, up to some.
     """
-    faults = [
-        *_route_faults(configuration, path),
-        *_key_faults(configuration, path),
-        *_arm_faults(configuration, path),
-    ]
+    all_faults = itertools.chain(
+        _route_faults(configuration, path),
+        _key_faults(configuration, path),
+        _arm_faults(configuration, path),
+    )
+    faults = list(itertools.islice(all_faults, _MOST_FAULTS))
     if faults:
         raise errors.SettingsErrorGroup("the configuration is not valid", faults)
 
 
-def _route_faults(configuration: FleetConfiguration, path: str) -> list[errors.SettingsError]:
-    faults = []
+def _route_faults(configuration: FleetConfiguration, path: str) -> Iterator[errors.SettingsError]:
     pools = {pool.name for pool in configuration.pools}
     seen_prefixes: set[tuple[str, str]] = set()
     for index, route in enumerate(configuration.routes):
@@ -248,42 +253,37 @@
         host_and_prefix = (route.host.lower(), route.path_prefix)
         if host_and_prefix in seen_prefixes:
             problem = f"got host and path {host_and_prefix}, which another route has"
-            faults.append(errors.SettingsError(path, key, problem))
+            yield errors.SettingsError(path, key, problem)
         seen_prefixes.add(host_and_prefix)
         for unknown in sorted({share.pool for share in route.shares} - pools):
             problem = f"got pool {unknown!r}, which is not among the pools"
-            faults.append(errors.SettingsError(path, f"{key}.shares", problem))
+            yield errors.SettingsError(path, f"{key}.shares", problem)
         if sum(share.weight for share in route.shares) <= 0:
             problem = "got weights that sum to 0, allowed is more than 0"
-            faults.append(errors.SettingsError(path, f"{key}.shares", problem))
-    return faults
+            yield errors.SettingsError(path, f"{key}.shares", problem)
 
 
-def _key_faults(configuration: FleetConfiguration, path: str) -> list[errors.SettingsError]:
-    faults = []
+def _key_faults(configuration: FleetConfiguration, path: str) -> Iterator[errors.SettingsError]:
     owner_by_key: dict[str, str] = {}
     for index, workspace in enumerate(configuration.workspaces):
         for key in workspace.keys:
             if owner_by_key.setdefault(key, workspace.name) != workspace.name:
                 problem = f"got a key that workspace {owner_by_key[key]!r} has too"
-                faults.append(errors.SettingsError(path, f"workspaces[{index}].keys", problem))
-    return faults
+                yield errors.SettingsError(path, f"workspaces[{index}].keys", problem)
 
 
-def _arm_faults(configuration: FleetConfiguration, path: str) -> list[errors.SettingsError]:
-    faults = []
+def _arm_faults(configuration: FleetConfiguration, path: str) -> Iterator[errors.SettingsError]:
     names: set[str] = set()
     for index, arm in enumerate(configuration.arms):
         key = f"arms[{index}]"
         if arm.name in names:
             problem = f"got {arm.name!r}, which another arm is called"
-            faults.append(errors.SettingsError(path, f"{key}.name", problem))
+            yield errors.SettingsError(path, f"{key}.name", problem)
         names.add(arm.name)
         try:
             compile_arm(arm)
         except language.ProgramError as failure:
-            faults.append(errors.SettingsError(path, key, str(failure)))
-    return faults
+            yield errors.SettingsError(path, key, str(failure))
 
 
 def compile_arm(arm: Arm) -> arms.Arm:
--- a/src/croftpulley/settings/loader.py
+++ b/src/croftpulley/settings/loader.py
@@ -1,9 +1,10 @@
-"""Loads JSON with comments into attrs classes and reports all faults at once."""
+"""Loads JSON with comments into attrs classes and reports its faults together."""
 
 from __future__ import annotations
 
 import json
 import pathlib
+import typing
 from typing import Any, TypeVar
 
 import attrs
@@ -14,6 +15,9 @@
 from croftpulley import errors
 
 T = TypeVar("T")
+_MOST_FAULTS = 20
+"""Of one list and of the unknown keys of one object: an error for each would take far more memory
+than the document."""
 
 
 def _strict_hook(kind: type, *also_accepted: type) -> Any:
@@ -22,7 +26,7 @@
     def hook(value: Any, _type: Any) -> Any:
         wrong_bool = isinstance(value, bool) and kind is not bool
         if wrong_bool or not isinstance(value, (kind, *also_accepted)):
-            raise ValueError(f"got {value!r}, allowed is {_KIND_NAMES[kind]}")
+            raise ValueError(f"got {value!r:.100}, allowed is {_KIND_NAMES[kind]}")
         return kind(value)
 
     return hook
@@ -39,9 +43,40 @@
     converter.register_structure_hook(float, _strict_hook(float, int))
     converter.register_structure_hook(bool, _strict_hook(bool))
     converter.register_structure_hook_factory(attrs.has, lambda kind: _class_hook(kind, converter))
+    converter.register_structure_hook_factory(
+        _is_list, lambda kind: _list_hook(typing.get_args(kind)[0], converter)
+    )
     return converter
 
 
+def _is_list(kind: Any) -> bool:
+    return typing.get_origin(kind) is tuple and typing.get_args(kind)[1:] == (Ellipsis,)
+
+
+def _list_hook(kind: Any, converter: cattrs.Converter) -> Any:
+    """Return the hook for a tuple of values of ``kind``."""
+    structure_value = converter.get_structure_hook(kind)
+
+    def hook(values: Any, _type: Any) -> Any:
+        if not isinstance(values, (list, tuple)):
+            raise ValueError(f"got {values!r:.100}, allowed is a list")
+        structured: list[Any] = []
+        faults: list[Exception] = []
+        for index, value in enumerate(values):
+            try:
+                structured.append(structure_value(value, kind))
+            except Exception as fault:
+                fault.add_note(cattrs.IterableValidationNote("in a list", index, kind))
+                faults.append(fault)
+            if len(faults) == _MOST_FAULTS:
+                break
+        if faults:
+            raise cattrs_errors.IterableValidationError("a list is not valid", faults, tuple)
+        return tuple(structured)
+
+    return hook
+
+
 def _class_hook(kind: type, converter: cattrs.Converter) -> Any:
     """Return the hook for an attrs class, which runs the validators field by field.
 
@@ -144,7 +179,7 @@
         allowed = ", ".join(sorted(attrs.fields_dict(failure.cl)))
         return [
             errors.SettingsError(path, _join_key(key, name), f"unknown key; allowed are {allowed}")
-            for name in sorted(failure.extra_fields)
+            for name in sorted(failure.extra_fields)[:_MOST_FAULTS]
         ]
     if isinstance(failure, KeyError):
         return [
--- a/testing/client_crowds.py
+++ b/testing/client_crowds.py
@@ -6,6 +6,7 @@
 import enum
 import itertools
 import pathlib
+import select
 import selectors
 import socket
 import time
@@ -29,6 +30,8 @@
 _SMALL_CROWD = 200
 _DOCUMENT = b'{"number": 1, "document": [' + b"[]," * 330_000 + b"[]]}"
 _DOCUMENTS = 40
+_FAULTY_DOCUMENT = b'{"number": 1, "document": {"routes": [' + b"{}," * 20_000 + b"{}]}}"
+_FAULTY_DOCUMENTS = 4
 _BYTE = b"x"
 _BLOCK_BYTES = 65_536
 _LONGEST_S = 120.0
@@ -49,6 +52,7 @@
     SHORT_PIECES = "of legal size, piece by piece, all but the last byte"
     SHORT_LARGE_CHUNKS = "of legal size, in large chunks, all but the last byte"
     DOCUMENTS = "whole documents of legal size, mostly empty lists"
+    FAULTY_DOCUMENTS = "whole documents of a small size, with many faults"
     SHORT_SMALL = "of a small size, all but the last byte"
     SHORT_SMALL_CHUNKS = "of legal size, in very small chunks, all but the last byte"
 
@@ -75,6 +79,9 @@
     Shape.SHORT: _Plan(BODY_BYTES, BODY_BYTES - 1),
     Shape.SHORT_SMALL: _Plan(1000, 999),
     Shape.DOCUMENTS: _Plan(len(_DOCUMENT), len(_DOCUMENT), content=_DOCUMENT),
+    Shape.FAULTY_DOCUMENTS: _Plan(
+        len(_FAULTY_DOCUMENT), len(_FAULTY_DOCUMENT), content=_FAULTY_DOCUMENT
+    ),
     Shape.SHORT_LARGE: _Plan(_LARGE_BODY_BYTES, _LARGE_BODY_BYTES - 1),
     Shape.SHORT_PIECES: _Plan(BODY_BYTES, BODY_BYTES - 1, piece_bytes=4096),
     Shape.SHORT_LARGE_CHUNKS: _Plan(BODY_BYTES, BODY_BYTES - 1, chunk_bytes=100_000),
@@ -82,16 +89,19 @@
 }
 
 
-LARGE = tuple(each for each in Shape if each not in (Shape.DOCUMENTS, Shape.SHORT_SMALL))
+_SIZES = {
+    Shape.SHORT_SMALL: _SMALL_CROWD,
+    Shape.DOCUMENTS: _DOCUMENTS,
+    Shape.FAULTY_DOCUMENTS: _FAULTY_DOCUMENTS,
+}
+LARGE = tuple(each for each in Shape if each not in _SIZES)
 """Those of which a crowd sends more than the machine has memory."""
 
 
 def crowd_size(shape: Shape) -> int:
     """Return how many clients a crowd has."""
-    if shape is Shape.SHORT_SMALL:
-        return _SMALL_CROWD
-    if shape is Shape.DOCUMENTS:
-        return _DOCUMENTS
+    if shape in _SIZES:
+        return _SIZES[shape]
     legal_bytes = min(_PLANS[shape].sent_bytes, MAX_BODY_BYTES)
     return -(-_CROWD_BYTES // legal_bytes)
 
@@ -127,6 +137,7 @@
             self.sock.connect((host, int(port)))
         self._pieces = pieces
         self._left = b""
+        self.is_answered = False
 
     def send(self) -> bool:
         """Send one more piece, or what is left of the last; false if there is no more."""
@@ -140,9 +151,11 @@
     def is_closed(self) -> bool:
         """Take what has come, and tell whether the other side has ended the connection."""
         try:
-            return not self.sock.recv(_BLOCK_BYTES)
+            received = self.sock.recv(_BLOCK_BYTES)
         except BlockingIOError:
             return False
+        self.is_answered = True
+        return not received
 
 
 class Crowd:
@@ -184,6 +197,15 @@
                     sending -= 1
         self._settle()
 
+    def wait_answered(self) -> None:
+        """Wait until every client that stays has got something of an answer."""
+        ends_at_s = time.monotonic() + _LONGEST_S
+        while waiting := [each.sock for each in self._staying if not each.is_answered]:
+            assert time.monotonic() < ends_at_s, f"{len(waiting)} clients got no answer"
+            readable, _, _ = select.select(waiting, [], [], 1.0)
+            for each in self._staying:
+                each.is_answered = each.is_answered or each.sock in readable
+
     def _settle(self) -> None:
         """Wait until what was sent has been read, or until nobody reads any more of it."""
         unread_bytes, since_s = -1, time.monotonic()
--- a/testing/daemons/test_client_crowds.py
+++ b/testing/daemons/test_client_crowds.py
@@ -36,11 +36,16 @@
 
 
 class Seen:
-    """What a crowd costs a process, and whether an ordinary client is answered beside it."""
+    """What a crowd costs a process, and whether an ordinary client is answered beside it.
 
-    def __init__(self, place, crowd):
+    With ``until_answered``, the cost of answering each of its clients is counted too.
+    """
+
+    def __init__(self, place, crowd, *, until_answered=False):
         try:
             crowd.send_all()
+            if until_answered:
+                crowd.wait_answered()
             self.descriptors = client_crowds.open_descriptors(place.program.pid)
             self.is_answered_beside = place.ordinary.is_answered()
             self.peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
@@ -106,9 +111,18 @@
 
 
 def test_a_crowd_of_operators_documents_does_not_end_a_control_box(make_place):
-    place = make_place("replica")
-    crowd = client_crowds.Crowd(Shape.DOCUMENTS, [place.ordinary.address], place.crowd_head)
-    seen = Seen(place, crowd)
+    check_documents(make_place("replica"), Shape.DOCUMENTS)
+
+
+# Each fault took some kilobytes, and its line of the answer: 30 kB took 205 MB.
+def test_operators_documents_with_many_faults_do_not_end_a_control_box(make_place):
+    check_documents(make_place("replica"), Shape.FAULTY_DOCUMENTS)
+
+
+def check_documents(place, shape):
+    """Have a crowd send documents to the operators' address."""
+    crowd = client_crowds.Crowd(shape, [place.ordinary.address], place.crowd_head)
+    seen = Seen(place, crowd, until_answered=True)
     assert place.program.runs
     assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
     assert seen.is_answered_beside
--- a/testing/settings/test_loader.py
+++ b/testing/settings/test_loader.py
@@ -72,6 +72,44 @@
         loader.parse_json(text)
 
 
+# An error for each took thousands of times the memory of what it was for.
+def test_of_very_many_faults_the_first_ones_are_reported():
+    found = faults('{"routes": [%s{}]}' % ("{}, " * 1000), fleet.FleetConfiguration)
+    assert "routes[0].name" in found
+    assert len({key.partition(".")[0] for key in found}) == 20
+    unknown = ", ".join(f'"key_{number:03}": 1' for number in range(1000))
+    found = faults(f"{{{unknown}}}", fleet.FleetConfiguration)
+    assert list(found) == [f"key_{number:03}" for number in range(20)]
+
+
+def test_of_very_many_faults_in_references_the_first_ones_are_reported():
+    route = fleet.Route(
+        name="r",
+        host="x",
+        path_prefix="/",
+        kind=fleet.RouteKind.ONCE,
+        shares=(fleet.Share(pool="none"),),
+        time_limit_ms=1000,
+    )
+    with pytest.raises(errors.SettingsErrorGroup) as caught:
+        fleet.check(fleet.FleetConfiguration(routes=(route,) * 1000))
+    assert len(caught.value.exceptions) == 100
+
+
+def test_valid_elements_after_faulty_ones_are_not_reported():
+    found = faults('{"pools": [{"name": 1}, {"name": "a"}, {}]}', fleet.FleetConfiguration)
+    assert set(found) == {"pools[0].name", "pools[2].name"}
+
+
+# Its characters became the elements.
+@pytest.mark.parametrize("value", ['"abc"', "{}", "3", "null"])
+def test_a_value_that_is_no_list_is_refused_where_one_is_expected(value):
+    document = f'{{"workspaces": [{{"name": "clinic", "keys": {value}}}]}}'
+    found = faults(document, fleet.FleetConfiguration)
+    assert list(found) == ["workspaces[0].keys"]
+    assert found["workspaces[0].keys"].endswith("allowed is a list")
+
+
 def test_error_names_a_missing_key():
     assert faults("{}", schema.ControlSettings)["data_folder"].endswith("missing; it is required")
 
