A document of very many values is refused before it is decoded

What callers saw: nothing; a control box ended for want of memory. One document of 8 MiB, of legal size and mostly empty objects, took it to 324 MB.

Cause: an empty object of three bytes takes some ninety decoded, and nothing bounds how many of them one document has.

Change: commas and opening brackets are counted, at the speed of a search, and more than 1,000,000 are refused (CONFIGURATION_INVALID, before anything is stored).

--- a/testing/client_crowds.py
+++ b/testing/client_crowds.py
@@ -30,6 +30,10 @@
 _SMALL_CROWD = 200
 _DOCUMENT = b'{"number": 1, "document": [' + b"[]," * 330_000 + b"[]]}"
 _DOCUMENTS = 40
+LARGEST_BODY_BYTES = 8 * 1024 * 1024
+"""The limit on one body of operators, by default."""
+_LARGEST_DOCUMENT = b'{"number": 1, "document": [' + b"{}," * 2_796_100 + b"{}]}"
+_LARGEST_DOCUMENTS = 4
 _FAULTY_DOCUMENT = b'{"number": 1, "document": {"routes": [' + b"{}," * 20_000 + b"{}]}}"
 _FAULTY_DOCUMENTS = 4
 _BYTE = b"x"
@@ -52,6 +56,7 @@
     SHORT_PIECES = "of legal size, piece by piece, all but the last byte"
     SHORT_LARGE_CHUNKS = "of legal size, in large chunks, all but the last byte"
     DOCUMENTS = "whole documents of legal size, mostly empty lists"
+    LARGEST_DOCUMENTS = "whole documents of nearly the largest legal size, mostly empty objects"
     FAULTY_DOCUMENTS = "whole documents of a small size, with many faults"
     SHORT_SMALL = "of a small size, all but the last byte"
     SHORT_SMALL_CHUNKS = "of legal size, in very small chunks, all but the last byte"
@@ -79,6 +84,9 @@
     Shape.SHORT: _Plan(BODY_BYTES, BODY_BYTES - 1),
     Shape.SHORT_SMALL: _Plan(1000, 999),
     Shape.DOCUMENTS: _Plan(len(_DOCUMENT), len(_DOCUMENT), content=_DOCUMENT),
+    Shape.LARGEST_DOCUMENTS: _Plan(
+        len(_LARGEST_DOCUMENT), len(_LARGEST_DOCUMENT), content=_LARGEST_DOCUMENT
+    ),
     Shape.FAULTY_DOCUMENTS: _Plan(
         len(_FAULTY_DOCUMENT), len(_FAULTY_DOCUMENT), content=_FAULTY_DOCUMENT
     ),
@@ -92,6 +100,7 @@
 _SIZES = {
     Shape.SHORT_SMALL: _SMALL_CROWD,
     Shape.DOCUMENTS: _DOCUMENTS,
+    Shape.LARGEST_DOCUMENTS: _LARGEST_DOCUMENTS,
     Shape.FAULTY_DOCUMENTS: _FAULTY_DOCUMENTS,
 }
 LARGE = tuple(each for each in Shape if each not in _SIZES)
--- a/testing/daemons/test_client_crowds.py
+++ b/testing/daemons/test_client_crowds.py
@@ -119,6 +119,11 @@
     check_documents(make_place("replica"), Shape.FAULTY_DOCUMENTS)
 
 
+def test_the_largest_of_operators_documents_do_not_end_a_control_box(make_place):
+    place = make_place("replica", body_size_bytes=client_crowds.LARGEST_BODY_BYTES)
+    check_documents(place, Shape.LARGEST_DOCUMENTS)
+
+
 def check_documents(place, shape):
     """Have a crowd send documents to the operators' address."""
     crowd = client_crowds.Crowd(shape, [place.ordinary.address], place.crowd_head)
--- a/testing/settings/test_decoding.py
+++ b/testing/settings/test_decoding.py
@@ -4,13 +4,14 @@
 
 import concurrent.futures
 import itertools
+import json
 import threading
 import weakref
 
 import pytest
 
-from croftpulley import errors
-from croftpulley.settings import decoding, formats
+from croftpulley import codes, errors
+from croftpulley.settings import decoding, formats, schema
 
 
 def test_no_two_documents_are_decoded_at_the_same_time():
@@ -32,6 +33,29 @@
     assert results == [[10_000 + number] * 50 for number in range(8)]
 
 
+@pytest.mark.parametrize("kind", [str, bytes])
+def test_a_document_of_very_many_values_is_not_decoded(kind):
+    text = "[" + "{}," * (decoding.MOST_VALUES // 2) + "{}]"
+    document = text if kind is str else text.encode()
+    with pytest.raises(errors.CroftpulleyError, match="values") as caught:
+        decoding.decode(lambda _: pytest.fail("it was decoded"), document)
+    assert caught.value.code is codes.ResultCode.CONFIGURATION_INVALID
+
+
+def test_a_configuration_of_nearly_eight_mebibytes_has_not_too_many_values():
+    route = {
+        "name": "r-12345",
+        "host": "ward.example",
+        "path_prefix": "/r-12345/",
+        "kind": "once",
+        "shares": [{"pool": "pool-12"}],
+        "time_limit_ms": 4000.0,
+    }
+    text = json.dumps({"routes": [route] * 60_000, "pools": []}, separators=(",", ":"))
+    assert 8_000_000 <= len(text) <= schema.OPERATOR_BODY_SIZE_BYTES
+    assert decoding.decode(len, text) == len(text)
+
+
 class Decoded:
     pass
 
