A planned stop of a router waits for callers that read their answers

Cause: a request counts as done once its answer is in the router's buffers for its caller; the stop waited for requests, then closed all connections and dropped what waited in them.

Change: after its requests, a stop waits until no connection owes anything, or all that do have had nothing taken for 2 s, within the grace less its last moment. Whoever is left is logged (CALLER_CUT, with the bytes and the seconds). The exit code still tells of requests alone.

--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -205,7 +205,8 @@
         return self._view.get().lease_until_s - self._clock.monotonic_s()
 
     def drain(self) -> bool:
-        """Stop by plan: be named no more, serve who still comes, end every stream.
+        """Stop by plan: be named no more, serve who still comes, end every stream, and wait until
+        callers have taken their answers.
 
         Returns whether every stream ended within the grace.
         """
@@ -218,8 +219,13 @@
         kept_s = min(_LONGEST_KEPT * self._settings.entry_ttl_s, served_s)
         self._closed.wait_for(bool, kept_s)
         self._closed.publish(True)
-        left_s = max(0.0, ends_at_s - self._clock.monotonic_s())
-        return entry_box.end_streams(self._streams, left_s)
+        ended = entry_box.end_streams(self._streams, self._left_s(ends_at_s))
+        for each in self._forwarding:
+            each.wait_until_taken(self._left_s(ends_at_s))
+        return ended
+
+    def _left_s(self, ends_at_s: float) -> float:
+        return max(0.0, ends_at_s - self._clock.monotonic_s())
 
     def stop(self) -> None:
         """Stop at once; `drain` comes first in a planned stop."""
--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -376,6 +376,11 @@
         """Tell whether closing this connection now takes nobody's answer away."""
         return not (self.requests or self.total_outbufs_len or self.will_close)
 
+    @property
+    def is_owing(self) -> bool:
+        """Tell whether its caller has still to be answered, or to take a part of the answer."""
+        return bool(self.requests or self.total_outbufs_len) and not self.will_close
+
     def is_unread(self, unread_s: float) -> bool:
         """Tell whether the caller has taken nothing of what waits for it for so long."""
         waits = bool(self.total_outbufs_len)
@@ -394,6 +399,13 @@
 
 def cut(channel: Channel) -> None:
     """End a connection whose caller takes nothing; whoever writes to it is told so at once."""
+    log_cut(channel)
+    # A connection that takes nothing is never reported as one that may be written to.
+    channel.handle_close()
+
+
+def log_cut(channel: Channel) -> None:
+    """Log that a connection ends before its caller has taken all of its answer."""
     events.emit(
         _LOG,
         events.Event.CALLER_CUT,
@@ -402,5 +414,3 @@
         unread_bytes=channel.total_outbufs_len,
         unread_s=round(time.monotonic() - channel.taken_at_s, 3),
     )
-    # A connection that takes nothing is never reported as one that may be written to.
-    channel.handle_close()
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -20,6 +20,9 @@
 FIRST_THREADS = 2
 """Enough for a box at rest; a request that finds all busy has one more started."""
 _SHUTDOWN_TIMEOUT_S = 0.5
+_STALLED_S = 2.0
+"""A planned stop does not wait for callers that have taken nothing for so long."""
+_TAKEN_CHECK_S = 0.02
 _SEND_BUFFER_BYTES = 65_536
 """A caller that takes 5 KB a second frees enough of it within ten seconds to be seen to read."""
 
@@ -160,8 +163,25 @@
         """End every connection with its next answer, as a planned stop does."""
         self._server.closes_connections = True
 
+    def wait_until_taken(self, timeout_s: float) -> None:
+        """Wait until callers have taken all of their answers, or take nothing any more.
+
+        Those that have not are logged; `stop` ends their connections.
+        """
+        ends_at_s = time.monotonic() + timeout_s
+        while self._is_being_read() and time.monotonic() < ends_at_s:
+            time.sleep(_TAKEN_CHECK_S)
+        for each in self._owing():
+            channel.log_cut(each)
+
+    def _is_being_read(self) -> bool:
+        return any(not each.is_unread(_STALLED_S) for each in self._owing())
+
+    def _owing(self) -> list[channel.Channel]:
+        return [each for each in list(self._server.active_channels.values()) if each.is_owing]
+
     def stop(self) -> None:
-        """End the threads, then every socket; a planned stop has waited for replies before.
+        """End the threads, then every socket; a planned stop has waited for callers before.
 
         The sockets are closed by the thread that waits on them: closed by another they would stay
         open until that wait ends, and the address with them.
--- a/src/croftpulley/observe/events.py
+++ b/src/croftpulley/observe/events.py
@@ -155,7 +155,10 @@
     Event.LOAD_UNUSABLE: "An endpoint tells a load that cannot be read.",
     Event.ROOM_WAITED: "A request waited for a permit of its pool; the line has what decided.",
     Event.ROOM_REFUSED: "A request gets no permit of its pool in time; the line has what decided.",
-    Event.CALLER_CUT: "A caller took nothing of its answer for too long; its connection is ended.",
+    Event.CALLER_CUT: (
+        "A caller took nothing of its answer for too long, or not all of it before a planned stop"
+        " ended; its connection is ended."
+    ),
     Event.POOL_OUT_OF_REACH: (
         "This box reaches no endpoint of a pool; its requests go by way of other boxes."
     ),
--- a/testing/daemons/test_planned_stop.py
+++ b/testing/daemons/test_planned_stop.py
@@ -10,12 +10,21 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
+import threading
+import time
+
 import pytest
 
 from croftpulley.controllers import actors
+from croftpulley.fakes import forwarded
+from croftpulley.observe import events
 
 SERVED_SHARE = 3 / 8
 """Of the grace: what users send later is not to be taken and cut."""
+LARGE_BYTES = 1_000_000
+"""More than the system holds for a caller."""
 
 
 @pytest.mark.parametrize("grace_s", [8.0, 30.0])
@@ -30,3 +39,65 @@
     site.routers[0].drain()
     assert waited_s[0] <= SERVED_SHARE * grace_s
     assert site.ask("GET", "/cancel/x").status == 503
+
+
+class SlowCaller:
+    """Asks for a large answer, and takes of it when told and as much as told."""
+
+    _PIECE_BYTES = 16_384
+    _PAUSE_S = 0.01
+
+    def __init__(self, site):
+        connection = site.connect()
+        connection.connect()
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * self._PIECE_BYTES)
+        connection.request("GET", "/cancel/x", headers=site.headers("request-1"))
+        self._connection = connection
+        self._response = connection.getresponse()
+        self.announced_bytes = self._response.length
+        self.received_bytes = 0
+        self._thread = threading.Thread(target=self._read)
+
+    def start(self):
+        self._thread.start()
+
+    def join(self):
+        self._thread.join()
+        self._connection.close()
+
+    def _read(self):
+        with contextlib.suppress(OSError):
+            while data := self._response.read1(self._PIECE_BYTES):
+                self.received_bytes += len(data)
+                time.sleep(self._PAUSE_S)
+
+
+@pytest.fixture
+def stop_at_once(monkeypatch):
+    """Have endpoints answer at length, and a planned stop take no further requests."""
+    monkeypatch.setattr(forwarded, "body_of", lambda _request: bytes(LARGE_BYTES))
+    monkeypatch.setattr(actors.View, "wait_for", lambda _view, _holds, _timeout_s: None)
+
+
+# What waited in the router for its caller was dropped, long before the end of the grace.
+@pytest.mark.usefixtures("stop_at_once")
+def test_a_planned_stop_waits_for_callers_that_read_their_answers(make_site):
+    site = make_site(grace_s=60.0)
+    caller = SlowCaller(site)
+    caller.start()
+    assert site.routers[0].drain()
+    site.routers[0].stop()
+    caller.join()
+    assert caller.received_bytes == caller.announced_bytes == LARGE_BYTES
+
+
+@pytest.mark.usefixtures("stop_at_once")
+def test_a_planned_stop_does_not_wait_for_callers_that_read_nothing(make_site, caplog):
+    site = make_site(grace_s=600.0)
+    caller = SlowCaller(site)
+    assert site.routers[0].drain()
+    site.routers[0].stop()
+    caller.start()
+    caller.join()
+    assert caller.received_bytes < caller.announced_bytes
+    assert events.Event.CALLER_CUT in [getattr(each, "event", None) for each in caplog.records]
