Crowds at the address of operators itself, a further test

In the tests of crowds, whole requests and those beyond the connections are at the metrics of a control box with a disk; here they are where an operator is answered.

--- a/testing/daemons/test_client_crowds.py
+++ b/testing/daemons/test_client_crowds.py
@@ -110,6 +110,18 @@
     assert place.ordinary.is_answered()
 
 
+@pytest.mark.parametrize("shape", [Shape.WHOLE, Shape.SHORT, Shape.SHORT_SMALL])
+def test_a_crowd_at_the_operators_address_does_not_keep_operators_out(make_place, shape):
+    place = make_place("replica", connections=client_crowds.FEW_CONNECTIONS)
+    crowd = client_crowds.Crowd(shape, [place.ordinary.address], place.crowd_head)
+    seen = Seen(place, crowd)
+    assert place.program.runs
+    assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    assert seen.descriptors <= client_crowds.FEW_CONNECTIONS + client_crowds.SPARE_DESCRIPTORS
+    assert seen.is_answered_beside
+    assert place.ordinary.is_answered()
+
+
 def test_a_crowd_of_operators_documents_does_not_end_a_control_box(make_place):
     check_documents(make_place("replica"), Shape.DOCUMENTS)
 
