test_connection: the endpoint's thread ends with its test

Cause, by reading: a fixture starts a thread for each endpoint and never joins it. On a busy machine the thread begins after its test has ended.

Change: at the end the listener is shut down, which ends an accept that waits, and the threads are joined; an endpoint whose test is over says nothing.

--- a/testing/endpoints/test_connection.py
+++ b/testing/endpoints/test_connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import gc
 import socket
 import threading
@@ -98,10 +99,11 @@
 @pytest.fixture
 def answering(listener):
     """Return a function that has the endpoint send bytes once, and then close or wait."""
-    kept = []
+    kept, threads = [], []
 
-    def answer(data, *, closes):
-        def serve():
+    def serve(data, closes):
+        # The test may be over before this has begun.
+        with contextlib.suppress(OSError):
             sock, _ = listener.accept()
             kept.append(sock)
             sock.recv(4096)
@@ -109,11 +111,16 @@
             if closes:
                 sock.shutdown(socket.SHUT_WR)
 
-        threading.Thread(target=serve, daemon=True).start()
+    def answer(data, *, closes):
+        threads.append(threading.Thread(target=serve, args=(data, closes)))
+        threads[-1].start()
 
     yield answer
+    listener.shutdown(socket.SHUT_RDWR)
     for each in kept:
         each.close()
+    for each in threads:
+        each.join()
 
 
 def test_an_answer_without_a_length_is_whole_at_the_end_of_its_connection(listener, answering):
