The soak asks the kernel for one socket in place of reading its whole table

Change: soak/kernel_sockets.py asks the kernel by the ports of both ends (sock_diag), and reads the table only where that is refused.

--- a/testing/soak/fleet.py
+++ b/testing/soak/fleet.py
@@ -18,7 +18,7 @@
 from croftpulley.fakes import forwarded, platform_list
 from croftpulley.settings import schema
 from site_of_routers import ANY_PORT, ReservedPort
-from soak import processes, proxy
+from soak import kernel_sockets, processes, proxy
 
 HOST = "clinic.example"
 KINDS = ("once", "repeat", "chat", "note")
@@ -313,7 +313,7 @@
 
     def _harm_of(self, port: int, listening_port: int) -> Callable[[], proxy.Harm]:
         """Return what tells how the links of the router that connects are harmed now."""
-        name = processes.socket_between(port, listening_port)
+        name = kernel_sockets.socket_between(port, listening_port)
         for number, router in enumerate(self.routers):
             if router.holds(name):
                 return lambda: self.cuts.get(number, proxy.Harm.NONE)
@@ -321,7 +321,7 @@
 
     def _lane_of(self, port: int, listening_port: int) -> proxy.Lane | None:
         """Return the lane of the control box that connects, if it is one."""
-        name = processes.socket_between(port, listening_port)
+        name = kernel_sockets.socket_between(port, listening_port)
         for lane, box in zip(self.lanes, self.control, strict=True):
             if box.holds(name):
                 return lane
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -5,7 +5,6 @@
 import contextlib
 import os
 import pathlib
-import re
 import signal
 import subprocess
 import sys
@@ -17,10 +16,6 @@
 
 _STOP_WAIT_S = 15.0
 """Beyond the grace of every program."""
-_CONNECTIONS = pathlib.Path("/proc/net/tcp")
-"""Each line has both ends of a connection, in hex, and the inode of its socket."""
-_LOCAL, _REMOTE, _INODE = 1, 2, 9
-"""Its columns."""
 _MAIN = "from croftpulley.cli import main; main.main()"
 
 
@@ -141,18 +136,6 @@
         time.sleep(0.05)
 
 
-def socket_between(port: int, listening_port: int) -> str:
-    """Return the kernel's name of the socket at ``port`` that is connected to the other one."""
-    wanted = re.compile(rf"^ *\d+: \w+:{port:04X} \w+:{listening_port:04X} .*$", re.MULTILINE)
-    # Thousands of closed connections may be listed: most lines are never split.
-    for line in wanted.findall(_CONNECTIONS.read_text()):
-        fields = line.split()
-        ports = [int(fields[each].rpartition(":")[2], 16) for each in (_LOCAL, _REMOTE)]
-        if ports == [port, listening_port]:
-            return f"socket:[{fields[_INODE]}]"
-    return ""
-
-
 def _link(path: pathlib.Path) -> str:
     try:
         return os.readlink(path)
--- a/testing/soak/test_proxy.py
+++ b/testing/soak/test_proxy.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from soak import processes, proxy
+from soak import kernel_sockets, proxy
 
 SIZE_BYTES = 50_000
 RATE_BYTES_PER_S = 200_000.0
@@ -80,5 +80,5 @@
 def test_the_socket_of_a_connection_is_found_by_its_ports(sink):
     with connected(sink.address) as connection:
         listening_port = int(sink.address.rpartition(":")[2])
-        name = processes.socket_between(connection.getsockname()[1], listening_port)
+        name = kernel_sockets.socket_between(connection.getsockname()[1], listening_port)
         assert name == os.readlink(f"/proc/self/fd/{connection.fileno()}")
