A planned stop does not wait for those who come during its wait

While callers go on coming and are refused, some connection owes an answer at every look, so a router would have waited until the end of its grace.

Change: those that are owed something when the wait begins are waited for.

--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -6,6 +6,7 @@
 import sys
 import threading
 import time
+from collections.abc import Iterable
 from typing import Any
 
 import waitress.server
@@ -164,22 +165,21 @@
         self._server.closes_connections = True
 
     def wait_until_taken(self, timeout_s: float) -> None:
-        """Wait until callers have taken all of their answers, or take nothing any more.
+        """Wait until callers have taken all that they are owed now, or take nothing any more.
 
-        Those that have not are logged; `stop` ends their connections.
+        Those that have not are logged; `stop` ends their connections. Whoever comes meanwhile is
+        not waited for.
         """
         ends_at_s = time.monotonic() + timeout_s
-        while self._is_being_read() and time.monotonic() < ends_at_s:
+        owing = _owing(self._server.active_channels.values())
+        while any(not each.is_unread(_STALLED_S) for each in owing):
+            if time.monotonic() >= ends_at_s:
+                break
             time.sleep(_TAKEN_CHECK_S)
-        for each in self._owing():
+            owing = _owing(owing)
+        for each in owing:
             channel.log_cut(each)
 
-    def _is_being_read(self) -> bool:
-        return any(not each.is_unread(_STALLED_S) for each in self._owing())
-
-    def _owing(self) -> list[channel.Channel]:
-        return [each for each in list(self._server.active_channels.values()) if each.is_owing]
-
     def stop(self) -> None:
         """End the threads, then every socket; a planned stop has waited for callers before.
 
@@ -229,3 +229,7 @@
             elif now_s >= each.ends_at_s(self._header_wait_s, self._idle_s):
                 each.will_close = True
         self._unread_bytes = unread_bytes
+
+
+def _owing(channels: Iterable[channel.Channel]) -> list[channel.Channel]:
+    return [each for each in list(channels) if each.is_owing]
