Smaller: one expression for what a connection owes, one least request room

is_resting is said by is_owing; the wait of a planned stop has its two conditions in its loop; boot takes the least request_total_bytes from the schema that checks it. Behaviour is unchanged.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -374,7 +374,7 @@
     @property
     def is_resting(self) -> bool:
         """Tell whether closing this connection now takes nobody's answer away."""
-        return not (self.requests or self.total_outbufs_len or self.will_close)
+        return not (self.is_owing or self.will_close)
 
     @property
     def is_owing(self) -> bool:
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -172,9 +172,7 @@
         """
         ends_at_s = time.monotonic() + timeout_s
         owing = _owing(self._server.active_channels.values())
-        while any(not each.is_unread(_STALLED_S) for each in owing):
-            if time.monotonic() >= ends_at_s:
-                break
+        while time.monotonic() < ends_at_s and _are_reading(owing):
             time.sleep(_TAKEN_CHECK_S)
             owing = _owing(owing)
         for each in owing:
@@ -231,5 +229,9 @@
         self._unread_bytes = unread_bytes
 
 
+def _are_reading(channels: list[channel.Channel]) -> bool:
+    return any(not each.is_unread(_STALLED_S) for each in channels)
+
+
 def _owing(channels: Iterable[channel.Channel]) -> list[channel.Channel]:
     return [each for each in list(channels) if each.is_owing]
--- a/src/croftpulley/platform/boot.py
+++ b/src/croftpulley/platform/boot.py
@@ -15,7 +15,6 @@
 _MEGABYTE = 1_000_000
 _REQUEST_MEMORY_SHARE = 0.2
 """Of a machine's memory, for requests; programs and answers need the rest."""
-_MIN_REQUEST_BYTES = 1_048_576
 ROUTER_METRICS_PORT = 9464
 CONTROL_METRICS_PORT = 9465
 """Ports that ``deploy/system.toml`` names too; the platform fetches metrics from fixed ones."""
@@ -111,7 +110,8 @@
     machine = boot.object("limits")
     memory_bytes = machine.number("memoryMb", 0.0) * _MEGABYTE
     if memory_bytes:
-        room_bytes = max(_MIN_REQUEST_BYTES, int(memory_bytes * _REQUEST_MEMORY_SHARE))
+        room_bytes = int(memory_bytes * _REQUEST_MEMORY_SHARE)
+        room_bytes = max(schema.MIN_REQUEST_TOTAL_BYTES, room_bytes)
         limits = attrs.evolve(limits, request_total_bytes=room_bytes)
     return limits
 
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -60,6 +60,7 @@
 270 bytes. Operators do not retry a submission that was rejected as too large."""
 
 
+MIN_REQUEST_TOTAL_BYTES = 1_048_576
 _MIN_CONNECTIONS = 10
 _FEW_CONNECTIONS_SHARE = 0.15
 
@@ -77,7 +78,7 @@
 
     body_size_bytes: int = attrs.field(default=1_048_576, validator=_between(1024, 67_108_864))
     request_total_bytes: int = attrs.field(
-        default=50_331_648, validator=_between(1_048_576, 4_294_967_296)
+        default=50_331_648, validator=_between(MIN_REQUEST_TOTAL_BYTES, 4_294_967_296)
     )
     header_size_bytes: int = attrs.field(default=32_768, validator=_between(1024, 262_144))
     header_count: int = attrs.field(default=64, validator=_between(8, 1000))
