Tests: one wait_until, one check of a crowd, one endpoint for spoilt responses

The soak's wait_until stood beside conftest's; it takes a limit now, the same 30 s where programs start. The five asserts on a crowd stood in four tests; check_crowd has them, with the same bounds. Documents are held to the bound on descriptors as well, and the gRPC crowd to an ordinary client beside it, which they were not. The two fixtures of test_spoilt_responses are one, whose threads end with their test, as in test_connection.

--- a/testing/conftest.py
+++ b/testing/conftest.py
@@ -35,12 +35,12 @@
 }
 
 
-def wait_until(holds: Callable[[], bool], what: str) -> None:
+def wait_until(holds: Callable[[], bool], what: str, limit_s: float = WAIT_LIMIT_S) -> None:
     """Wait on a condition; the limit only ends a test that would hang."""
-    ends_at_s = time.monotonic() + WAIT_LIMIT_S
+    ends_at_s = time.monotonic() + limit_s
     while not holds():
         if time.monotonic() > ends_at_s:
-            pytest.fail(f"waited {WAIT_LIMIT_S} s in vain until {what}")
+            pytest.fail(f"waited {limit_s} s in vain until {what}")
         time.sleep(0.01)
 
 
--- a/testing/crowd_site.py
+++ b/testing/crowd_site.py
@@ -10,12 +10,14 @@
 import attrs
 
 from client_crowds import MAX_BODY_BYTES
+from conftest import wait_until
 from croftpulley.fakes import engine, forwarded, platform_list
 from croftpulley.settings import schema
 from site_of_routers import ANY_PORT, ReservedPort
 from soak import processes
 
 HOST = "clinic.example"
+START_LIMIT_S = 30.0
 _TIMEOUT_S = 20.0
 _STAYING_S = 600
 """No client of a crowd is sent away for having taken long."""
@@ -253,7 +255,7 @@
         headers = {"Authorization": f"Bearer {_TOKEN}"}
         body = json.dumps(submission).encode()
         order = Ordinary(address, "POST", "/v1/config/submissions", 200, headers, body)
-        processes.wait_until(order.is_answered, "the configuration is in force")
+        wait_until(order.is_answered, "the configuration is in force", START_LIMIT_S)
 
     def _addresses(self, *names: str) -> dict[str, str]:
         made = [ReservedPort() for _ in names]
--- a/testing/daemons/test_client_crowds.py
+++ b/testing/daemons/test_client_crowds.py
@@ -13,9 +13,9 @@
 import crowd_site
 import grpc_crowds
 from client_crowds import Shape
+from conftest import wait_until
 from croftpulley.transport._generated import fleet_pb2 as wire
 from croftpulley.transport._generated import fleet_pb2_grpc as services
-from soak import processes
 
 CLAIM_PATH = "/croftpulley.Control/Claim"
 PROGRAMS = ("router", "replica", "redirector", "entry", "control")
@@ -28,29 +28,32 @@
     def make(program, **http):
         site.http |= http
         place = getattr(site, program)()
-        processes.wait_until(place.ordinary.is_answered, f"the {program} serves")
+        wait_until(place.ordinary.is_answered, f"the {program} serves", crowd_site.START_LIMIT_S)
         return place
 
     yield make
     site.stop()
 
 
-class Seen:
-    """What a crowd costs a process, and whether an ordinary client is answered beside it.
+def check_crowd(place, crowd, connections, *, until_answered=False):
+    """Have a crowd at a place that keeps so many of its connections, and ask beside and after it.
 
     With ``until_answered``, the cost of answering each of its clients is counted too.
     """
-
-    def __init__(self, place, crowd, *, until_answered=False):
-        try:
-            crowd.send_all()
-            if until_answered:
-                crowd.wait_answered()
-            self.descriptors = client_crowds.open_descriptors(place.program.pid)
-            self.is_answered_beside = place.ordinary.is_answered()
-            self.peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
-        finally:
-            crowd.close()
+    try:
+        crowd.send_all()
+        if until_answered:
+            crowd.wait_answered()
+        descriptors = client_crowds.open_descriptors(place.program.pid)
+        is_answered_beside = place.ordinary.is_answered()
+        peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
+    finally:
+        crowd.close()
+    assert place.program.runs
+    assert peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
+    assert descriptors <= connections + client_crowds.SPARE_DESCRIPTORS
+    assert is_answered_beside
+    assert place.ordinary.is_answered()
 
 
 @pytest.mark.parametrize("shape", client_crowds.LARGE)
@@ -62,12 +65,7 @@
     # Only at the first address do whole requests stay.
     addresses = place.addresses[:1] if shape is Shape.WHOLE else place.addresses
     crowd = client_crowds.Crowd(shape, addresses, place.crowd_head)
-    seen = Seen(place, crowd)
-    assert place.program.runs
-    assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
-    assert seen.descriptors <= crowd.size + client_crowds.SPARE_DESCRIPTORS
-    assert seen.is_answered_beside
-    assert place.ordinary.is_answered()
+    check_crowd(place, crowd, crowd.size)
 
 
 def test_a_crowd_at_the_grpc_listener_does_not_end_the_process_nor_keep_it_from_others(make_place):
@@ -75,17 +73,8 @@
     address = place.program.settings["peer_address"]
     size = client_crowds.crowd_size(Shape.SHORT)
     crowd = grpc_crowds.Crowd(address, CLAIM_PATH, size, client_crowds.BODY_BYTES)
-    try:
-        crowd.send_all()
-        descriptors = client_crowds.open_descriptors(place.program.pid)
-        peak_bytes = client_crowds.peak_memory_bytes(place.program.pid)
-    finally:
-        crowd.close()
-    assert place.program.runs
-    assert peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
-    assert descriptors <= crowd.size + client_crowds.SPARE_DESCRIPTORS
+    check_crowd(place, crowd, crowd.size)
     assert claim(address)
-    assert place.ordinary.is_answered()
 
 
 def claim(address):
@@ -100,26 +89,14 @@
 def test_a_crowd_beyond_the_limit_on_connections_does_not_keep_others_out(make_place, program):
     place = make_place(program, connections=client_crowds.FEW_CONNECTIONS)
     crowd = client_crowds.Crowd(Shape.SHORT_SMALL, place.addresses[:1], place.crowd_head)
-    seen = Seen(place, crowd)
-    listeners = len(place.addresses)
-    allowed = listeners * client_crowds.FEW_CONNECTIONS + client_crowds.SPARE_DESCRIPTORS
-    assert place.program.runs
-    assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
-    assert seen.descriptors <= allowed
-    assert seen.is_answered_beside
-    assert place.ordinary.is_answered()
+    check_crowd(place, crowd, len(place.addresses) * client_crowds.FEW_CONNECTIONS)
 
 
 @pytest.mark.parametrize("shape", [Shape.WHOLE, Shape.SHORT, Shape.SHORT_SMALL])
 def test_a_crowd_at_the_operators_address_does_not_keep_operators_out(make_place, shape):
     place = make_place("replica", connections=client_crowds.FEW_CONNECTIONS)
     crowd = client_crowds.Crowd(shape, [place.ordinary.address], place.crowd_head)
-    seen = Seen(place, crowd)
-    assert place.program.runs
-    assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
-    assert seen.descriptors <= client_crowds.FEW_CONNECTIONS + client_crowds.SPARE_DESCRIPTORS
-    assert seen.is_answered_beside
-    assert place.ordinary.is_answered()
+    check_crowd(place, crowd, client_crowds.FEW_CONNECTIONS)
 
 
 def test_a_crowd_of_operators_documents_does_not_end_a_control_box(make_place):
@@ -139,8 +116,4 @@
 def check_documents(place, shape):
     """Have a crowd send documents to the operators' address."""
     crowd = client_crowds.Crowd(shape, [place.ordinary.address], place.crowd_head)
-    seen = Seen(place, crowd, until_answered=True)
-    assert place.program.runs
-    assert seen.peak_bytes <= client_crowds.MACHINE_MEMORY_BYTES
-    assert seen.is_answered_beside
-    assert place.ordinary.is_answered()
+    check_crowd(place, crowd, crowd.size, until_answered=True)
--- a/testing/endpoints/test_spoilt_responses.py
+++ b/testing/endpoints/test_spoilt_responses.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import threading
 
@@ -107,24 +108,48 @@
 
 
 @pytest.fixture
-def exchange_with():
-    """Return a function that exchanges a request for given bytes with an endpoint that stays."""
-    kept = []
+def peer():
+    """Return a function that listens as a box does and answers requests of one client with bytes.
 
-    def exchange(data, *, closes=True):
-        listener = socket.create_server(("127.0.0.1", 0))
-        kept.append(listener)
+    It ends the connection then, or stays until the end of the test.
+    """
+    listeners, kept, threads = [], [], []
 
-        def serve():
+    def serve(listener, answers, closes):
+        # The test may be over before this has begun, or have all that it wants before this ends.
+        with contextlib.suppress(OSError):
             sock, _ = listener.accept()
             kept.append(sock)
-            sock.recv(4096)
-            sock.sendall(data)
+            for each in answers:
+                sock.recv(4096)
+                sock.sendall(each)
             if closes:
                 sock.close()
 
-        threading.Thread(target=serve, daemon=True).start()
-        target = connection.Target(f"127.0.0.1:{listener.getsockname()[1]}", 1.0, 0.3)
+    def listen(*answers, closes=True):
+        listeners.append(socket.create_server(("127.0.0.1", 0)))
+        arguments = (listeners[-1], answers, closes)
+        threads.append(threading.Thread(target=serve, args=arguments))
+        threads[-1].start()
+        return f"127.0.0.1:{listeners[-1].getsockname()[1]}"
+
+    yield listen
+    for each in (*listeners, *kept):
+        # Some connections have ended.
+        with contextlib.suppress(OSError):
+            each.shutdown(socket.SHUT_RDWR)
+        each.close()
+    for each in threads:
+        each.join()
+
+
+@pytest.fixture
+def exchange_with(peer):
+    """Return a function that exchanges a request for given bytes with an endpoint that stays."""
+    kept = []
+
+    def exchange(data, *, closes=True):
+        target = connection.Target(peer(data, closes=closes), 1.0, 0.3)
         attempt = attempts.Attempt(1, "e")
         made = connection.Exchange(
             target, attempt, cancel.CancelToken(), connection.WORKER_FAILURES
@@ -235,31 +260,6 @@
     assert read_all(exchange) == (304, b"")
 
 
-@pytest.fixture
-def peer():
-    """Return a function that listens as another box does and answers a few requests with bytes."""
-    kept = []
-
-    def listen(*answers):
-        listener = socket.create_server(("127.0.0.1", 0))
-        kept.append(listener)
-
-        def serve():
-            sock, _ = listener.accept()
-            kept.append(sock)
-            for each in answers:
-                sock.recv(4096)
-                sock.sendall(each)
-            sock.close()
-
-        threading.Thread(target=serve, daemon=True).start()
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-    yield listen
-    for each in reversed(kept):
-        each.close()
-
-
 # What boxes say to each other, and to operators, was read as laxly as what endpoints say.
 @pytest.mark.parametrize("line", [b"Content-Length: 5x", b"Content-Length : 5", b"no field"])
 def test_a_box_takes_no_spoilt_response_of_another(peer, line):
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -10,7 +10,6 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
 
 import orjson
 
@@ -128,14 +127,6 @@
         return "\n".join(self._log_path.read_text(errors="replace").splitlines()[-lines:])
 
 
-def wait_until(holds: Callable[[], bool], what: str, limit_s: float = 30.0) -> None:
-    """Wait on a condition of programs; the limit only ends a test that would hang."""
-    ends_at_s = time.monotonic() + limit_s
-    while not holds():
-        assert time.monotonic() < ends_at_s, f"waited {limit_s} s in vain until {what}"
-        time.sleep(0.05)
-
-
 def _link(path: pathlib.Path) -> str:
     try:
         return os.readlink(path)
