Memory that grows is logged, with what takes it; a failed attempt says how much its endpoint sent

What operators saw when a process was ended for its memory: its log stopped. Event 107 is written for each further 32 MiB, at most 0.1 s late, with the requests for which endpoints have sent most and the bytes in the rooms for requests, answers and callers; event 300 has received_bytes.

--- a/src/croftpulley/controllers/streams.py
+++ b/src/croftpulley/controllers/streams.py
@@ -2,15 +2,21 @@
 
 from __future__ import annotations
 
+import operator
 import threading
 from collections.abc import Callable
+from typing import Any
 
 import attrs
 
 from croftpulley import cancel, codes, errors
 from croftpulley import clock as clocks
 from croftpulley.controllers import actors
-from croftpulley.observe import metrics
+from croftpulley.core import attempts
+from croftpulley.observe import memory, metrics
+
+_LARGEST = 5
+"""Requests that a line about memory names."""
 
 
 @attrs.define
@@ -49,6 +55,21 @@
     token: cancel.CancelToken
     deadline_s: float
     caller_gone: Callable[[], bool]
+    request_id: str = ""
+    attempts: attempts.AttemptLog = attrs.field(factory=attempts.AttemptLog)
+
+    @property
+    def received_bytes(self) -> int:
+        """How much endpoints have sent for it."""
+        return self.attempts.received_bytes
+
+    def describe(self) -> dict[str, Any]:
+        """Return the log fields for it."""
+        return {
+            "request_id": self.request_id,
+            "engines": [each.endpoint for each in self.attempts.attempts],
+            "received_bytes": self.received_bytes,
+        }
 
 
 class Streams:
@@ -92,6 +113,13 @@
         with self._lock:
             return max(self._in_flight.total, len(self._watched))
 
+    def largest(self) -> list[WatchedRequest]:
+        """Return the requests for which endpoints have sent the most, the most first."""
+        with self._lock:
+            watched = list(self._watched)
+        watched.sort(key=operator.attrgetter("received_bytes"), reverse=True)
+        return watched[:_LARGEST]
+
     def wait_until_empty(self, timeout_s: float) -> bool:
         """Wait until nothing is in flight or watched; return whether that was within the time."""
         with self._lock:
@@ -112,12 +140,26 @@
 
 
 class StreamController(actors.Controller):
-    """Cancels expired and abandoned requests at each tick."""
+    """Cancels expired and abandoned requests at each tick, and looks at the process's memory.
+
+    ``held_bytes`` returns what this process knows that it holds, by kind.
+    """
 
-    def __init__(self, streams: Streams) -> None:
+    def __init__(self, streams: Streams, held_bytes: Callable[[], dict[str, int]] = dict) -> None:
         super().__init__()
         self._streams = streams
+        self._held_bytes = held_bytes
+        self._memory = memory.MemoryWatch(self._describe)
 
     def handle(self, message: object) -> None:
         """Run one sweep."""
+        self._memory.look()
         self._streams.sweep()
+
+    def on_stop(self) -> None:
+        """Free what the look at memory takes."""
+        self._memory.close()
+
+    def _describe(self) -> dict[str, Any]:
+        largest = [each.describe() for each in self._streams.largest()]
+        return {"streams": self._streams.open_count(), "largest": largest, **self._held_bytes()}
--- a/src/croftpulley/core/attempts.py
+++ b/src/croftpulley/core/attempts.py
@@ -68,6 +68,8 @@
     connection broke, or a response without a length ended with its connection. Set where the
     condition is detected, since the attempt may be closed before the failure has been handled."""
 
+    received_bytes: int = 0
+    """Of the response, whatever they were."""
     is_truncated: bool = False
     """Whether the stream ended within an event although the connection reports it as complete."""
     began_s: float | None = None
@@ -81,6 +83,10 @@
             raise ValueError(f"an attempt cannot go from {self.phase.name} to {phase.name}")
         self.phase = phase
 
+    def count_received(self, size_bytes: int) -> None:
+        """Count bytes of the response."""
+        self.received_bytes += size_bytes
+
     def set_reported_phase(self, phase: Phase) -> None:
         """Take over the phase reported by the box that forwards this attempt to the endpoint.
 
@@ -112,6 +118,11 @@
         """Remove an attempt that was never made, so that it counts nowhere."""
         self.attempts.remove(attempt)
 
+    @property
+    def received_bytes(self) -> int:
+        """How many bytes of responses have been received in all attempts."""
+        return sum(each.received_bytes for each in self.attempts)
+
     @property
     def failed_count(self) -> int:
         """How many attempts were sent and did not complete."""
--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -160,7 +160,7 @@
                 self._clock,
             ),
             endpoints.LoadReportController.start(self._engines, self._gate),
-            streams.StreamController.start(self._streams),
+            streams.StreamController.start(self._streams, self._held_bytes),
         )
 
     def _make_peer_http(self) -> server.HttpServer:
@@ -238,6 +238,9 @@
             room=self._request_room,
         )
 
+    def _held_bytes(self) -> dict[str, int]:
+        return {"request_bytes": self._request_room.held_bytes}
+
     def _not_ready(self) -> str:
         """Return why callers should not come here, empty if they may."""
         known = self._view.get()
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -171,7 +171,7 @@
             self._clock,
             self._counters,
         )
-        sweeper = streams.StreamController.start(self._streams)
+        sweeper = streams.StreamController.start(self._streams, self._held_bytes)
         rests = withdrawals.WithdrawalController.start(self._traffic, self._view, self._counters)
         limiter = caller_limits.CallerLimits.start(self._view, self._forwarding, self._counters)
         reaching = reach_checks.ReachChecks.start(self._reach, self._view, self._dialer)
@@ -378,6 +378,13 @@
             self._dialer,
         )
 
+    def _held_bytes(self) -> dict[str, int]:
+        return {
+            "request_bytes": self._request_room.held_bytes,
+            "answer_bytes": self._answer_buffers.held_bytes,
+            "unread_bytes": self._unread_bytes(),
+        }
+
     def _unread_bytes(self) -> int:
         return sum(each.unread_bytes for each in self._forwarding)
 
--- a/src/croftpulley/daemons/settings_watch.py
+++ b/src/croftpulley/daemons/settings_watch.py
@@ -1,4 +1,7 @@
-"""Follows the settings file of a running program: one reader, told by SIGHUP or by the file."""
+"""Follows the settings file of a running program: one reader, told by SIGHUP or by the file.
+
+Some changes are applied at once, the others need a restart.
+"""
 
 from __future__ import annotations
 
@@ -9,9 +12,10 @@
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
 
+import attrs
+
 from croftpulley import errors
 from croftpulley.observe import events, logs
-from croftpulley.settings import changes
 
 T = TypeVar("T")
 _LOG = logging.getLogger(__name__)
@@ -19,6 +23,48 @@
 """How often the file is looked at. It may change without a signal; control boxes that it names anew
 are needed within the seconds that a lease lasts, and a look is one call of the system."""
 _CLOSE_S = 1.0
+RELOADABLE_SETTINGS = frozenset({"control_addresses", "log_level", "seeds", "targets"})
+"""Settings that a running program reloads: where it finds control boxes, and what it logs. All
+others name sockets, files and limits that it sets up once, at its start."""
+
+
+@attrs.frozen
+class SettingsChanges:
+    """Names of the settings that differ: those applied at once and those that need a restart."""
+
+    applied_at_once: tuple[str, ...] = ()
+    need_restart: tuple[str, ...] = ()
+
+    def __bool__(self) -> bool:
+        """Return whether any setting differs."""
+        return bool(self.applied_at_once or self.need_restart)
+
+
+def compare(before: Any, after: Any) -> SettingsChanges:
+    """Compare two settings objects of one class.
+
+    >>> @attrs.frozen
+    ... class Example:
+    ...     seeds: str
+    ...     box: str = "a"
+    >>> compare(Example("x"), Example("y", "b"))
+    SettingsChanges(applied_at_once=('seeds',), need_restart=('box',))
+    """
+    differing = [
+        field.name
+        for field in attrs.fields(type(after))
+        if getattr(before, field.name) != getattr(after, field.name)
+    ]
+    return SettingsChanges(
+        applied_at_once=tuple(name for name in differing if name in RELOADABLE_SETTINGS),
+        need_restart=tuple(name for name in differing if name not in RELOADABLE_SETTINGS),
+    )
+
+
+def apply_reloadable(in_use: Any, after: Any) -> Any:
+    """Return ``in_use`` with the reloadable settings of ``after``."""
+    changed = compare(in_use, after).applied_at_once
+    return attrs.evolve(in_use, **{name: getattr(after, name) for name in changed})
 
 
 class SettingsWatch(Generic[T]):
@@ -73,11 +119,11 @@
         try:
             read = self._read()
         except errors.SettingsErrorGroup as group:
-            _tell(changes.SettingsChanges(), "; ".join(str(fault) for fault in group.exceptions))
+            _tell(SettingsChanges(), "; ".join(str(fault) for fault in group.exceptions))
             return
-        found = changes.compare(self.in_use, read)
+        found = compare(self.in_use, read)
         if found.applied_at_once:
-            self.in_use = changes.apply_reloadable(self.in_use, read)
+            self.in_use = apply_reloadable(self.in_use, read)
             logs.set_level(_level(self.in_use))
             self._apply(self.in_use)
         if found or is_asked:
@@ -97,7 +143,7 @@
     return (status.st_mtime_ns, status.st_size, status.st_ino)
 
 
-def _tell(found: changes.SettingsChanges, problem: str = "") -> None:
+def _tell(found: SettingsChanges, problem: str = "") -> None:
     events.emit(
         _LOG,
         events.Event.SETTINGS_CHANGED,
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -183,6 +183,7 @@
             sockets.Response,
             is_cancelled=lambda: token.reason is not None,
             ends_at_s=None if total_s is None else time.monotonic() + total_s,
+            on_received=self._attempt.count_received,
         )
 
     def _send_request(self, request: HttpRequest) -> None:
--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -53,7 +53,8 @@
     """The bytes that a peer sends; raises `OSError` where their end proves nothing.
 
     ``is_cancelled`` tells whether this process has given the response up. ``ends_at_s``, on the
-    monotonic clock, ends all reading, however steadily bytes come.
+    monotonic clock, ends all reading, however steadily bytes come. ``on_received`` is told how many
+    bytes each read has brought.
     """
 
     def __init__(
@@ -62,12 +63,14 @@
         raw: io.RawIOBase,
         is_cancelled: Callable[[], bool],
         ends_at_s: float | None,
+        on_received: Callable[[int], None],
     ) -> None:
         super().__init__()
         self._sock = sock
         self._raw = raw
         self._is_cancelled = is_cancelled
         self._ends_at_s = ends_at_s
+        self._on_received = on_received
         self._is_head_complete = False
         self._left_bytes: int | None = MAX_HEAD_BYTES
 
@@ -86,6 +89,7 @@
             self._check_cancelled()
             if not self._is_head_complete:
                 raise ConnectionResetError("the connection ended within the response's head")
+        self._on_received(size_bytes)
         self._count(size_bytes)
         return size_bytes
 
@@ -170,11 +174,14 @@
         *args: Any,
         is_cancelled: Callable[[], bool],
         ends_at_s: float | None,
+        on_received: Callable[[int], None],
         **kwargs: Any,
     ) -> None:
         super().__init__(sock, *args, **kwargs)
         buffered: io.BufferedReader = self.fp
-        self._received = ResponseBytes(sock, buffered.detach(), is_cancelled, ends_at_s)
+        self._received = ResponseBytes(
+            sock, buffered.detach(), is_cancelled, ends_at_s, on_received
+        )
         self.fp = io.BufferedReader(self._received)
 
     def begin(self) -> None:
@@ -227,7 +234,12 @@
 class _StrictConnection(urllib3.connection.HTTPConnection):
     """A connection that others may be sent requests over once a response has been read."""
 
-    response_class: Any = functools.partial(Response, is_cancelled=lambda: False, ends_at_s=None)
+    response_class: Any = functools.partial(
+        Response,
+        is_cancelled=lambda: False,
+        ends_at_s=None,
+        on_received=lambda _size_bytes: None,
+    )
 
 
 class StrictPool(urllib3.HTTPConnectionPool):
--- a/src/croftpulley/forwarding/failures.py
+++ b/src/croftpulley/forwarding/failures.py
@@ -53,6 +53,7 @@
         version=endpoint.version,
         code=failure.code.name,
         run_state=failure.run_state.label,
+        received_bytes=exchange.attempts.received_bytes,
         problem=failure.detail,
     )
 
--- a/src/croftpulley/forwarding/rules.py
+++ b/src/croftpulley/forwarding/rules.py
@@ -114,7 +114,11 @@
         self._watch.enter(workspace, limit)
         exchange.at_end.callback(self._watch.leave, workspace)
         watched = streams.WatchedRequest(
-            exchange.token, exchange.deadline_s, exchange.request.caller_gone
+            exchange.token,
+            exchange.deadline_s,
+            exchange.request.caller_gone,
+            exchange.facts.request_id,
+            exchange.attempts,
         )
         self._watch.watch(watched)
         exchange.at_end.callback(self._watch.unwatch, watched)
--- a/src/croftpulley/forwarding/sender.py
+++ b/src/croftpulley/forwarding/sender.py
@@ -180,6 +180,12 @@
         self._lock = threading.Condition()
         self._held: set[_Held] = set()
 
+    @property
+    def held_bytes(self) -> int:
+        """What the answers that are being read take of that room."""
+        with self._lock:
+            return sum(each.size_bytes for each in self._held)
+
     def read(self, response: Response) -> bytes:
         """Return a response's body; raises `errors.CroftpulleyError`.
 
--- a/src/croftpulley/observe/events.py
+++ b/src/croftpulley/observe/events.py
@@ -20,6 +20,7 @@
     DRAIN_FINISHED = 104
     DRAIN_LIMIT_REACHED = 105
     SETTINGS_CHANGED = 106
+    MEMORY_GROWN = 107
     CONFIGURATION_IN_USE = 200
     CONFIGURATION_COMMITTED = 201
     SUBMISSION_CONFLICT = 202
@@ -103,6 +104,7 @@
     Event.DRAIN_FINISHED: "Every stream of a draining box has ended.",
     Event.DRAIN_LIMIT_REACHED: "The drain limit ran out with streams still open.",
     Event.SETTINGS_CHANGED: "A process was told that its settings file changed.",
+    Event.MEMORY_GROWN: "A process takes more memory; the line has what takes it.",
     Event.CONFIGURATION_IN_USE: "An entry box uses a newer configuration.",
     Event.CONFIGURATION_COMMITTED: "A submitted configuration is on disk.",
     Event.SUBMISSION_CONFLICT: "A submission number came again with other content.",
