--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -38,6 +38,8 @@
         b"Transfer-Encoding: chunked\r\n\r\n",
         b"1000\r\n%b\r\n" % bytes(4096),
     ),
+    faults.Fault.ENDLESS_CHUNK_SIZE: (b"Transfer-Encoding: chunked\r\n\r\n", b"0"),
+    faults.Fault.ENDLESS_CHUNK_EXTENSION: (b"Transfer-Encoding: chunked\r\n\r\n5;", b"more"),
     faults.Fault.ENDLESS_TRAILERS: (
         b"Transfer-Encoding: chunked\r\n\r\n",
         b"X-More: more\r\n",
--- a/testing/crowd_site.py
+++ b/testing/crowd_site.py
@@ -24,6 +24,7 @@
 _STREAMS = 512
 """As many as an entry box has by default: a whole crowd may be at its endpoints."""
 _HELD_S = 600.0
+FAULTY_LIMIT_S = 2.0
 _TOKEN = "a-token-for-tests"
 _LIMITS = {
     "body_size_bytes": MAX_BODY_BYTES,
@@ -32,21 +33,21 @@
 }
 
 
-def _route(name: str) -> dict[str, Any]:
+def _route(name: str, time_limit_s: float = _STAYING_S) -> dict[str, Any]:
     return {
         "name": name,
         "host": HOST,
         "path_prefix": f"/{name}/",
         "kind": "repeatable",
         "shares": [{"pool": name}],
-        "time_limit_ms": 1000 * _STAYING_S,
+        "time_limit_ms": int(1000 * time_limit_s),
         "attempts": 1,
     }
 
 
 ROUTER_DOCUMENT = {
-    "pools": [{"name": "quick", "slots": 0}, {"name": "held", "slots": 0}],
-    "routes": [_route("quick"), _route("held")],
+    "pools": [{"name": name, "slots": 0} for name in ("quick", "held", "faulty")],
+    "routes": [_route("quick"), _route("held"), _route("faulty", FAULTY_LIMIT_S)],
     "limits": _LIMITS,
 }
 ENTRY_DOCUMENT = {
@@ -102,6 +103,8 @@
         self._folder = folder
         self.http = {"body_size_bytes": MAX_BODY_BYTES, "idle_connection_s": _STAYING_S}
         """Limits on what clients may send and hold open, for programs that have such settings."""
+        self.endpoints: dict[str, forwarded.ForwardedEndpoint] = {}
+        """Behind a router, by their pools."""
         self._ports: list[ReservedPort] = []
         self._programs: list[processes.Program] = []
         self._listed = platform_list.FakePlatformList(
@@ -122,9 +125,10 @@
     def router(self) -> Place:
         """Start a router, its control box and its endpoints."""
         control = self._start_replica()
-        for pool, pause_s in (("quick", 0.0), ("held", _HELD_S)):
+        for pool, pause_s in (("quick", 0.0), ("held", _HELD_S), ("faulty", 0.0)):
             made = forwarded.ForwardedEndpoint(schema.FakeSettings(name=pool, address=ANY_PORT))
             made.pause_s = pause_s
+            self.endpoints[pool] = made
             self._serve(made, made.incarnation, "worker", pool)
         settings = {
             "box": "router-0",
