The line before a chunk has a bound again, and so has every line of a response

Callers saw requests that ended with a closed connection, since their router was ended for its memory; others got 504 at the end of their time. Cause: took the library's reader of chunk sizes for one of its own, which checks the whole line but reads it without a limit; the library's had one of 65,536 bytes. The bound on heads is off within the body, and the room for answers counts only what has been decoded. So an endpoint that sends the size of a chunk, or what follows it, without end fills the process at the speed of its link. Change: the reader of responses has a bound on each line in every state, and refuses to read without one, whoever asks; the number of fields is counted while they are read.

--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -5,7 +5,9 @@
 has no data as well after a time-out of the system's, and after this process has shut the connection
 down itself.
 
-What never ends is given up: heads and trailers after a number of bytes, everything after a time.
+What never ends is given up: lines, heads and trailers after a number of bytes, everything after a
+time. A reader that replaces the library's has to have the bounds that the library's had:
+`BoundedReader` has them in every state.
 
 A head, or the framing of a chunk, that is not exactly what RFC 9110 and 9112 allow is no part of a
 response. The standard library leaves out what it cannot read, such as a length that is no number or
@@ -34,6 +36,11 @@
 """Heads with a status of 1xx before the final one; few servers send more than one."""
 MAX_TRAILER_BYTES = 16_384
 """After the last chunk; as much as a caller's head may have."""
+MAX_LINE_BYTES = 16_384
+"""Of a head, of trailers, or before a chunk; as much as a caller's head may have."""
+MAX_FIELDS = 100
+"""Of one head or of trailers: as many as the standard library takes. Each costs some hundred bytes
+besides its own."""
 
 _LINE_END = b"\r\n"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?\r\n")
@@ -133,6 +140,28 @@
     """What was received is no response, or its end cannot be told."""
 
 
+class BoundedReader(io.BufferedReader):
+    """Reads the lines and the bytes of a response, never without a bound, whoever asks for them."""
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return a line, empty at the end; raises `SpoiltResponseError` if it is too long."""
+        is_limited = size is not None and 0 <= size <= MAX_LINE_BYTES
+        line = super().readline(size if is_limited else MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
+            raise SpoiltResponseError(f"a line is longer than {MAX_LINE_BYTES} bytes")
+        return line
+
+    def read(self, size: int | None = -1, /) -> bytes:
+        """Return so many bytes, fewer only at the end; ``size`` must be given."""
+        if size is None or size < 0:
+            raise ValueError("a read without a bound")
+        return super().read(size)
+
+    def readlines(self, hint: int = -1, /) -> list[bytes]:
+        """Do not use it: nothing would bound the number of lines."""
+        raise ValueError("a read without a bound")
+
+
 def _match(pattern: re.Pattern[bytes], line: bytes, what: str) -> re.Match[bytes]:
     match = pattern.fullmatch(line)
     if match is None:
@@ -182,7 +211,7 @@
         self._received = ResponseBytes(
             sock, buffered.detach(), is_cancelled, ends_at_s, on_received
         )
-        self.fp = io.BufferedReader(self._received)
+        self.fp = BoundedReader(self._received)
 
     def begin(self) -> None:
         """Read the head; raises `OSError` or `http.client.HTTPException`."""
@@ -208,10 +237,12 @@
 
     def _read_fields(self) -> list[re.Match[bytes]]:
         """Read lines up to an empty one; each is a field of a head or of trailers."""
-        fields = []
+        fields: list[re.Match[bytes]] = []
         while (line := self.fp.readline()) != _LINE_END:
             if not line:
                 raise ConnectionResetError("the connection ended within the response")
+            if len(fields) == MAX_FIELDS:
+                raise SpoiltResponseError(f"more than {MAX_FIELDS} header fields")
             fields.append(_match(_FIELD, line, "a header field"))
         return fields
 
