Two small modules join those that use them

Formats of configurations stand beside the interfaces that tell them, the compression of a configuration's text beside its transfer: a router loads two modules less.

--- a/src/croftpulley/controllers/configuration_fetch.py
+++ b/src/croftpulley/controllers/configuration_fetch.py
@@ -15,7 +15,7 @@
 from croftpulley import errors
 from croftpulley.core import configuration_transfer
 from croftpulley.observe import events
-from croftpulley.transport import box_messages, json_codec, links, packing
+from croftpulley.transport import box_messages, json_codec, links
 
 _LOG = logging.getLogger(__name__)
 
@@ -118,7 +118,7 @@
     def _finish(self, packed: bytes) -> FetchedConfiguration:
         self._is_failing = False
         took_s = self._clock.monotonic_s() - self._started_s
-        document = packing.unpack(packed)
+        document = configuration_transfer.unpack(packed)
         return FetchedConfiguration(self._assembler.version, document, len(packed), took_s)
 
     def _on_failure(
--- a/src/croftpulley/controllers/configuration_parts.py
+++ b/src/croftpulley/controllers/configuration_parts.py
@@ -6,7 +6,6 @@
 
 from croftpulley.controllers import agreement
 from croftpulley.core import configuration_transfer, submissions
-from croftpulley.transport import packing
 
 
 class ConfigurationParts:
@@ -32,6 +31,6 @@
         with self._pack_lock:
             if self._packed is None or self._packed.version != held.version:
                 self._packed = configuration_transfer.PackedConfiguration.from_text(
-                    held.version, packing.pack(held.document_json)
+                    held.version, configuration_transfer.pack(held.document_json)
                 )
             return self._packed
--- a/src/croftpulley/controllers/configured_pools.py
+++ b/src/croftpulley/controllers/configured_pools.py
@@ -5,7 +5,8 @@
 import attrs
 
 from croftpulley.controllers import agreement
-from croftpulley.settings import fleet, formats
+from croftpulley.interfaces import base
+from croftpulley.settings import fleet
 
 
 @attrs.frozen
@@ -19,7 +20,7 @@
 class ConfiguredPools:
     """Gives access to the pools of the newest configuration in the command log; thread-safe."""
 
-    def __init__(self, log: agreement.CommandLog, document_format: formats.DocumentFormat) -> None:
+    def __init__(self, log: agreement.CommandLog, document_format: base.DocumentFormat) -> None:
         self._command_log = log
         self._format = document_format
         self._cached = _CachedPools()
--- a/src/croftpulley/controllers/control_plane.py
+++ b/src/croftpulley/controllers/control_plane.py
@@ -22,8 +22,9 @@
 from croftpulley.core import halls, replicated_state, submissions, suspect_rules
 from croftpulley.core import sessions as box_sessions
 from croftpulley.core.replication import state as states
+from croftpulley.interfaces import base
 from croftpulley.observe import events
-from croftpulley.settings import decoding, formats
+from croftpulley.settings import decoding
 
 _LOG = logging.getLogger(__name__)
 _Value = TypeVar("_Value")
@@ -54,7 +55,7 @@
         replica_status: actors.View[replica_standing.ReplicaStatus],
         session_controller: pykka.ActorRef[Any],
         register: suspect_register.SuspectRegister,
-        document_format: formats.DocumentFormat,
+        document_format: base.DocumentFormat,
         hall_names: frozenset[str],
         acknowledge_s: float,
         clock: clocks.Clock,
--- a/src/croftpulley/controllers/renewal.py
+++ b/src/croftpulley/controllers/renewal.py
@@ -31,8 +31,8 @@
     versions,
 )
 from croftpulley.core import incarnation_tracker as listed_endpoints
+from croftpulley.interfaces import base
 from croftpulley.observe import events, metrics
-from croftpulley.settings import formats
 from croftpulley.transport import box_messages, json_codec, links
 
 _LOG = logging.getLogger(__name__)
@@ -81,7 +81,7 @@
         lease_margin_s: float,
         timeout_s: float,
         interval_s: float,
-        document_format: formats.DocumentFormat,
+        document_format: base.DocumentFormat,
         counts: traffic.Traffic,
         known_reach: reach.Reach,
         suspected: suspicion.Suspicion,
--- a/src/croftpulley/core/configuration_transfer.py
+++ b/src/croftpulley/core/configuration_transfer.py
@@ -2,6 +2,9 @@
 
 Received data is kept, so a failed part is requested again at its offset, from any control box. Only
 another version starts over.
+
+The text is compressed: the hundreds of routes of a configuration are written much alike, so that it
+shrinks to a fraction. A box compresses each version once, however many boxes it is sent to.
 """
 
 from __future__ import annotations
@@ -19,6 +22,8 @@
 of them waits 0.4 s, and a heartbeat waits behind single parts only."""
 MAX_TEXT_SIZE_BYTES = 64 * 1024 * 1024
 """Maximum size of a configuration, packed and unpacked; one that claims to be longer is damaged."""
+_FASTEST_LEVEL = 1
+"""The fastest level of zlib; higher levels save little more on these texts."""
 _MAX_CONSECUTIVE_MISMATCHES = 2
 """After this many mismatching parts in a row the data received before is taken to be wrong, and is
 discarded."""
@@ -200,3 +205,34 @@
 
 def _bad_request(problem: str) -> errors.CroftpulleyError:
     return errors.CroftpulleyError(codes.ResultCode.BAD_REQUEST, problem)
+
+
+def pack(text: str) -> bytes:
+    """Compress a text.
+
+    >>> unpack(pack("a route " * 100)) == "a route " * 100, len(pack("a route " * 100)) < 50
+    (True, True)
+    """
+    return zlib.compress(text.encode(), _FASTEST_LEVEL)
+
+
+def unpack(packed: bytes) -> str:
+    """Decompress a text that `pack` returned.
+
+    Raises `errors.CroftpulleyError` (BAD_REQUEST) for data that is damaged, truncated or longer
+    than `MAX_TEXT_SIZE_BYTES` when decompressed.
+    """
+    decompressor = zlib.decompressobj()
+    try:
+        text = decompressor.decompress(packed, MAX_TEXT_SIZE_BYTES)
+        if not decompressor.eof:
+            raise errors.CroftpulleyError(
+                codes.ResultCode.BAD_REQUEST,
+                f"compressed text is truncated or longer than {MAX_TEXT_SIZE_BYTES} bytes",
+            )
+        return text.decode()
+    except (zlib.error, UnicodeDecodeError) as failure:
+        raise errors.CroftpulleyError(
+            codes.ResultCode.BAD_REQUEST,
+            f"{len(packed)} bytes are not a compressed text: {failure}",
+        ) from failure
--- a/src/croftpulley/http/operator_app.py
+++ b/src/croftpulley/http/operator_app.py
@@ -11,7 +11,8 @@
 from croftpulley.controllers import directory
 from croftpulley.core import submissions
 from croftpulley.http import health_app, tokens, wsgi
-from croftpulley.settings import decoding, formats
+from croftpulley.interfaces import base
+from croftpulley.settings import decoding
 
 _SUBMISSIONS = "/v1/config/submissions"
 
@@ -127,5 +128,5 @@
             f"got operator {operator!r} and number {number!r}, expected a name and a number from 1",
         )
     document_json = orjson.dumps(document, option=orjson.OPT_SORT_KEYS).decode()
-    formats.NativeFormat().parse(document_json)
+    base.NativeFormat().parse(document_json)
     return submissions.Submission(operator, number, document_json)
--- a/src/croftpulley/interfaces/base.py
+++ b/src/croftpulley/interfaces/base.py
@@ -1,22 +1,51 @@
-"""What every interface to the outside world tells: the form of configurations and the list."""
+"""What every interface to the outside world tells: the form of configurations and the list.
+
+The fleet stores a submitted configuration unchanged and parses it again.
+"""
 
 from __future__ import annotations
 
 import abc
 
+from croftpulley import codes, errors
 from croftpulley.endpoints import lists
-from croftpulley.settings import formats
+from croftpulley.settings import fleet
 
 LIST_TIMEOUT_S = 1.0
 """The platform's list answers within milliseconds; a reader that waits longer is cut off."""
 
 
+class DocumentFormat(abc.ABC):
+    """A format in which operators submit the configuration."""
+
+    @abc.abstractmethod
+    def parse(self, document_json: str) -> fleet.FleetConfiguration:
+        """Parse and validate; raises `errors.CroftpulleyError` (CONFIGURATION_INVALID)."""
+
+
+class NativeFormat(DocumentFormat):
+    """The native format: the fields of `fleet.FleetConfiguration` as JSON with comments."""
+
+    def parse(self, document_json: str) -> fleet.FleetConfiguration:
+        """Parse and validate a document; raises as `DocumentFormat.parse`."""
+        try:
+            return fleet.parse(document_json)
+        except errors.SettingsErrorGroup as group:
+            raise invalid_configuration(group) from group
+
+
+def invalid_configuration(group: errors.SettingsErrorGroup) -> errors.CroftpulleyError:
+    """Return one CONFIGURATION_INVALID error that lists every fault of ``group``."""
+    faults = "; ".join(str(fault) for fault in group.exceptions)
+    return errors.CroftpulleyError(codes.ResultCode.CONFIGURATION_INVALID, faults)
+
+
 class Interface(abc.ABC):
     """Names, formats and calls of the outside world; decides nothing."""
 
     @property
     @abc.abstractmethod
-    def documents(self) -> formats.DocumentFormat:
+    def documents(self) -> DocumentFormat:
         """How a submitted configuration is written."""
 
     @abc.abstractmethod
@@ -28,9 +57,9 @@
     """The part of the fleet's own interface that routers and control boxes share."""
 
     @property
-    def documents(self) -> formats.DocumentFormat:
+    def documents(self) -> DocumentFormat:
         """JSON with comments."""
-        return formats.NativeFormat()
+        return NativeFormat()
 
     def endpoint_list(self, address: str) -> lists.PlatformList:
         """Make the reader of ``GET /v1/endpoints``."""
--- a/src/croftpulley/platform/documents.py
+++ b/src/croftpulley/platform/documents.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from croftpulley import codes, errors
+from croftpulley.interfaces import base
 from croftpulley.platform import fields
-from croftpulley.settings import fleet, formats
+from croftpulley.settings import fleet
 
 _KINDS = {
     "idempotent": fleet.RouteKind.REPEATABLE,
@@ -15,7 +16,7 @@
 """Weights may be fractions there and are whole numbers here; only their proportion counts."""
 
 
-class PlatformDocuments(formats.DocumentFormat):
+class PlatformDocuments(base.DocumentFormat):
     """Reads what the platform's operator submits."""
 
     def parse(self, document_json: str) -> fleet.FleetConfiguration:
@@ -25,7 +26,7 @@
             configuration = _configuration(document)
             fleet.check(configuration)
         except errors.SettingsErrorGroup as group:
-            raise formats.invalid_configuration(group) from group
+            raise base.invalid_configuration(group) from group
         except ValueError as failure:
             raise errors.CroftpulleyError(
                 codes.ResultCode.CONFIGURATION_INVALID, str(failure)
--- a/src/croftpulley/platform/instances.py
+++ b/src/croftpulley/platform/instances.py
@@ -16,7 +16,6 @@
 from croftpulley.endpoints import connection, lists
 from croftpulley.interfaces import base
 from croftpulley.platform import documents, entries, names
-from croftpulley.settings import formats
 
 _PATH = "/instances"
 _TIMEOUT_S = 0.8
@@ -220,7 +219,7 @@
     """The platform's form of a configuration, and its list of endpoints."""
 
     @property
-    def documents(self) -> formats.DocumentFormat:
+    def documents(self) -> base.DocumentFormat:
         """The platform's form of a configuration."""
         return documents.PlatformDocuments()
 
--- a/src/croftpulley/storage/text_compression.py
+++ b/src/croftpulley/storage/text_compression.py
@@ -10,7 +10,7 @@
 import binascii
 
 from croftpulley import errors
-from croftpulley.transport import packing
+from croftpulley.core import configuration_transfer
 
 PREFIX = '{"zlib_base64":"'
 SUFFIX = '"}'
@@ -27,7 +27,7 @@
     """
     if len(text) < MIN_PACKED_LENGTH:
         return text
-    return PREFIX + base64.b64encode(packing.pack(text)).decode() + SUFFIX
+    return PREFIX + base64.b64encode(configuration_transfer.pack(text)).decode() + SUFFIX
 
 
 def unpack(text: str) -> str:
@@ -36,6 +36,6 @@
         return text
     try:
         encoded = text.removeprefix(PREFIX).removesuffix(SUFFIX)
-        return packing.unpack(base64.b64decode(encoded, validate=True))
+        return configuration_transfer.unpack(base64.b64decode(encoded, validate=True))
     except (binascii.Error, errors.CroftpulleyError) as failure:
         raise ValueError(f"compressed text cannot be unpacked: {failure}") from failure
--- a/testing/controllers/test_configuration_fetch.py
+++ b/testing/controllers/test_configuration_fetch.py
@@ -13,7 +13,7 @@
 from croftpulley import clock as clocks
 from croftpulley.controllers import agreement, configuration_fetch, configuration_parts
 from croftpulley.core import configuration_transfer, replicated_state, submissions
-from croftpulley.transport import box_messages, json_codec, links, packing
+from croftpulley.transport import box_messages, json_codec, links
 
 VERSION = 7
 TEXT = random.Random(1).randbytes(50_000).hex()
@@ -94,7 +94,7 @@
 def test_whole_configuration_is_fetched_from_a_single_follower(boxes):
     fetched = run_round(make_fetch(boxes))
     assert (fetched.version, fetched.document) == (VERSION, TEXT)
-    assert fetched.size_bytes == len(packing.pack(TEXT))
+    assert fetched.size_bytes == len(configuration_transfer.pack(TEXT))
     assert (
         len(boxes.requested_from)
         == -(-fetched.size_bytes // configuration_transfer.PART_SIZE_BYTES)
@@ -196,8 +196,8 @@
 
 def test_concurrent_requests_compress_a_version_once(monkeypatch):
     packs = []
-    pack = packing.pack
-    monkeypatch.setattr(packing, "pack", lambda text: packs.append(1) or pack(text))
+    pack = configuration_transfer.pack
+    monkeypatch.setattr(configuration_transfer, "pack", lambda text: packs.append(1) or pack(text))
     server = configuration_parts.ConfigurationParts(AppliedLog(VERSION))
     answers = []
 
--- a/testing/controllers/test_control_plane.py
+++ b/testing/controllers/test_control_plane.py
@@ -17,7 +17,7 @@
 )
 from croftpulley.core import replicated_state, submissions
 from croftpulley.core.replication import state as states
-from croftpulley.settings import formats
+from croftpulley.interfaces import base
 
 FAR_S = 1e9
 LEADER = replica_standing.ReplicaStatus(states.Role.LEADER, 1, "127.0.0.1:9", FAR_S)
@@ -66,7 +66,7 @@
         view,
         None,
         register,
-        formats.NativeFormat(),
+        base.NativeFormat(),
         frozenset(),
         1.0,
         clocks.SystemClock(),
--- a/testing/transport/test_packing.py
+++ b/testing/core/test_packing.py
@@ -8,25 +8,29 @@
 
 from croftpulley import codes, errors
 from croftpulley.core import configuration_transfer
-from croftpulley.transport import packing
 
 
 @given(st.text())
 def test_unpack_restores_any_packed_text(text):
-    assert packing.unpack(packing.pack(text)) == text
+    assert configuration_transfer.unpack(configuration_transfer.pack(text)) == text
 
 
 @pytest.mark.parametrize(
     "damaged",
-    [b"", b"no packed text", packing.pack("a text" * 100)[:-5], packing.pack("a\u00e4")[:4]],
+    [
+        b"",
+        b"no packed text",
+        configuration_transfer.pack("a text" * 100)[:-5],
+        configuration_transfer.pack("a\u00e4")[:4],
+    ],
 )
 def test_damaged_data_is_rejected(damaged):
     with pytest.raises(errors.CroftpulleyError) as raised:
-        packing.unpack(damaged)
+        configuration_transfer.unpack(damaged)
     assert raised.value.code is codes.ResultCode.BAD_REQUEST
 
 
 def test_text_over_the_size_limit_is_rejected(monkeypatch):
     monkeypatch.setattr(configuration_transfer, "MAX_TEXT_SIZE_BYTES", 100)
     with pytest.raises(errors.CroftpulleyError, match="longer than 100 bytes"):
-        packing.unpack(packing.pack("a" * 101))
+        configuration_transfer.unpack(configuration_transfer.pack("a" * 101))
--- a/testing/settings/test_decoding.py
+++ b/testing/settings/test_decoding.py
@@ -11,7 +11,8 @@
 import pytest
 
 from croftpulley import codes, errors
-from croftpulley.settings import decoding, formats, schema
+from croftpulley.interfaces import base
+from croftpulley.settings import decoding, schema
 
 
 def test_no_two_documents_are_decoded_at_the_same_time():
@@ -82,4 +83,4 @@
 
 def test_an_invalid_configuration_says_what_is_wrong():
     with pytest.raises(errors.CroftpulleyError, match="pools"):
-        decoding.decode(formats.NativeFormat().parse, '{"pools": 1}')
+        decoding.decode(base.NativeFormat().parse, '{"pools": 1}')
