All threads allocate from one pool: bursts of long answers no longer make a router grow

Callers would see their router ended for its memory after a few bursts of answers that never end, although each answer is given up at its bound. Cause: the system's allocator makes pools for up to eight threads a processor, and each keeps what its threads once needed. Change: mallopt before the first thread. Tests: fakes/endless.py has each part of a response's grammar as something that never ends; 44 cases at one real router, with the machine's 200 MB as their bound.

--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -9,7 +9,7 @@
 
 from croftpulley.daemons import control as control_daemon
 from croftpulley.daemons import entry as entry_daemon
-from croftpulley.daemons import entry_box, settings_watch, signals
+from croftpulley.daemons import entry_box, settings_watch, signals, start_up
 from croftpulley.daemons import redirector as redirector_daemon
 from croftpulley.daemons import replica as replica_daemon
 from croftpulley.daemons import router as router_daemon
@@ -92,7 +92,8 @@
 
 
 def _watch(path: str, kind: type[T]) -> settings_watch.SettingsWatch[T]:
-    """Read the settings, and log as they say."""
+    """Read the settings, and log as they say; no thread has been started yet."""
+    start_up.share_allocator()
     watch = settings_watch.SettingsWatch(path, lambda: loader.load(path, kind))
     logs.set_up(watch.in_use.box, watch.in_use.log_level)
     return watch
--- a/src/croftpulley/fakes/forwarded.py
+++ b/src/croftpulley/fakes/forwarded.py
@@ -10,7 +10,7 @@
 import attrs
 
 from croftpulley.core import calls
-from croftpulley.fakes import faults, stub
+from croftpulley.fakes import endless, faults, stub
 from croftpulley.forwarding import vocabulary
 from croftpulley.settings import schema
 
@@ -30,26 +30,6 @@
 CRASH_AFTER_S = 0.005
 """How long such a request has run by then: what came at the same moment runs beside it."""
 PROOF = "a-proof"
-_ENDLESS = {
-    faults.Fault.ENDLESS_INTERIM_HEADS: (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    faults.Fault.ENDLESS_HEADERS: (b"", b"X-More: more\r\n"),
-    faults.Fault.ENDLESS_BODY: (b"Connection: close\r\n\r\n", b"more"),
-    faults.Fault.ENDLESS_CHUNKS: (
-        b"Transfer-Encoding: chunked\r\n\r\n",
-        b"1000\r\n%b\r\n" % bytes(4096),
-    ),
-    faults.Fault.ENDLESS_CHUNK_SIZE: (b"Transfer-Encoding: chunked\r\n\r\n", b"0"),
-    faults.Fault.ENDLESS_CHUNK_EXTENSION: (b"Transfer-Encoding: chunked\r\n\r\n5;", b"more"),
-    faults.Fault.ENDLESS_TRAILERS: (
-        b"Transfer-Encoding: chunked\r\n\r\n",
-        b"X-More: more\r\n",
-    ),
-    faults.Fault.ENDLESS_LINES: (
-        b"Content-Type: text/event-stream\r\nConnection: close\r\n\r\n",
-        b"data: more\n",
-    ),
-}
-"""What follows the first line and headers, and what then comes without end."""
 _SPOILT = {
     faults.Fault.SPOILT_LENGTH: (
         (b"Content-Length: ", b"Content-Length: x"),
@@ -66,7 +46,6 @@
     faults.Fault.NO_STATUS: ((b"HTTP/1.1 200", b"HTTP/1.1 000"),),
 }
 """What a head holds, and what it holds instead."""
-_ENDLESS_BLOCK_BYTES = 262_144
 _PIECE_BYTES = 5
 """Of an answer that is sent piece by piece."""
 _UNFRAMED = (
@@ -212,7 +191,7 @@
             await self._whole(request, connection, 500, b"")
         elif fault is faults.Fault.UNMARKED_503:
             await self._whole(request, connection, 503, b"broken")
-        elif fault in _ENDLESS:
+        elif fault in endless.PARTS:
             await self._send_without_end(request, connection, fault)
         elif STREAM_MARK in request.path:
             await self._stream(request, connection, fault)
@@ -318,12 +297,10 @@
         fault: faults.Fault,
     ) -> None:
         """Send bytes that are no answer until the caller closes, which ends this."""
-        framing, unit = _ENDLESS[fault]
-        if fault is faults.Fault.ENDLESS_TRAILERS:
-            framing += _chunk(body_of(request)) + b"0\r\n"
-        if fault is not faults.Fault.ENDLESS_INTERIM_HEADS:
-            await connection.send(self._head(request, 200, None) + framing)
-        block = unit if self.pause_s else unit * (_ENDLESS_BLOCK_BYTES // len(unit))
+        part = endless.PARTS[fault]
+        head = self._head(request, 200, None) if part.has_head else b""
+        await connection.send(head + part.framing)
+        block = part.block(is_slow=bool(self.pause_s))
         while True:
             await asyncio.sleep(self.pause_s)
             await connection.send(block)
--- a/testing/crowd_site.py
+++ b/testing/crowd_site.py
@@ -33,13 +33,15 @@
 }
 
 
-def _route(name: str, time_limit_s: float = _STAYING_S) -> dict[str, Any]:
+def _route(
+    name: str, kind: str = "repeatable", pool: str = "", time_limit_s: float = _STAYING_S
+) -> dict[str, Any]:
     return {
         "name": name,
         "host": HOST,
         "path_prefix": f"/{name}/",
-        "kind": "repeatable",
-        "shares": [{"pool": name}],
+        "kind": kind,
+        "shares": [{"pool": pool or name}],
         "time_limit_ms": int(1000 * time_limit_s),
         "attempts": 1,
     }
@@ -47,7 +49,12 @@
 
 ROUTER_DOCUMENT = {
     "pools": [{"name": name, "slots": 0} for name in ("quick", "held", "faulty")],
-    "routes": [_route("quick"), _route("held"), _route("faulty", FAULTY_LIMIT_S)],
+    "routes": [
+        _route("quick"),
+        _route("held"),
+        _route("faulty", time_limit_s=FAULTY_LIMIT_S),
+        _route("stream", "stream", "faulty", FAULTY_LIMIT_S),
+    ],
     "limits": _LIMITS,
 }
 ENTRY_DOCUMENT = {
--- a/testing/forwarding/test_endless_bytes.py
+++ b/testing/forwarding/test_endless_bytes.py
@@ -17,13 +17,22 @@
 
 Fault = faults.Fault
 PLAIN = [
+    Fault.ENDLESS_STATUS_LINE,
     Fault.ENDLESS_INTERIM_HEADS,
+    Fault.ENDLESS_INTERIM_FIELDS,
+    Fault.ENDLESS_FIELD_NAME,
+    Fault.ENDLESS_FIELD_VALUE,
     Fault.ENDLESS_HEADERS,
+    Fault.ENDLESS_SHORT_HEADERS,
     Fault.ENDLESS_BODY,
+    Fault.ENDLESS_LENGTH,
     Fault.ENDLESS_CHUNKS,
+    Fault.ENDLESS_CHUNK,
     Fault.ENDLESS_CHUNK_SIZE,
     Fault.ENDLESS_CHUNK_EXTENSION,
+    Fault.ENDLESS_CHUNK_END,
     Fault.ENDLESS_TRAILERS,
+    Fault.ENDLESS_TRAILER,
 ]
 
 
