Answers of other boxes have a bound on their bytes and on their time as a whole

Callers: none seen. Links between boxes read with the library's own limits: none on a body, and a time limit between two bytes only. A box's address may be another service's by now.

--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -272,14 +272,25 @@
 
 
 class _StrictConnection(urllib3.connection.HTTPConnection):
-    """A connection that others may be sent requests over once a response has been read."""
-
-    response_class: Any = functools.partial(
-        Response,
-        is_cancelled=lambda: False,
-        ends_at_s=None,
-        on_received=lambda _size_bytes: None,
-    )
+    """A connection that others may be sent requests over once a response has been read.
+
+    With a ``total_timeout_s`` each response has to be complete within that time.
+    """
+
+    def __init__(self, *args: Any, total_timeout_s: float | None = None, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._total_timeout_s = total_timeout_s
+
+    def getresponse(self) -> Any:
+        """Return the next response once its head has been read."""
+        total_s = self._total_timeout_s
+        self.response_class: Any = functools.partial(
+            Response,
+            is_cancelled=lambda: False,
+            ends_at_s=None if total_s is None else time.monotonic() + total_s,
+            on_received=lambda _size_bytes: None,
+        )
+        return super().getresponse()
 
 
 class StrictPool(urllib3.HTTPConnectionPool):
--- a/src/croftpulley/transport/links.py
+++ b/src/croftpulley/transport/links.py
@@ -1,8 +1,8 @@
 """Persistent HTTP connections to other processes of the fleet, for short messages.
 
 The timeout of a call applies to connecting and to each read, so that a connection that was lost
-without a reset is noticed within one call; an answer that arrives in small pieces may take longer.
-All messages sent this way are safe to repeat.
+without a reset is noticed within one call; an answer that arrives in small pieces may take longer,
+up to a limit. All messages sent this way are safe to repeat.
 """
 
 from __future__ import annotations
@@ -11,9 +11,14 @@
 import urllib3.exceptions
 
 from croftpulley import codes, errors
-from croftpulley.endpoints import sockets
+from croftpulley.endpoints import connection, sockets
 from croftpulley.observe import metrics
 
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+"""Of an answer: more than a hundred times the longest part of a configuration or of the log."""
+_PIECES_TIMEOUT_SHARE = 10
+"""What an answer in small pieces may take, in timeouts of its call."""
+_READ_SIZE_BYTES = 65_536
 _HEADERS = {"Content-Type": "application/json"}
 _NO_RETRIES = urllib3.Retry(total=0, redirect=False)
 
@@ -38,7 +43,13 @@
         self._counters = counters
         timeout = urllib3.Timeout(connect=timeout_s, read=timeout_s)
         self._pool = sockets.StrictPool(
-            host, int(port), timeout=timeout, maxsize=connections, block=False, retries=_NO_RETRIES
+            host,
+            int(port),
+            timeout=timeout,
+            maxsize=connections,
+            block=False,
+            retries=_NO_RETRIES,
+            total_timeout_s=_PIECES_TIMEOUT_SHARE * timeout_s,
         )
 
     def post(self, path: str, body: bytes) -> bytes:
@@ -48,24 +59,44 @@
         if its status is not 200.
         """
         try:
-            response = self._pool.request("POST", path, body=body, headers=_HEADERS)
-        except (urllib3.exceptions.HTTPError, OSError) as failure:
+            response = self._pool.request(
+                "POST", path, body=body, headers=_HEADERS, preload_content=False
+            )
+            answer = _read_message(response)
+        except connection.TRANSPORT_ERRORS as failure:
             self._counters.control_failed(path)
             problem = f"{path}: {type(failure).__name__}: {failure}"
             raise unreachable_error(self.address, problem) from failure
-        self._counters.control_bytes(path, len(body), len(response.data))
+        self._counters.control_bytes(path, len(body), len(answer))
         if response.status != 200:
             raise errors.CroftpulleyError(
                 codes.ResultCode.BAD_REQUEST,
                 f"{self.address}{path}: got status {response.status}",
             )
-        return response.data
+        return answer
 
     def close(self) -> None:
         """Close the connections."""
         self._pool.close()
 
 
+def _read_message(response: urllib3.BaseHTTPResponse) -> bytes:
+    """Return the whole body; raises `connection.TRANSPORT_ERRORS`, also if it is too long."""
+    parts = []
+    size_bytes = 0
+    try:
+        while data := response.read1(_READ_SIZE_BYTES):
+            size_bytes += len(data)
+            if size_bytes > MAX_MESSAGE_BYTES:
+                raise ValueError(f"the answer is longer than {MAX_MESSAGE_BYTES} bytes")
+            parts.append(data)
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return b"".join(parts)
+
+
 class Links:
     """One link for each address, created on first use. Not thread-safe.
 
