Soak kind endless_parts, and a bound on the memory of every process in all kinds

Any part of an answer without end, from the table of its grammar; a process that takes more than the machine's 200 MB, or ends though nobody ended it, breaks a promise in every kind.

--- a/src/croftpulley/fakes/endless.py
+++ b/src/croftpulley/fakes/endless.py
@@ -22,6 +22,11 @@
     unit: bytes
     has_head: bool = True
 
+    @property
+    def is_framed(self) -> bool:
+        """Tell whether the end of the connection is no end of the response."""
+        return b"Connection: close" not in self.framing
+
     def block(self, *, is_slow: bool) -> bytes:
         """Return what is sent at a time."""
         return self.unit if is_slow else self.unit * (BLOCK_BYTES // len(self.unit))
--- a/testing/soak/endless.py
+++ b/testing/soak/endless.py
@@ -4,7 +4,7 @@
 
 import random
 
-from croftpulley.fakes import faults
+from croftpulley.fakes import endless, faults
 from soak import fleet, storms, troubles
 
 _GAP_S = 0.8
@@ -30,6 +30,18 @@
     faults.Fault.NO_FIELD,
     faults.Fault.NO_STATUS,
 )
+_PARTS = tuple(
+    fault
+    for fault in endless.PARTS
+    if fault
+    not in (
+        faults.Fault.ENDLESS_EVENTS,
+        faults.Fault.ENDLESS_COMMENTS,
+        faults.Fault.ENDLESS_EMPTY_LINES,
+    )
+)
+"""The others are events of the endpoint's, which callers get."""
+_FRAMED_PARTS = tuple(each for each in _PARTS if endless.PARTS[each].is_framed)
 _MOST_IN_A_ROW = 6
 
 
@@ -39,6 +51,12 @@
     return _failures(random.Random(f"{seed} endless"), kinds, site, seconds_s)
 
 
+def parts(seed: int, site: fleet.Fleet, seconds_s: float) -> list[troubles.Timed]:
+    """Return the same with any part of an answer without end."""
+    kinds = _FRAMED_PARTS if seed % 2 else _PARTS
+    return _failures(random.Random(f"{seed} endless parts"), kinds, site, seconds_s)
+
+
 def spoilt(seed: int, site: fleet.Fleet, seconds_s: float) -> list[troubles.Timed]:
     """Return the same with endpoints that spoil the heads of their answers."""
     return _failures(random.Random(f"{seed} spoilt"), _SPOILT, site, seconds_s)
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -15,6 +15,7 @@
 
 _STOP_WAIT_S = 15.0
 """Beyond the grace of every program."""
+_ENDING = (signal.SIGKILL, signal.SIGTERM, signal.SIGINT)
 _MAIN = "from croftpulley.cli import main; main.main()"
 
 
@@ -30,6 +31,7 @@
         self._process: subprocess.Popen | None = None
         self._starting = threading.Lock()
         self.paused = False
+        self.is_told_to_end = False
         self.starts = 0
         self._disturbed_s: list[float] = []
 
@@ -49,6 +51,11 @@
         """Tell whether the process is there; a paused one is."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def has_ended_by_itself(self) -> bool:
+        """Tell whether the process is gone though nobody ended it."""
+        return self._process is not None and not (self.runs or self.is_told_to_end)
+
     def start(self, **changes) -> None:
         """Start, with the settings as they are now; troubles that overlap start it once."""
         with self._starting:
@@ -64,6 +71,7 @@
                     stdout=log,
                     stderr=log,
                 )
+            self.is_told_to_end = False
 
     def write_settings(self) -> None:
         """Write the settings as they are now."""
@@ -80,6 +88,8 @@
         """Send a signal to this process alone."""
         if number is not signal.SIGHUP:
             self._disturb()
+        if number in _ENDING:
+            self.is_told_to_end = True
         if self.runs:
             # Another trouble may have ended it since.
             with contextlib.suppress(ProcessLookupError):
--- a/testing/soak/run.py
+++ b/testing/soak/run.py
@@ -25,6 +25,7 @@
     cuts,
     endless,
     fleet,
+    memory,
     parts,
     places,
     promises,
@@ -82,6 +83,9 @@
     ENDLESS = "endless"
     """Endpoints send bytes without end, or fall silent within an answer without a length, while
     routers and leaders are killed; every other seed has all else too."""
+    ENDLESS_PARTS = "endless_parts"
+    """Endpoints send any part of an answer without end, while routers and leaders are killed; every
+    other seed has all else too."""
     SPOILT = "spoilt"
     """Endpoints spoil the heads of their answers, while routers and leaders are killed; every other
     seed has all else too."""
@@ -105,6 +109,8 @@
     """How often endpoints asked for rest."""
     most_running: dict[str, int]
     """How many requests the endpoints of a pool ran at once, where that was watched."""
+    most_bytes: int
+    """The most memory that a process has had."""
     taken_up: str
     """How many streams were taken up, and how many of those went on."""
     crashes: list[int]
@@ -139,6 +145,7 @@
         unread_share=room.UNREAD_SHARE if kind is Kind.ROOM else 0.0,
     )
     watch = room.Watch(site, runs=kind is Kind.ROOM)
+    sizes = memory.Watch(site)
     crashers = crashing.Senders(site, book, seed, runs=kind is Kind.CRASHES)
     takers = versions.Takers(site, seed, runs=kind is Kind.VERSIONS)
     part_senders = parts.Senders(site, book, seed, runs=kind is Kind.PARTS)
@@ -147,6 +154,7 @@
         if kind is Kind.VERSIONS:
             versions.begin_with_one(site)
         site.start()
+        sizes.start()
         until_served(site, book, seed)
         crowd.start()
         crashers.start()
@@ -182,6 +190,7 @@
         # Where endpoints ask for no rest, requests are sent of which the book has no router.
         unrested = [] if kind is Kind.VERSIONS else list(rests.broken(site, book))
     finally:
+        sizes.stop()
         site.stop()
     broken = promises.broken(book, runs)
     broken += promises.repeats_beyond_the_budget(book, arrivals, site.allowance)
@@ -196,6 +205,7 @@
     broken += misplaced
     broken += unrested
     broken += watch.broken()
+    broken += sizes.broken()
     broken += takers.broken(share=versions.LEAST_SHARE if seed % 2 == 0 else 0.0)
     if kind is Kind.CUTS and seed % 2 == 0:
         broken += cuts.unserved(book, played)
@@ -214,6 +224,7 @@
         evacuations=len(operator.evacuations),
         rests=rested,
         most_running=dict(watch.most),
+        most_bytes=max(sizes.most_bytes.values(), default=0),
         taken_up=takers.summary(),
         crashes=sorted(collections.Counter(each.content for each in crashes).values()),
         accepted_version=book.accepted_version,
@@ -249,9 +260,11 @@
         drawn += seeds.drawn(seed, site, book, seconds_s)
     if kind is Kind.ENDLESS:
         drawn += endless.drawn(seed, site, seconds_s)
+    if kind is Kind.ENDLESS_PARTS:
+        drawn += endless.parts(seed, site, seconds_s)
     if kind is Kind.SPOILT:
         drawn += endless.spoilt(seed, site, seconds_s)
-    if kind in (Kind.PARTS, Kind.ENDLESS, Kind.SPOILT):
+    if kind in (Kind.PARTS, Kind.ENDLESS, Kind.ENDLESS_PARTS, Kind.SPOILT):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s, _SELDOM_KILLED_S)
     if kind in (Kind.CRASHES, Kind.PLACES, Kind.ROOM):
         drawn += storms.Storm(seed, site).kills(0.0, seconds_s)
@@ -360,6 +373,7 @@
             f"taken up {outcome.taken_up}, "
             f"evacuations {outcome.evacuations}, rests {outcome.rests}, "
             f"most running {outcome.most_running}, "
+            f"largest {outcome.most_bytes / 1e6:.0f} MB, "
             f"version {outcome.accepted_version}, recovered in {outcome.recovery_s:.1f} s, "
             f"accepted in {_seconds(outcome.accepted_s)}"
         )
--- a/testing/soak/test_soak.py
+++ b/testing/soak/test_soak.py
@@ -46,6 +46,9 @@
 ENDLESS = {2: 10.0}
 """Endpoints that send bytes without end, while routers and leaders are killed."""
 
+ENDLESS_PARTS = {2: 8.0}
+"""Endpoints that send any part of an answer without end, while routers and leaders are killed."""
+
 SPOILT = {2: 8.0}
 """Endpoints that spoil the heads of their answers, while routers and leaders are killed."""
 
@@ -116,6 +119,11 @@
     assert run.run_seed(seed, ENDLESS[seed], tmp_path, run.Kind.ENDLESS).broken == []
 
 
+@pytest.mark.parametrize("seed", ENDLESS_PARTS)
+def test_parts_of_answers_without_end_end_no_process(seed, tmp_path):
+    assert run.run_seed(seed, ENDLESS_PARTS[seed], tmp_path, run.Kind.ENDLESS_PARTS).broken == []
+
+
 @pytest.mark.parametrize("seed", SPOILT)
 def test_promises_hold_while_endpoints_spoil_heads(seed, tmp_path):
     assert run.run_seed(seed, SPOILT[seed], tmp_path, run.Kind.SPOILT).broken == []
