A stream is taken up by the leader's word only if that was asked for after the take-up came

Callers: streams begun at a version that had just joined went on at another one, at a router that was cut off or had stood still (ORDER). Cause: a keeper that could not be asked counted as one that does not know, and then a word of up to 2 s before ("the pool has one version") decided; nothing keeps other routers from a new version that long, and a clock that stands still stretches it. Change: the word counts for a take-up only if its renewal was sent after the request had come. The stream had begun by then and its version was in the log, so no clock matters. The request waits for the next renewal, at most 1 s.

--- a/src/croftpulley/controllers/router_state.py
+++ b/src/croftpulley/controllers/router_state.py
@@ -127,6 +127,20 @@
             return None
         return self.settled.get(pool)
 
+    def settled_version_asked_after(self, pool: str, asked_at_s: float) -> str | None:
+        """Return the version that all streams of a pool have that had begun by ``asked_at_s``.
+
+        ``None`` if there may be several, and if no report was asked for since. Unlike
+        `settled_version` this does not depend on how fast this box's clock advances.
+        """
+        if self.settled is None or self.heard_at_s <= asked_at_s:
+            return None
+        return self.settled.get(pool)
+
+    def may_be_settled(self, pool: str) -> bool:
+        """Tell whether the next report may name a single version of a pool: the last one did."""
+        return self.settled is None or pool in self.settled
+
     def mixed_pools(self) -> list[str] | None:
         """Return the pools of ``endpoints`` that are not settled, ``None`` if that is not known."""
         if self.settled is None:
--- a/src/croftpulley/forwarding/take_up.py
+++ b/src/croftpulley/forwarding/take_up.py
@@ -3,6 +3,10 @@
 The origin of the stream may be known at this box or at others. If no box knows it and endpoints of
 two versions may have written streams of the pool recently, the request is rejected: events of two
 versions may not fit together.
+
+Boxes that know the origin may be out of reach, and this box may have stood still, its clock with
+it. So that a pool has one version counts only by a report of the leading control box for which this
+box asked after the request had come: the stream's version was committed before the stream began.
 """
 
 from __future__ import annotations
@@ -20,6 +24,9 @@
 UNHEARD_RETRY_S = 0.3
 """Retry time if only the pool versions from the leading control box are missing: it reads the list
 of endpoints and its message arrives within that."""
+REPORT_WAIT_S = 1.0
+"""How long a request waits at most for a report of the leading control box: four renewals, at the
+default interval."""
 
 
 class ResumeStream(base.ForwardFilter):
@@ -45,9 +52,10 @@
 
     def _origin(self, exchange: base.Exchange) -> origins.Origin:
         """Return the origin of the stream."""
+        asked_at_s = self._clock.monotonic_s()
         found = self._known_origins.find(exchange.stream_id) if exchange.facts.resumes else None
         if found is None:
-            only = self._only_origin(exchange)
+            only = self._only_origin(exchange, asked_at_s)
             if only is not None:
                 self._log(exchange, "fits_anywhere", stream_origins.FoundOrigin(only))
                 return only
@@ -64,7 +72,7 @@
         self._log(exchange, "known", found)
         return found.origin
 
-    def _only_origin(self, exchange: base.Exchange) -> origins.Origin | None:
+    def _only_origin(self, exchange: base.Exchange, asked_at_s: float) -> origins.Origin | None:
         """Return where all streams of the pool began, ``None`` if that may have been in several.
 
         The stream is bound to it: this box may know of an endpoint of a newer version before the
@@ -74,8 +82,13 @@
             return None
         if exchange.known_route.time_limit_ms / 1000 > router_state.MAX_SETTLED_TIME_LIMIT_S:
             return None
-        now_s = self._clock.monotonic_s()
-        version = self._view.get().settled_version(exchange.pool, now_s)
+        if not self._view.get().may_be_settled(exchange.pool):
+            return None
+        left_s = exchange.deadline_s - self._clock.monotonic_s()
+        self._view.wait_for(
+            lambda state: state.heard_at_s > asked_at_s, max(0.0, min(REPORT_WAIT_S, left_s))
+        )
+        version = self._view.get().settled_version_asked_after(exchange.pool, asked_at_s)
         return None if version is None else origins.Origin(exchange.pool, version)
 
     def _unknown_error(self, exchange: base.Exchange, why: str) -> errors.CroftpulleyError:
