The leader's word on a pool's one version counts what it has read itself, by the clock that counts

Cause: the word was drawn from the replicated state by the wall clock alone. It named one version while the leader's own list showed another that was not committed yet, and forgot a version that had just left when that box's wall clock was stepped forward by 120 s. Change: versions that the leader has read count for 120 s of its own monotonic clock beside it.

--- a/src/croftpulley/controllers/version_notes.py
+++ b/src/croftpulley/controllers/version_notes.py
@@ -37,12 +37,17 @@
         self._proposed_at_s = float("-inf")
         nothing = listing.Listing()
         self._cached = _CommittedList(nothing, pool_versions.PoolVersions(), nothing, is_noted=True)
+        self._recent = pool_versions.RecentVersions()
+        self._seen = nothing
 
     def note(self, listed: listing.Listing) -> None:
         """Propose the listed versions if the replicated state has others."""
         if not listed.endpoints.value:
             # An empty list is not sent to boxes either.
             return
+        if self._seen is not listed:
+            self._seen = listed
+            self._recent.saw(_versions_of(listed), listed.read_at_s)
         now_s = self._clock.monotonic_s()
         if now_s < self._proposed_at_s + PROPOSAL_RETRY_S or self._derive(listed).is_noted:
             return
@@ -58,7 +63,8 @@
 
     def settled(self) -> dict[str, str]:
         """Return the version of each pool whose streams that callers may resume all have it."""
-        return self._known().settled(self._clock.wall_s())
+        known = self._known().settled(self._clock.wall_s())
+        return self._recent.without_mixed(known, self._clock.monotonic_s())
 
     def _known(self) -> pool_versions.PoolVersions:
         return self._command_log.read().pool_versions
--- a/src/croftpulley/core/pool_versions.py
+++ b/src/croftpulley/core/pool_versions.py
@@ -82,3 +82,40 @@
             if each.has_resumable_streams(now_wall_s):
                 found.setdefault(each.pool_version.pool, []).append(each.pool_version.version)
         return {pool: names[0] for pool, names in found.items() if len(names) == 1}
+
+
+@attrs.define
+class RecentVersions:
+    """When each version was last in service as one leading control box saw it, by its own clock.
+
+    What the replicated state has goes by the wall clock, which may be stepped, and lacks what was
+    read but not committed yet.
+
+    >>> one, two = PoolVersion("llm", "v1"), PoolVersion("llm", "v2")
+    >>> recent = RecentVersions()
+    >>> recent.saw([one], 0.0)
+    >>> recent.saw([two], 1.0)
+    >>> recent.without_mixed({"llm": "v2"}, 119.0), recent.without_mixed({"llm": "v2"}, 120.0)
+    ({}, {'llm': 'v2'})
+    """
+
+    _seen_at_s: dict[PoolVersion, float] = attrs.field(factory=dict)
+
+    def saw(self, found: Iterable[PoolVersion], at_s: float) -> None:
+        """Note versions that were in service at ``at_s``; forget those of long ago."""
+        self._seen_at_s = {
+            name: seen_at_s
+            for name, seen_at_s in self._seen_at_s.items()
+            if at_s < seen_at_s + RESUMABLE_AFTER_UNLISTED_S
+        }
+        self._seen_at_s.update(dict.fromkeys(found, at_s))
+
+    def without_mixed(self, settled: dict[str, str], now_s: float) -> dict[str, str]:
+        """Return the pools of ``settled`` of which no other version was seen recently."""
+        mixed = {
+            name.pool
+            for name, seen_at_s in self._seen_at_s.items()
+            if now_s < seen_at_s + RESUMABLE_AFTER_UNLISTED_S
+            and settled.get(name.pool, name.version) != name.version
+        }
+        return {pool: version for pool, version in settled.items() if pool not in mixed}
