An answer in tiny parts takes its bytes in memory, not a list of its parts

Cause: AnswerBuffers counts the bytes of each part and holds a list of the parts, which takes an object for each. The bound on all answers together, 32 MiB, was one on their bytes only. Exchange.read_all held such a list as well.

The test asks for three times the bytes at most and failed before.

--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -9,6 +9,7 @@
 
 import functools
 import http.client
+import io
 import select
 import socket
 import time
@@ -233,14 +234,12 @@
 
     def read_all(self, max_body_bytes: int) -> bytes:
         """Return the complete body; raises `errors.CroftpulleyError`, also if it is longer."""
-        parts: list[bytes] = []
-        size_bytes = 0
+        body = io.BytesIO()
         while data := self.read(_BLOCK_SIZE_BYTES):
-            size_bytes += len(data)
-            if size_bytes > max_body_bytes:
+            if body.tell() + len(data) > max_body_bytes:
                 raise self.error_for(ValueError(f"the body is longer than {max_body_bytes} bytes"))
-            parts.append(data)
-        return b"".join(parts)
+            body.write(data)
+        return body.getvalue()
 
     def error_for(self, failure: Exception) -> errors.CroftpulleyError:
         """Return the error for a failed exchange and mark the attempt's end as ambiguous.
--- a/src/croftpulley/forwarding/sender.py
+++ b/src/croftpulley/forwarding/sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import abc
+import io
 import threading
 import time
 from collections.abc import Callable, Iterator
@@ -191,7 +192,8 @@
 
         That is if it breaks off, is longer than `MAX_BUFFERED_RESPONSE_BYTES` or gets no room.
         """
-        parts = []
+        # A list of parts would take a multiple of their bytes where each is small.
+        body = io.BytesIO()
         size_bytes = 0
         held = _Held()
         try:
@@ -201,8 +203,8 @@
                     raise _too_long(f"longer than {MAX_BUFFERED_RESPONSE_BYTES} bytes")
                 if size_bytes > FREE_BYTES and not self._take(held, len(chunk)):
                     raise _too_long(f"longer than there is room for, at {size_bytes} bytes")
-                parts.append(chunk)
-            return b"".join(parts)
+                body.write(chunk)
+            return body.getvalue()
         finally:
             self._release(held)
 
--- a/testing/forwarding/test_endless_bytes.py
+++ b/testing/forwarding/test_endless_bytes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import threading
+import tracemalloc
 
 import pytest
 
@@ -129,3 +130,32 @@
     assert results.count(codes.ResultCode.ANSWER_CORRUPT) == 20
     assert results.count(50_000) == 20
     assert not buffers._held
+
+
+class TinyParts(sender.Response):
+    """A response that comes in parts of two bytes."""
+
+    status = 200
+    headers = ()
+
+    def __init__(self, size_bytes):
+        self.size_bytes = size_bytes
+
+    def chunks(self):
+        for _ in range(self.size_bytes // 2):
+            yield bytes(2)
+
+    def close(self):
+        pass
+
+
+def test_an_answer_in_tiny_parts_takes_no_multiple_of_the_bytes_that_are_counted():
+    size_bytes = 1_000_000
+    tracemalloc.start()
+    try:
+        body = sender.AnswerBuffers().read(TinyParts(size_bytes))
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert body == bytes(size_bytes)
+    assert peak_bytes <= 3 * size_bytes
