Event streams are searched once, not again from an event's beginning for each piece

Cause: EventSplitter.feed copied and searched all that had come of the event for each piece, so the work grew with the square; and of many events in one piece it made a list of all ends and all ids, though it needs the last of each.

The test counts the bytes that are searched; with the search from the beginning, as before, it fails.

--- a/src/croftpulley/core/event_splitter.py
+++ b/src/croftpulley/core/event_splitter.py
@@ -6,8 +6,10 @@
 
 MAX_EVENT_BYTES = 65_536
 """An event holds a few tokens; what is longer without an end is none."""
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
-_ID_LINE = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+_ENDS = (b"\n\n", b"\n\r\n")
+_SPLIT_END_BYTES = 2
+"""Of an event's end that may have come with earlier bytes."""
+_ID_LINE = re.compile(rb"id: ?([^\r\n]*)")
 
 
 class EventTooLongError(Exception):
@@ -25,7 +27,7 @@
     """
 
     def __init__(self) -> None:
-        self._buffer = b""
+        self._buffer = bytearray()
         self.last_id = ""
 
     def feed(self, data: bytes) -> bytes:
@@ -33,16 +35,16 @@
 
         Raises `EventTooLongError` if there is none and too much has come since the last one.
         """
+        searched_from = max(0, len(self._buffer) - _SPLIT_END_BYTES)
         self._buffer += data
-        ends = [match.end() for match in _EVENT_END.finditer(self._buffer)]
-        if not ends:
+        end = _last_end(self._buffer, searched_from)
+        if not end:
             if len(self._buffer) > MAX_EVENT_BYTES:
                 raise EventTooLongError(f"{len(self._buffer)} bytes are no complete event")
             return b""
-        whole, self._buffer = self._buffer[: ends[-1]], self._buffer[ends[-1] :]
-        ids = _ID_LINE.findall(whole)
-        if ids:
-            self.last_id = ids[-1].decode("latin-1").strip()
+        whole = bytes(self._buffer[:end])
+        del self._buffer[:end]
+        self.last_id = _last_id(whole, self.last_id)
         return whole
 
     @property
@@ -52,4 +54,16 @@
 
     def drop_partial(self) -> None:
         """Drop a partial event, before the stream continues from another source."""
-        self._buffer = b""
+        self._buffer.clear()
+
+
+def _last_end(buffer: bytearray, start: int) -> int:
+    """Return where the last event ends whose end is at ``start`` or after it; 0 without one."""
+    found = [(buffer.rfind(each, start), len(each)) for each in _ENDS]
+    return max(at + size_bytes if at >= 0 else 0 for at, size_bytes in found)
+
+
+def _last_id(whole: bytes, before: str) -> str:
+    """Return the last id of complete events, ``before`` if they have none."""
+    match = _ID_LINE.match(whole, whole.rfind(b"\nid:") + 1)
+    return match[1].decode("latin-1").strip() if match else before
--- a/testing/core/test_event_splitter.py
+++ b/testing/core/test_event_splitter.py
@@ -38,3 +38,36 @@
             assert splitter.feed(line) == b""
         with pytest.raises(event_splitter.EventTooLongError):
             splitter.feed(line)
+
+    def test_bytes_that_come_one_by_one_are_searched_a_few_times_each(self, monkeypatch):
+        searched_bytes = []
+        search = event_splitter._last_end
+
+        def counting_search(buffer, start):
+            searched_bytes.append(len(buffer) - start)
+            return search(buffer, start)
+
+        monkeypatch.setattr(event_splitter, "_last_end", counting_search)
+        splitter = event_splitter.EventSplitter()
+        for _ in range(event_splitter.MAX_EVENT_BYTES):
+            assert splitter.feed(b"m") == b""
+        assert sum(searched_bytes) <= 3 * event_splitter.MAX_EVENT_BYTES
+
+    @pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+    @given(st.lists(st.integers(1, 5), max_size=60))
+    def test_an_end_that_comes_in_pieces_is_found(self, line_end, sizes):
+        event = b"id: 7" + line_end + b"data: x" + line_end * 2
+        splitter = event_splitter.EventSplitter()
+        out, start = b"", 0
+        for size in [*sizes, len(event)]:
+            out += splitter.feed(event[start : start + size])
+            start += size
+        assert out == event
+        assert splitter.last_id == "7"
+
+    @given(st.lists(st.sampled_from([b"\n", b"\r\n", b"id: 1", b"id:2", b"x", b"\nid: 3"])))
+    def test_the_last_id_is_that_of_the_last_complete_event(self, parts):
+        splitter = event_splitter.EventSplitter()
+        whole = b"".join(splitter.feed(each) for each in parts)
+        ids = [line[3:].strip() for line in whole.splitlines() if line.startswith(b"id:")]
+        assert splitter.last_id == (ids[-1].decode() if ids else "")
