Chunks of an answer that have been received together are read together

Cause: the library reads one chunk a call. sockets.Response returns with it the chunks after it that are whole in what has been received, and waits for none: BoundedReader counts what is taken, so that it looks only where something is. Lines with extensions, the last chunk and all that is no chunk go the checked way as before.

Evidence: 20,000 chunks of one byte came in 20,000 pieces, now in fewer than 44 (the tests' bound; they fail before).

--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -58,6 +58,8 @@
 )
 _LENGTH = re.compile(rb"[0-9]{1,18}")
 _CHUNK_LINE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[\t\x20-\x7e\x80-\xff]*)?\r\n")
+_NEXT_CHUNK_LINE = re.compile(rb"\r\n([0-9A-Fa-f]{1,15})\r\n")
+"""The end of a chunk and the size of the next one."""
 _CONTENT_LENGTH, _TRANSFER_ENCODING = b"content-length", b"transfer-encoding"
 _RESET = struct.pack("ii", 1, 0)
 """SO_LINGER with timeout 0."""
@@ -89,6 +91,7 @@
         self._on_received = on_received
         self._is_head_complete = False
         self._left_bytes: int | None = MAX_HEAD_BYTES
+        self.received_bytes = 0
 
     def readable(self) -> bool:
         """Tell that it can be read."""
@@ -105,6 +108,7 @@
             self._check_cancelled()
             if not self._is_head_complete:
                 raise ConnectionResetError("the connection ended within the response's head")
+        self.received_bytes += size_bytes
         self._on_received(size_bytes)
         self._count(size_bytes)
         return size_bytes
@@ -152,10 +156,19 @@
 class BoundedReader(io.BufferedReader):
     """Reads the lines and the bytes of a response, never without a bound, whoever asks for them."""
 
+    _taken_bytes = 0
+
+    def read1(self, size: int = -1, /) -> bytes:
+        """Return some bytes, waiting for one; empty at the end."""
+        data = super().read1(size)
+        self._taken_bytes += len(data)
+        return data
+
     def readline(self, size: int | None = -1, /) -> bytes:
         """Return a line, empty at the end; raises `SpoiltResponseError` if it is too long."""
         is_limited = size is not None and 0 <= size <= MAX_LINE_BYTES
         line = super().readline(size if is_limited else MAX_LINE_BYTES + 1)
+        self._taken_bytes += len(line)
         if len(line) > MAX_LINE_BYTES:
             raise SpoiltResponseError(f"a line is longer than {MAX_LINE_BYTES} bytes")
         return line
@@ -164,7 +177,13 @@
         """Return so many bytes, fewer only at the end; ``size`` must be given."""
         if size is None or size < 0:
             raise ValueError("a read without a bound")
-        return super().read(size)
+        data = super().read(size)
+        self._taken_bytes += len(data)
+        return data
+
+    def buffered(self, received_bytes: int) -> bytes:
+        """Return what can be read without waiting, of so many bytes received in all."""
+        return self.peek() if received_bytes > self._taken_bytes else b""
 
     def readlines(self, hint: int = -1, /) -> list[bytes]:
         """Do not use it: nothing would bound the number of lines."""
@@ -203,6 +222,23 @@
         raise SpoiltResponseError(f"got transfer encoding {encodings[0][:100]!r}")
 
 
+def _whole_chunks(window: bytes) -> tuple[list[bytes], int]:
+    """Return the chunks that begin in a window and are whole there, and how much of it they take.
+
+    The window begins at the end of another chunk. The last chunk of a body is never among them.
+    """
+    chunks: list[bytes] = []
+    taken_bytes = 0
+    while match := _NEXT_CHUNK_LINE.match(window, taken_bytes):
+        size_bytes = int(match[1], 16)
+        end = match.end() + size_bytes
+        if not size_bytes or end > len(window):
+            break
+        chunks.append(window[match.end() : end])
+        taken_bytes = end
+    return chunks, taken_bytes
+
+
 class Response(http.client.HTTPResponse):
     """A response whose head and body are read through `ResponseBytes`."""
 
@@ -255,6 +291,19 @@
             fields.append(_match(_FIELD, line, "a header field"))
         return fields
 
+    def _read1_chunked(self, n: int) -> bytes:
+        """Return some bytes of the body, with the chunks that have been received whole."""
+        data: bytes = super()._read1_chunked(n)  # type: ignore[misc]
+        if self.chunk_left != 0 or not data:
+            return data
+        reader: Any = self.fp
+        window = reader.buffered(self._received.received_bytes)[: max(0, n - len(data))]
+        chunks, size_bytes = _whole_chunks(window)
+        if not chunks:
+            return data
+        self.fp.read(size_bytes)
+        return b"".join((data, *chunks))
+
     def _get_chunk_left(self) -> int | None:
         if self.chunk_left == 0:
             end = self._safe_read(len(_LINE_END))  # type: ignore[attr-defined]
