Answers that come as fast as they are read leave half of the interpreter to all else

Cause: one thread of a process computes at a time.

Change: sender.AnswerWork counts the processor time of an answer's thread from part to part, while reads bring 8 KiB or more; beyond 5 ms such answers share half of one processor and rest between their parts. A rest ends with the request, and what is buffered is not read on after that. An answer that waits for its endpoint, as a sound stream does, is never counted.

--- a/src/croftpulley/core/attempts.py
+++ b/src/croftpulley/core/attempts.py
@@ -70,6 +70,8 @@
 
     received_bytes: int = 0
     """Of the response, whatever they were."""
+    last_received_bytes: int = 0
+    """Those of them that the last read from the system has brought."""
     is_truncated: bool = False
     """Whether the stream ended within an event although the connection reports it as complete."""
     began_s: float | None = None
@@ -86,6 +88,7 @@
     def count_received(self, size_bytes: int) -> None:
         """Count bytes of the response."""
         self.received_bytes += size_bytes
+        self.last_received_bytes = size_bytes
 
     def set_reported_phase(self, phase: Phase) -> None:
         """Take over the phase reported by the box that forwards this attempt to the endpoint.
--- a/src/croftpulley/endpoints/connection.py
+++ b/src/croftpulley/endpoints/connection.py
@@ -12,6 +12,7 @@
 import io
 import select
 import socket
+import threading
 import time
 from collections.abc import Callable, Iterator
 from typing import Any
@@ -227,11 +228,20 @@
         """
         if self.response is None:
             raise RuntimeError("read() called before begin() has returned a response")
+        if self._token.reason is not None:
+            raise self.error_for(ConnectionAbortedError("the response was given up"))
         try:
             return self.response.read1(size_bytes)
         except TRANSPORT_ERRORS as failure:
             raise self.error_for(failure) from failure
 
+    def rest(self, rest_s: float) -> None:
+        """Wait before the next read, no longer than until the exchange is cancelled."""
+        is_over = threading.Event()
+        self._token.on_cancel(is_over.set)
+        is_over.wait(rest_s)
+        self._token.remove_callback(is_over.set)
+
     def read_all(self, max_body_bytes: int) -> bytes:
         """Return the complete body; raises `errors.CroftpulleyError`, also if it is longer."""
         body = io.BytesIO()
--- a/src/croftpulley/forwarding/sender.py
+++ b/src/croftpulley/forwarding/sender.py
@@ -23,6 +23,14 @@
 FREE_BYTES = 65_536
 """Of each response, beyond which it counts against that."""
 _ROOM_WAIT_S = 1.0
+AHEAD_BYTES = 8192
+"""An endpoint of which so much has come at once is ahead of whoever reads its answer."""
+FREE_WORK_S = 0.005
+"""Of processor time, which each answer whose endpoint is ahead may take at once."""
+WORK_SHARE = 0.5
+"""Of one processor, for all such answers together beyond that."""
+_WORK_STEP_S = 0.002
+"""An answer rests once it has taken so much too much, not after each part."""
 
 
 @attrs.frozen(kw_only=True)
@@ -138,6 +146,59 @@
     return _DirectResponse(exchange, attempt, response.status, tuple(response.headers.items()))
 
 
+@attrs.define(eq=False)
+class Work:
+    """The processor time that one answer may take now; negative if it has taken too much.
+
+    Both times are as of its last part.
+    """
+
+    now_s: float
+    spent_s: float
+    left_s: float = FREE_WORK_S
+
+
+class AnswerWork:
+    """Bounds the processor time that reading answers takes from all else; thread-safe.
+
+    One thread of a process computes at a time. Answers whose bytes come as fast as they are read
+    would leave the others nothing, however little those need. An answer that waits for its
+    endpoint never rests.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._ahead: set[Work] = set()
+
+    def begin(self, now_s: float, spent_s: float) -> Work:
+        """Return the account of an answer; ``spent_s`` is its thread's processor time so far."""
+        return Work(now_s, spent_s)
+
+    def rest_s(self, work: Work, now_s: float, spent_s: float, *, is_ahead: bool) -> float:
+        """Count what a part of an answer has taken; return how long to wait before the next."""
+        with self._lock:
+            if is_ahead:
+                self._ahead.add(work)
+            else:
+                self._ahead.discard(work)
+            share = WORK_SHARE / max(1, len(self._ahead))
+        earned_s = share * (now_s - work.now_s)
+        taken_s = spent_s - work.spent_s if is_ahead else 0.0
+        work.left_s = min(FREE_WORK_S, work.left_s + earned_s) - taken_s
+        work.now_s, work.spent_s = now_s, spent_s
+        has_to_rest = is_ahead and work.left_s <= -_WORK_STEP_S
+        return -work.left_s / share if has_to_rest else 0.0
+
+    def end(self, work: Work) -> None:
+        """Forget an answer."""
+        with self._lock:
+            self._ahead.discard(work)
+
+
+_WORK = AnswerWork()
+"""Of this process: its threads share one interpreter."""
+
+
 class _DirectResponse(Response):
     def __init__(
         self,
@@ -152,8 +213,16 @@
         self._attempt = attempt
 
     def chunks(self) -> Iterator[bytes]:
-        while data := self._exchange.read(_READ_SIZE_BYTES):
-            yield data
+        work = _WORK.begin(time.monotonic(), time.thread_time())
+        try:
+            while data := self._exchange.read(_READ_SIZE_BYTES):
+                yield data
+                is_ahead = self._attempt.last_received_bytes >= AHEAD_BYTES
+                rest_s = _WORK.rest_s(work, time.monotonic(), time.thread_time(), is_ahead=is_ahead)
+                if rest_s:
+                    self._exchange.rest(rest_s)
+        finally:
+            _WORK.end(work)
         if self._attempt.phase is attempts.Phase.ANSWERING:
             self._attempt.enter(attempts.Phase.DONE)
 
--- a/testing/daemons/test_endless_answers.py
+++ b/testing/daemons/test_endless_answers.py
@@ -76,3 +76,29 @@
     failing = attrs.evolve(place.ordinary, path="/faulty/x", status=502)
     for _ in range(BURSTS):
         ask_at_once(site, place, faults.Fault.ENDLESS_CHUNKS, failing)
+
+
+# Both begin together; the one that waits has twice the time of the others.
+@pytest.mark.parametrize("path", ["/faulty/x", "/stream/x"])
+def test_callers_of_tiny_chunks_without_end_are_told_before_one_with_twice_their_time(site, path):
+    place = site.router()
+    wait_until(place.ordinary.is_answered, "the router serves", crowd_site.START_LIMIT_S)
+    site.endpoints["faulty"].faults.add(*[faults.Fault.ENDLESS_SMALL_CHUNKS] * CALLERS)
+    limit_ms = str(int(2000 * crowd_site.FAULTY_LIMIT_S))
+    waiting = attrs.evolve(
+        place.ordinary,
+        path="/held/x",
+        headers={**place.ordinary.headers, "X-Deadline-Ms": limit_ms},
+    )
+    told = []
+    threads = [threading.Thread(target=lambda: (waiting.is_answered(), told.append("waiting")))]
+    failing = attrs.evolve(place.ordinary, path=path)
+    threads += [
+        threading.Thread(target=lambda: (failing.is_answered(), told.append("failing")))
+        for _ in range(CALLERS)
+    ]
+    for each in threads:
+        each.start()
+    for each in threads:
+        each.join()
+    assert told == ["failing"] * CALLERS + ["waiting"]
