Answers that are ahead have 2 ms of free work, not 5

The tests in virtual time have parts of half a millisecond now, so that their bound on the first work is as tight as the new one.

--- a/src/croftpulley/forwarding/sender.py
+++ b/src/croftpulley/forwarding/sender.py
@@ -25,11 +25,11 @@
 _ROOM_WAIT_S = 1.0
 AHEAD_BYTES = 8192
 """An endpoint of which so much has come at once is ahead of whoever reads its answer."""
-FREE_WORK_S = 0.005
+FREE_WORK_S = 0.002
 """Of processor time, which each answer whose endpoint is ahead may take at once."""
 WORK_SHARE = 0.5
 """Of one processor, for all such answers together beyond that."""
-_WORK_STEP_S = 0.002
+_WORK_STEP_S = 0.001
 """An answer rests once it has taken so much too much, not after each part."""
 
 
--- a/testing/forwarding/test_answer_work.py
+++ b/testing/forwarding/test_answer_work.py
@@ -12,7 +12,7 @@
 from croftpulley.endpoints import connection
 from croftpulley.forwarding import sender
 
-PART_S = 0.001
+PART_S = 0.0005
 """Processor time of one part."""
 
 
