A server that ends reads nothing more, and answers what it has read

What callers saw (the first by the test alone, the second at a real router): a request that came in the last half second of a planned stop was read and had no answer; the process was there until it was killed.

Cause: `HttpServer.stop` ended its threads while its loop went on reading. What it had queued was dropped without an answer, and for each request that came the dispatcher started one more thread, so that the wait for all threads to end lasted as long as it may, 0.5 s, with every listener that is still asked. A router has 0.5 s for all of its end.

Change: the loop reads no more and accepts nobody once the end begins; what has been read is answered and sent, within the same 0.5 s; then threads end.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -305,6 +305,16 @@
             self.used_at_s = time.monotonic()
         return bool(super().received(data))
 
+    def readable(self) -> bool:
+        """Tell whether more is to be read."""
+        return self.server.reads and bool(super().readable())
+
+    def handle_read(self) -> None:
+        """Read what has come, unless the server stops."""
+        with self.server.read_lock:
+            if self.server.reads:
+                super().handle_read()
+
     def send_continue(self) -> None:
         """Ask for the body that a client announces, unless it has none or is refused."""
         request: Any = self.request
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -22,6 +22,8 @@
 FIRST_THREADS = 2
 """Enough for a box at rest; a request that finds all busy has one more started."""
 _SHUTDOWN_TIMEOUT_S = 0.5
+_FLUSH_S = 0.05
+"""How long an answer may wait for its caller when a server stops."""
 _STALLED_S = 2.0
 """A planned stop does not wait for callers that have taken nothing for so long."""
 _TAKEN_CHECK_S = 0.02
@@ -124,6 +126,8 @@
         self._server.room = self._room
         self._server.give_up_soon = self._give_up_soon
         self._server.closes_connections = False
+        self._server.reads = True
+        self._server.read_lock = threading.Lock()
         self._is_accepting = self._server.readable
         self._server.readable = self._accepts
         # Connections have it from their listener.
@@ -186,18 +190,31 @@
     def stop(self) -> None:
         """End the threads, then every socket; a planned stop has waited for callers before.
 
-        The sockets are closed by the thread that waits on them: closed by another they would stay
-        open until that wait ends, and the address with them.
+        Nothing more is read, and what has been read is answered first, within a moment for all of
+        it. The sockets are closed by the thread that waits on them: closed by another they would
+        stay open until that wait ends, and the address with them.
         """
-        self._server.task_dispatcher.shutdown(timeout=_SHUTDOWN_TIMEOUT_S)
+        ends_at_s = time.monotonic() + _SHUTDOWN_TIMEOUT_S
+        with self._server.read_lock:
+            self._server.reads = False
+        while time.monotonic() < ends_at_s and self._has_to_answer():
+            time.sleep(_TAKEN_CHECK_S)
+        left_s = max(0.0, ends_at_s - time.monotonic())
+        self._server.task_dispatcher.shutdown(timeout=left_s)
         if not self._thread.is_alive():
             self._close_all()
             return
         self._server.trigger.pull_trigger(self._close_all)
         self._thread.join(_SHUTDOWN_TIMEOUT_S)
 
+    def _has_to_answer(self) -> bool:
+        channels = list(self._server.active_channels.values())
+        return any(each.is_owing and not each.is_unread(_FLUSH_S) for each in channels)
+
     def _accepts(self) -> bool:
         """Tell whether new connections are accepted; at the limit, one that rests makes way."""
+        if not self._server.reads:
+            return False
         if len(self._map) >= self._server.adj.connection_limit:
             self._close_longest_resting()
         return bool(self._is_accepting())
--- a/testing/http/test_planned_stops.py
+++ b/testing/http/test_planned_stops.py
@@ -19,6 +19,8 @@
 THREADS = 4
 WORK_S = 0.05
 """Longer than between two looks at who is owed something."""
+MAY_WORK = threading.Event()
+MAY_WORK.set()
 
 
 @pytest.fixture
@@ -27,12 +29,14 @@
     made = server.HttpServer(wsgi.Application(answer, limits.header_count), ANY, THREADS, limits)
     made.start()
     yield made
+    MAY_WORK.set()
     made.stop()
 
 
 def answer(request):
     if request.path == "/large":
         return wsgi.Response(200, "text/plain", bytes(LARGE_BYTES))
+    MAY_WORK.wait()
     time.sleep(WORK_S)
     return wsgi.Response(200, "text/plain", b"short")
 
@@ -102,3 +106,65 @@
     is_over.set()
     for each in callers:
         each.join()
+
+
+def ask_in_thread(serving, path):
+    """Send one request; return the thread that reads its answer into the list beside it."""
+    answers = []
+
+    def ask():
+        connection = connect(serving)
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            connection.request("GET", path)
+            answers.append(connection.getresponse().read())
+        connection.close()
+
+    caller = threading.Thread(target=ask)
+    caller.start()
+    return caller, answers
+
+
+# Those that no thread had begun on were dropped without an answer.
+def test_requests_that_have_been_read_are_answered_before_the_end(serving):
+    MAY_WORK.clear()
+    asked = [ask_in_thread(serving, "/") for _ in range(3 * THREADS)]
+    channels = serving._server.active_channels
+    wait_until(
+        lambda: sum(bool(each.requests) for each in list(channels.values())) == len(asked),
+        "all have been read",
+    )
+    MAY_WORK.set()
+    serving.stop()
+    for caller, _ in asked:
+        caller.join()
+    assert [answers for _, answers in asked] == [[b"short"]] * len(asked)
+
+
+# Each that came started one more thread, and the server waited for those as long as it may wait.
+def test_no_thread_is_started_for_those_that_come_while_a_server_ends(serving, monkeypatch):
+    is_over = threading.Event()
+
+    def ask_again_and_again():
+        while not is_over.is_set():
+            caller, _ = ask_in_thread(serving, "/")
+            caller.join()
+
+    callers = [threading.Thread(target=ask_again_and_again) for _ in range(3 * THREADS)]
+    for each in callers:
+        each.start()
+    wait_until(lambda: len(serving._server.active_channels) > THREADS, "callers come")
+    started = []
+    dispatcher = serving._server.task_dispatcher
+    shut_down = dispatcher.shutdown
+
+    def watch_starts(**limits):
+        start = dispatcher.start_new_thread
+        dispatcher.start_new_thread = lambda *given: (started.append(given), start(*given))
+        return shut_down(**limits)
+
+    monkeypatch.setattr(dispatcher, "shutdown", watch_starts)
+    serving.stop()
+    is_over.set()
+    for each in callers:
+        each.join()
+    assert started == []
