A tick that does not end keeps no process from ending

Cause: the end of a process waited for whatever its controllers were doing, a tick or a message, without a limit.

Change: ticks and controllers have a time for all of them together: 0.1 s each at a router, which keeps nothing on a disk, 5 s elsewhere. The threads are daemons and end with the process.

--- a/src/croftpulley/controllers/actors.py
+++ b/src/croftpulley/controllers/actors.py
@@ -5,7 +5,8 @@
 import contextlib
 import logging
 import threading
-from collections.abc import Callable
+import time
+from collections.abc import Callable, Sequence
 from typing import Any, Generic, TypeVar
 
 import attrs
@@ -15,6 +16,8 @@
 
 T = TypeVar("T")
 _LOG = logging.getLogger(__name__)
+STOP_TIMEOUT_S = 5.0
+"""How long the ticks that are under way at a stop may take, all together."""
 
 
 @attrs.frozen
@@ -84,10 +87,10 @@
         self._thread = threading.Thread(target=self._run, name="ticker", daemon=True)
         self._thread.start()
 
-    def stop(self) -> None:
-        """Stop sending ticks and wait for the thread to end."""
+    def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> None:
+        """Stop sending ticks; wait for the one under way, but no longer than the timeout."""
         self._stopped.set()
-        self._thread.join()
+        self._thread.join(timeout_s)
 
     def _run(self) -> None:
         # `ask` waits for the reply: a slow tick delays the next, and ticks never queue up.
@@ -96,3 +99,20 @@
                 self._actor.ask(Tick())
             except pykka.ActorDeadError:
                 return
+
+
+def stop_tickers(tickers: Sequence[Ticker], timeout_s: float = STOP_TIMEOUT_S) -> None:
+    """Stop tickers; those whose tick is not over within the timeout, for all, are left behind."""
+    ends_at_s = time.monotonic() + timeout_s
+    for each in tickers:
+        each.stop(max(0.0, ends_at_s - time.monotonic()))
+
+
+def stop_controllers(
+    controllers: Sequence[pykka.ActorRef[Any]], timeout_s: float = STOP_TIMEOUT_S
+) -> None:
+    """Stop controllers, one after the other; those that are not done in time are left behind."""
+    ends_at_s = time.monotonic() + timeout_s
+    for each in controllers:
+        with contextlib.suppress(pykka.Timeout):
+            each.stop(timeout=max(0.0, ends_at_s - time.monotonic()))
--- a/src/croftpulley/controllers/agreement.py
+++ b/src/croftpulley/controllers/agreement.py
@@ -119,7 +119,7 @@
 
     def stop(self) -> None:
         """Write the pending proposals and close the log."""
-        self._controller.stop()
+        actors.stop_controllers((self._controller,))
 
     @staticmethod
     def _log_replay(replay: record_log.Replay) -> None:
--- a/src/croftpulley/daemons/control.py
+++ b/src/croftpulley/daemons/control.py
@@ -83,7 +83,7 @@
             self._ticker.stop()
         self._grpc.stop(_GRPC_STOP_S).wait()
         self._http.stop()
-        self._directory.stop()
+        actors.stop_controllers((self._directory,))
         self._command_log.stop()
         events.emit(_LOG, events.Event.DAEMON_STOPPED)
 
--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -119,13 +119,11 @@
     def stop(self) -> None:
         """Stop at once; `drain` comes first in a planned stop."""
         events.emit(_LOG, events.Event.DAEMON_STOPPING)
-        for ticker in self._tickers:
-            ticker.stop()
+        actors.stop_tickers(self._tickers)
         self._caller_http.stop()
         self._peer_http.stop()
         self._operator_http.stop()
-        for controller in self._controllers:
-            controller.stop()
+        actors.stop_controllers(self._controllers)
         self._dispatcher.stop()
         self._channels.close()
         events.emit(_LOG, events.Event.DAEMON_STOPPED)
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -181,18 +181,12 @@
     def stop(self) -> None:
         """Stop serving and close the log."""
         events.emit(_LOG, events.Event.DAEMON_STOPPING)
-        for ticker in self._tickers:
-            ticker.stop()
+        actors.stop_tickers(self._tickers)
         for each in (self._operator_http, self._peer_http, self._metrics_http):
             each.stop()
-        for controller in (
-            self._announcing,
-            self._inventory,
-            self._listing,
-            self._sessions,
-            self._replica,
-        ):
-            controller.stop()
+        actors.stop_controllers(
+            (self._announcing, self._inventory, self._listing, self._sessions, self._replica)
+        )
         events.emit(_LOG, events.Event.DAEMON_STOPPED)
 
     def _start_replica(self) -> pykka.ActorRef[Any]:
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -68,7 +68,9 @@
 """Of its grace for which a box that is stopped takes requests, 3 s of 8 s: as long as its users
 count on it. By half of it a chat that came last, and streamed for 4 s, was cut by the end."""
 _LAST_MOMENT_S = 0.5
-"""What a planned stop leaves of its grace for ending the process."""
+"""What a planned stop leaves of its grace for telling callers and ending the process."""
+_TICKS_END_S = 0.1
+"""How long a tick that is under way at the stop may take; a router keeps nothing on a disk."""
 
 
 class _WhileUnheard(listing.Turn):
@@ -230,12 +232,10 @@
     def stop(self) -> None:
         """Stop at once; `drain` comes first in a planned stop."""
         events.emit(_LOG, events.Event.DAEMON_STOPPING)
-        for ticker in self._tickers:
-            ticker.stop()
+        actors.stop_tickers(self._tickers, _TICKS_END_S)
         for each in self._servers:
             each.stop()
-        for controller in self._controllers:
-            controller.stop()
+        actors.stop_controllers(self._controllers, _TICKS_END_S)
         events.emit(_LOG, events.Event.DAEMON_STOPPED)
 
     def _start_renewal(self) -> pykka.ActorRef[Any]:
--- a/testing/controllers/test_stopped_controllers.py
+++ b/testing/controllers/test_stopped_controllers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import threading
+
 import pytest
 
 from croftpulley import clock as clocks
@@ -18,6 +20,7 @@
     hall="hall-a",
     incarnation="e",
 )
+LIMIT_S = 20.0
 REQUEST = crash_candidates.RequestIdentity("f", "clinic", ("part-a",), "llm")
 
 
@@ -53,3 +56,38 @@
     with pytest.raises(errors.CroftpulleyError, match="NOT_LEADER") as raised:
         log.propose(replicated_state.ForgetBox("a")).get(timeout=1)
     assert raised.value.run_state is codes.RunState.NOT_RUN
+
+
+class Stuck(actors.Controller):
+    """Handles a tick until it is told to go on."""
+
+    def __init__(self, has_begun, may_go_on):
+        super().__init__()
+        self._has_begun = has_begun
+        self._may_go_on = may_go_on
+
+    def handle(self, _message):
+        self._has_begun.set()
+        self._may_go_on.wait()
+
+
+@pytest.fixture
+def stuck_router(make_site):
+    """Return a router one of whose controllers is in a tick that does not end by itself."""
+    site = make_site()
+    has_begun, may_go_on = threading.Event(), threading.Event()
+    daemon = site.routers[0]
+    controller = Stuck.start(has_begun, may_go_on)
+    daemon._controllers.append(controller)
+    daemon._tickers.insert(0, actors.Ticker(controller, 0.01))
+    assert has_begun.wait(LIMIT_S)
+    yield daemon
+    may_go_on.set()
+
+
+# The process was there until it was killed, after all its requests had ended.
+def test_a_tick_that_does_not_end_does_not_keep_a_router(stuck_router):
+    stopping = threading.Thread(target=stuck_router.stop, daemon=True)
+    stopping.start()
+    stopping.join(LIMIT_S)
+    assert not stopping.is_alive()
