A planned stop takes no more requests by the clock, not by its main thread

What callers saw: nothing yet; found from the report that requests which came late in the grace were taken and cut at its end. `_closed` was set by the main thread when it woke, so on a box that stands still or is slow whoever serves took what had come until the main thread ran.

Evidence: with a main thread that does not wake the new test is never refused on (it gives up after 20 s); now it is.

Change: the stop publishes the time at which the box closes; `FindRoute` looks at the clock.

--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import uuid
 from typing import Any
@@ -108,7 +109,7 @@
         self._counters = metrics.Metrics(settings.workspace_labels)
         self._view = actors.View(router_state.RouterState(box_name=settings.box))
         self._listed = actors.View(listing.Listing())
-        self._closed = actors.View(False)
+        self._closes_at_s = actors.View(math.inf)
         self._streams = streams.Streams(settings.streams, self._clock, self._counters)
         self._answer_buffers = sender.AnswerBuffers()
         self._request_room = request_room.RequestRoom(settings.http.request_total_bytes)
@@ -219,8 +220,11 @@
         self._renewal.tell(renewal.StartDraining())
         served_s = _SERVED_SHARE * self._settings.grace_s
         kept_s = min(_LONGEST_KEPT * self._settings.entry_ttl_s, served_s)
-        self._closed.wait_for(bool, kept_s)
-        self._closed.publish(True)
+        closes_at_s = self._clock.monotonic_s() + kept_s
+        # By the clock: those who serve may run long before this thread does.
+        self._closes_at_s.publish(closes_at_s)
+        self._closes_at_s.wait_for(lambda _: False, kept_s)
+        self._closes_at_s.publish(-math.inf)
         ended = entry_box.end_streams(self._streams, self._left_s(ends_at_s))
         for each in self._forwarding:
             each.wait_until_taken(self._left_s(ends_at_s))
@@ -322,7 +326,7 @@
             limit_unread=rules.LimitUnreadBytes(
                 self._unread_bytes, settings.http.unread_total_bytes
             ),
-            find_route=rules.FindRoute(self._closed, self._clock),
+            find_route=rules.FindRoute(self._closes_at_s, self._clock),
             limit_time=rules.LimitTime(self._streams),
             take_up=take_up.ResumeStream(self._origins, self._view, self._counters, self._clock),
             by_peer=by_peer.ForwardToPeer(self._reach, self._make_hops()),
--- a/src/croftpulley/forwarding/rules.py
+++ b/src/croftpulley/forwarding/rules.py
@@ -40,11 +40,12 @@
     """Finds the route and authenticates the caller by its key.
 
     Without a lease this box cannot know whether its configuration is current. It then answers
-    NO_LEASE instead of ROUTE_UNKNOWN, and to every request that needs a key.
+    NO_LEASE instead of ROUTE_UNKNOWN, and to every request that needs a key. After ``closes_at_s``
+    of a planned stop it takes no request.
     """
 
-    def __init__(self, closed: actors.View[bool], clock: clocks.Clock) -> None:
-        self._closed = closed
+    def __init__(self, closes_at_s: actors.View[float], clock: clocks.Clock) -> None:
+        self._closes_at_s = closes_at_s
         self._clock = clock
 
     def handle(self, exchange: base.Exchange, proceed: base.Proceed) -> base.ForwardReply:
@@ -52,7 +53,8 @@
 
         Raises DRAINING, NO_CONFIGURATION, NO_LEASE, ROUTE_UNKNOWN or KEY_UNKNOWN.
         """
-        if self._closed.get():
+        now_s = self._clock.monotonic_s()
+        if now_s >= self._closes_at_s.get():
             raise errors.CroftpulleyError(codes.ResultCode.DRAINING)
         state = exchange.state
         if state.configuration.version == 0:
@@ -67,7 +69,7 @@
                 f"box {exchange.hop.box!r} uses version {exchange.hop.configuration_version}, "
                 f"this one {state.configuration.version}",
             )
-        has_lease = state.lease_holds(self._clock.monotonic_s())
+        has_lease = state.lease_holds(now_s)
         exchange.route = state.tables.routes.find(exchange.request.host, exchange.request.path)
         if exchange.route is None:
             detail = f"got host {exchange.request.host!r} and path {exchange.request.path!r}"
--- a/testing/daemons/test_planned_stop.py
+++ b/testing/daemons/test_planned_stop.py
@@ -17,10 +17,12 @@
 
 import pytest
 
+from conftest import wait_until
 from croftpulley.controllers import actors
 from croftpulley.fakes import forwarded
 from croftpulley.observe import events
 
+GRACE_S = 2.0
 SERVED_SHARE = 3 / 8
 """Of the grace: what users send later is not to be taken and cut."""
 LARGE_BYTES = 1_000_000
@@ -41,6 +43,20 @@
     assert site.ask("GET", "/cancel/x").status == 503
 
 
+# Whatever came while the main thread did not run was taken, and cut by the end of the grace.
+def test_requests_are_refused_in_time_however_late_the_main_thread_runs(make_site, monkeypatch):
+    site = make_site(grace_s=GRACE_S)
+    may_go_on = threading.Event()
+    monkeypatch.setattr(actors.View, "wait_for", lambda _view, _holds, _timeout_s: may_go_on.wait())
+    stopping = threading.Thread(target=site.routers[0].drain)
+    stopping.start()
+    try:
+        wait_until(lambda: site.ask("GET", "/cancel/x").status == 503, "it is refused")
+    finally:
+        may_go_on.set()
+        stopping.join()
+
+
 class SlowCaller:
     """Asks for a large answer, and takes of it when told and as much as told."""
 
