What a planned stop ends is told so: 504 if it may have run, 503 if it has not

What callers saw: a request that was under way at the end of the grace, one that may run only once among them, ended with its connection and no answer; by way of another box, whichever of the two stopped.

Cause: nothing ended a request there but the close of all connections.

Evidence: the five new cases (a call and a stream that has not begun, by way of another box with either stopped, one that no endpoint has) fail on: no status line.

Change: at the end of the grace requests are cancelled (`Streams.stop`) with the new code 59, BOX_STOPPED, 504. It never promises anything; where no attempt can have run `LimitTime` makes it 503, DRAINING, and another box that handed the request over asks the next. Callers have up to 0.25 s to be told. An answer that has begun breaks off, as before.

--- a/src/croftpulley/codes.py
+++ b/src/croftpulley/codes.py
@@ -76,6 +76,7 @@
     WORKER_BROKE = 56
     CALLER_GONE = 57
     ORIGIN_UNTOLD = 58
+    BOX_STOPPED = 59
     CONTROL_UNREACHABLE = 70
     OUTCOME_UNKNOWN = 71
     SUBMISSION_CONFLICT = 72
@@ -183,6 +184,9 @@
     ResultCode.ORIGIN_UNTOLD: ResultInfo(
         502, 0.5, "No other box could be told that the stream began at a version that is new."
     ),
+    ResultCode.BOX_STOPPED: ResultInfo(
+        504, 0.0, "This box stopped before the answer was there; ask for another."
+    ),
     ResultCode.CONTROL_UNREACHABLE: ResultInfo(503, 2.0, "No control box answered."),
     ResultCode.OUTCOME_UNKNOWN: ResultInfo(
         409, 2.0, "The call was sent before and its outcome is not known; it is not sent again."
--- a/src/croftpulley/controllers/streams.py
+++ b/src/croftpulley/controllers/streams.py
@@ -81,6 +81,7 @@
         self._lock = threading.Condition()
         self._in_flight = InFlight(streams_limit)
         self._watched: set[WatchedRequest] = set()
+        self._has_stopped = False
 
     def enter(self, workspace: str, workspace_limit: int) -> None:
         """Count one more request; raises `errors.CroftpulleyError` if a limit is reached."""
@@ -101,6 +102,9 @@
         """Add a request to those that `sweep` checks."""
         with self._lock:
             self._watched.add(watched)
+            has_stopped = self._has_stopped
+        if has_stopped:
+            watched.token.cancel(codes.ResultCode.BOX_STOPPED)
 
     def unwatch(self, watched: WatchedRequest) -> None:
         """Remove a request from those that `sweep` checks."""
@@ -127,6 +131,14 @@
                 lambda: not self._in_flight.total and not self._watched, timeout_s
             )
 
+    def stop(self) -> None:
+        """Cancel all requests, and those that still come, as the box stops."""
+        with self._lock:
+            self._has_stopped = True
+            watched = list(self._watched)
+        for each in watched:
+            each.token.cancel(codes.ResultCode.BOX_STOPPED)
+
     def sweep(self) -> None:
         """Cancel the requests whose deadline has passed or whose caller is gone."""
         now_s = self._clock.monotonic_s()
--- a/src/croftpulley/daemons/entry_box.py
+++ b/src/croftpulley/daemons/entry_box.py
@@ -11,6 +11,8 @@
 from croftpulley.observe import events
 
 _LOG = logging.getLogger(__name__)
+TELLING_S = 0.25
+"""How long requests that a planned stop ends may take to tell their callers."""
 
 
 class EntryBox(abc.ABC):
@@ -42,8 +44,14 @@
 
 
 def end_streams(in_flight: streams.Streams, limit_s: float) -> bool:
-    """Wait for the streams to end, and log whether all did; return that."""
+    """Wait for the streams to end, and log whether all did; return that.
+
+    Those that did not are cancelled then, so that their callers are told what is known of them.
+    """
     ended = in_flight.wait_until_empty(limit_s)
     event = events.Event.DRAIN_FINISHED if ended else events.Event.DRAIN_LIMIT_REACHED
     events.emit(_LOG, event, streams=in_flight.open_count())
+    in_flight.stop()
+    if not ended:
+        in_flight.wait_until_empty(TELLING_S)
     return ended
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -226,8 +226,9 @@
         self._closes_at_s.wait_for(lambda _: False, kept_s)
         self._closes_at_s.publish(-math.inf)
         ended = entry_box.end_streams(self._streams, self._left_s(ends_at_s))
+        told_at_s = ends_at_s + entry_box.TELLING_S
         for each in self._forwarding:
-            each.wait_until_taken(self._left_s(ends_at_s))
+            each.wait_until_taken(self._left_s(told_at_s))
         return ended
 
     def _left_s(self, ends_at_s: float) -> float:
--- a/src/croftpulley/forwarding/rules.py
+++ b/src/croftpulley/forwarding/rules.py
@@ -105,7 +105,8 @@
         """Pass the request on; it is watched until the exchange ends.
 
         Until then it also counts towards the limits of its workspace and box. Raises
-        WORKSPACE_LIMIT or TOO_MANY_STREAMS if one is reached.
+        WORKSPACE_LIMIT or TOO_MANY_STREAMS if one is reached, and DRAINING if the box stops before
+        any endpoint has the request.
         """
         limit_s = exchange.known_route.time_limit_ms / 1000
         budget_s = exchange.facts.budget_s
@@ -124,4 +125,10 @@
         )
         self._watch.watch(watched)
         exchange.at_end.callback(self._watch.unwatch, watched)
-        return proceed(exchange)
+        try:
+            return proceed(exchange)
+        except errors.CroftpulleyError as failure:
+            is_not_run = exchange.attempts.run_state is codes.RunState.NOT_RUN
+            if failure.code is codes.ResultCode.BOX_STOPPED and is_not_run:
+                raise errors.CroftpulleyError(codes.ResultCode.DRAINING) from failure
+            raise
--- a/testing/daemons/test_planned_stop.py
+++ b/testing/daemons/test_planned_stop.py
@@ -11,22 +11,39 @@
 from __future__ import annotations
 
 import contextlib
+import http.client
+import json
 import socket
 import threading
 import time
 
 import pytest
 
+import cut_links
+import site_of_routers as sites
 from conftest import wait_until
-from croftpulley.controllers import actors
+from croftpulley import clock as clocks
+from croftpulley import codes, errors
+from croftpulley.controllers import actors, router_state, streams
+from croftpulley.core import calls
 from croftpulley.fakes import forwarded
-from croftpulley.observe import events
+from croftpulley.forwarding import base, rules
+from croftpulley.observe import events, metrics
+from croftpulley.settings import fleet
 
 GRACE_S = 2.0
 SERVED_SHARE = 3 / 8
 """Of the grace: what users send later is not to be taken and cut."""
 LARGE_BYTES = 1_000_000
 """More than the system holds for a caller."""
+ROUTE = fleet.Route(
+    name="save",
+    host="clinic.example",
+    path_prefix="/",
+    kind=fleet.RouteKind.ONCE,
+    shares=(fleet.Share(pool="desk"),),
+    time_limit_ms=10_000,
+)
 
 
 @pytest.mark.parametrize("grace_s", [8.0, 30.0])
@@ -117,3 +134,86 @@
     caller.join()
     assert caller.received_bytes < caller.announced_bytes
     assert events.Event.CALLER_CUT in [getattr(each, "event", None) for each in caplog.records]
+
+
+class Caller:
+    """Sends one request and keeps what it is told, nothing if its connection ends without."""
+
+    def __init__(self, site, method, path, *, address=""):
+        self.answer = None
+        self._connection = site.connect(address)
+        self._connection.request(method, path, b"save", site.headers("request-1"))
+        self._thread = threading.Thread(target=self._read)
+        self._thread.start()
+
+    def join(self):
+        self._thread.join()
+        return self.answer
+
+    def _read(self):
+        with contextlib.suppress(OSError, http.client.HTTPException):
+            self.answer = sites.read(self._connection.getresponse())
+        self._connection.close()
+
+
+def stop_by_plan(daemon):
+    ended = daemon.drain()
+    daemon.stop()
+    return ended
+
+
+# Its connection was closed without an answer, though it may run only once.
+@pytest.mark.parametrize("path", ["/confirm/x", "/stream/chat/x"])
+def test_requests_that_outlast_the_grace_are_told_that_they_may_have_run(make_site, path):
+    site = make_site(grace_s=GRACE_S)
+    for each in site.endpoints:
+        each.pause_s = 10 * GRACE_S
+    caller = Caller(site, "POST", path)
+    wait_until(site.runs, "it runs")
+    assert not stop_by_plan(site.routers[0])
+    answer = caller.join()
+    assert answer is not None
+    assert (answer.status, answer.whole) == (504, True)
+    assert json.loads(answer.body)["error"]["run_state"] == "unknown"
+
+
+# What either box cut at the end of its grace had no answer.
+@pytest.mark.parametrize("stopped", [0, 1], ids=["the_first_box", "the_box_behind"])
+def test_requests_by_way_of_another_box_are_told_when_either_stops(make_site, links, stopped):
+    site = make_site(routers=2, dialers=links[:2], grace_s=GRACE_S)
+    for each in site.routers:
+        wait_until(lambda each=each: len(each._view.get().boxes) == 2, "both are known")
+    for each in site.endpoints:
+        each.pause_s = 10 * GRACE_S
+    links[0].cut = cut_links.Cut.REFUSED
+    caller = Caller(site, "POST", "/confirm/x", address=site.routers[0].caller_address)
+    wait_until(site.runs, "it runs")
+    stop_by_plan(site.routers[stopped])
+    answer = caller.join()
+    assert answer is not None
+    assert (answer.status, answer.whole) == (504, True)
+    assert json.loads(answer.body)["error"]["run_state"] == "unknown"
+
+
+def wait_for_an_endpoint(exchange):
+    """Do as a step that waits with a request until it is cancelled."""
+    wait_until(lambda: exchange.token.reason is not None, "it is cancelled")
+    exchange.token.check()
+    raise AssertionError
+
+
+# They were cut like all others, though asking again elsewhere would have been safe.
+def test_requests_that_no_endpoint_has_at_the_end_of_the_grace_are_told_so():
+    counters = metrics.Metrics()
+    in_flight = streams.Streams(1, clocks.SystemClock(), counters)
+    request = base.ForwardRequest(method="POST", target="/x", headers={}, body=b"", arrived_s=0.0)
+    exchange = base.Exchange(
+        request=request,
+        facts=calls.CallFacts(request_id="r"),
+        state=router_state.RouterState(),
+        route=ROUTE,
+    )
+    in_flight.stop()
+    with pytest.raises(errors.CroftpulleyError, match="DRAINING") as raised:
+        rules.LimitTime(in_flight).handle(exchange, wait_for_an_endpoint)
+    assert raised.value.run_state is codes.RunState.NOT_RUN
