Blank lines before requests leave nothing behind, and are no requests

Callers: none seen. Cause: the library takes blank lines for an empty request, which it forgets without closing it. Whole blank lines cost one parser for each four bytes. Change: blank lines before a request are skipped at once, and do not renew the time of a connection; an empty request (blanks, then its end) is closed.

--- a/src/croftpulley/http/channel.py
+++ b/src/croftpulley/http/channel.py
@@ -33,6 +33,7 @@
 """What may frame the chunks of a body, by the limit on bodies: five bytes for a chunk of one."""
 _MAX_LENGTH_DIGITS = 18
 _VERSIONS = ("1.0", "1.1")
+_LINE_END = b"\r\n"
 _CONTROL = re.compile(r"[\x00-\x20\x7f]")
 _MAX_HEADER_REPEATS = 4
 """Header lines, by the limit on headers, which counts those of one name once."""
@@ -114,12 +115,19 @@
         if self.has_to_give_up:
             self.give_up(dropped_bytes=len(data))
             return len(data)
+        if not (self.header_plus or self.headers_finished):
+            request_bytes = len(data.lstrip(_LINE_END))
+            if request_bytes < len(data):
+                return self._skip(len(data) - request_bytes, data)
         consumed = self._parse(data)
         if self._refusal is not None:
             self.error = self._refusal
         if self.error is not None:
             self._refuse(len(data) - consumed)
-        if not self.empty:
+        if self.empty:
+            # The library forgets it, and closes it not.
+            self.close()
+        else:
             room = self._channel.server.room
             room.grow(self._held, self.held_bytes, time.monotonic(), is_complete=self.completed)
         if self.has_to_give_up and self.error is None:
@@ -171,6 +179,14 @@
         if _CONTROL.search(self.request_uri):  # type: ignore[attr-defined]
             raise waitress.parser.ParsingError("The target holds a control character")
 
+    def _skip(self, blank_bytes: int, data: bytes) -> int:
+        """Take blank lines before a request; all at once, as each would be an empty request."""
+        if blank_bytes < len(data):
+            return blank_bytes + self.received(data[blank_bytes:])
+        self.empty = True
+        self.completed = True
+        return blank_bytes
+
     def _parse(self, data: bytes) -> int:
         chunks = self.body_rcv if self.chunked else None
         if chunks is None:
@@ -301,7 +317,7 @@
             self.will_close = self.will_close or self._has_lingered()
             return False
         # The beginning of a request counts, not each piece of it: its headers have a time limit.
-        if self.request is None:
+        if self.request is None and data.strip(_LINE_END):
             self.used_at_s = time.monotonic()
         return bool(super().received(data))
 
--- a/testing/http/test_request_bodies.py
+++ b/testing/http/test_request_bodies.py
@@ -291,3 +291,43 @@
     assert (status, headers["X-Run-State"]) == (400, "not_run")
     assert client.recv(1) == b""
     assert served.bodies == []
+
+
+# Each was counted for good, with its connection: the library forgets an empty request unclosed.
+@pytest.mark.parametrize("beginning", [b"\r\n", b" ", b" " * 8000])
+def test_blank_lines_in_pieces_leave_nothing_behind(served, beginning):
+    client = served.connect()
+    for _ in range(10):
+        client.sendall(beginning)
+        client.sendall(b"\r\n\r\n")
+    client.sendall(POST + b"Content-Length: 5\r\n\r\nhello")
+    assert read_answer(client)[0] == 200
+    client.close()
+    wait_until(lambda: served.room.held_bytes == 0, "nothing is counted")
+
+
+def test_blank_lines_before_requests_are_no_requests(served, monkeypatch):
+    made = []
+    make = channel.Channel.parser_class
+    monkeypatch.setattr(
+        channel.Channel, "parser_class", lambda *arguments: made.append(1) or make(*arguments)
+    )
+    request = POST + b"Content-Length: 5\r\n\r\nhello"
+    assert served.ask(b"\r\n" * 10_000 + request)[0] == 200
+    # Two thousand for each read of 8,192 bytes before.
+    assert len(made) <= 20_000 // 100
+
+
+def test_blank_lines_do_not_keep_a_connection(served):
+    served.server._idle_s = 1.0
+    client = served.connect()
+    wait_until(lambda: not sends(client, b"\r\n"), "the connection is closed")
+
+
+def sends(client, data):
+    """Send bytes; false once the connection is closed."""
+    try:
+        client.sendall(data)
+    except OSError:
+        return False
+    return True
