The command line gives up answers that never end

`croftpulley ctl` read an answer whole, with a time limit between two bytes only. Cause: the library's `.data` has no bound on a body. Since one that only the connection's end ends was a ValueError that nobody caught; one of a great length a MemoryError. Change: 16 MiB at most, told as CONTROL_UNREACHABLE; links and command line share one read. Its time as a whole is still without a bound: an operator can end it.

--- a/src/croftpulley/cli/ctl.py
+++ b/src/croftpulley/cli/ctl.py
@@ -12,13 +12,15 @@
 import urllib3
 
 from croftpulley import codes, errors
-from croftpulley.endpoints import sockets
+from croftpulley.endpoints import connection, sockets
 from croftpulley.settings import loader
 
 _SUBMISSIONS = "/v1/config/submissions"
 _SUSPECTS = "/v1/suspects"
 _HALLS = "/v1/halls"
 _ENDPOINTS = "/v1/endpoints"
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""Of a control box: twice the largest body that operators may send."""
 _POLL_INTERVAL_S = 0.2
 _ASK_ANOTHER = (codes.ResultCode.CONTROL_UNREACHABLE, codes.ResultCode.NOT_LEADER)
 
@@ -53,15 +55,20 @@
         body = None if document is None else orjson.dumps(document)
         try:
             response = self._pool.request(
-                method, f"http://{address}{path}", body=body, headers=headers
+                method,
+                f"http://{address}{path}",
+                body=body,
+                headers=headers,
+                preload_content=False,
             )
-        except urllib3.exceptions.HTTPError as failure:
+            text = sockets.read_whole(response, MAX_ANSWER_BYTES)
+        except connection.TRANSPORT_ERRORS as failure:
             raise errors.CroftpulleyError(
                 codes.ResultCode.CONTROL_UNREACHABLE,
                 f"{address}: {failure}; a submission may be sent again safely",
                 run_state=codes.RunState.UNKNOWN,
             ) from failure
-        answer = orjson.loads(response.data)
+        answer = orjson.loads(text)
         if response.status >= 400:
             problem = answer["error"]
             code = codes.ResultCode(int(problem["code"]))
--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -61,6 +61,7 @@
 _NEXT_CHUNK_LINE = re.compile(rb"\r\n([0-9A-Fa-f]{1,15})\r\n")
 """The end of a chunk and the size of the next one."""
 _CONTENT_LENGTH, _TRANSFER_ENCODING = b"content-length", b"transfer-encoding"
+_READ_SIZE_BYTES = 65_536
 _RESET = struct.pack("ii", 1, 0)
 """SO_LINGER with timeout 0."""
 _FLUSH = struct.pack("ii", 0, 0)
@@ -313,7 +314,9 @@
         return super()._get_chunk_left()  # type: ignore[misc, no-any-return]
 
     def _read_next_chunk_size(self) -> int:
-        return int(_match(_CHUNK_LINE, self.fp.readline(), "the size of a chunk")[1], 16)
+        return int(
+            _match(_CHUNK_LINE, self.fp.readline(), "the size of a chunk")[1], 16
+        )
 
     def _read_and_discard_trailer(self) -> None:
         self._received.begin_trailers()
@@ -358,6 +361,26 @@
     return manager
 
 
+def read_whole(response: urllib3.BaseHTTPResponse, max_body_bytes: int) -> bytes:
+    """Return the whole body and give the connection back.
+
+    Raises `ValueError` if it is longer than ``max_body_bytes``, and what the library raises.
+    """
+    parts = []
+    size_bytes = 0
+    try:
+        while data := response.read1(_READ_SIZE_BYTES):
+            size_bytes += len(data)
+            if size_bytes > max_body_bytes:
+                raise ValueError(f"the body is longer than {max_body_bytes} bytes")
+            parts.append(data)
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return b"".join(parts)
+
+
 def set_timeout(sock: socket.socket, option: int, timeout_s: float) -> None:
     """Set the system's time limit for reads or writes; raises `OSError`."""
     whole_s = int(timeout_s)
--- a/src/croftpulley/transport/links.py
+++ b/src/croftpulley/transport/links.py
@@ -18,7 +18,6 @@
 """Of an answer: more than a hundred times the longest part of a configuration or of the log."""
 _PIECES_TIMEOUT_SHARE = 10
 """What an answer in small pieces may take, in timeouts of its call."""
-_READ_SIZE_BYTES = 65_536
 _HEADERS = {"Content-Type": "application/json"}
 _NO_RETRIES = urllib3.Retry(total=0, redirect=False)
 
@@ -62,7 +61,7 @@
             response = self._pool.request(
                 "POST", path, body=body, headers=_HEADERS, preload_content=False
             )
-            answer = _read_message(response)
+            answer = sockets.read_whole(response, MAX_MESSAGE_BYTES)
         except connection.TRANSPORT_ERRORS as failure:
             self._counters.control_failed(path)
             problem = f"{path}: {type(failure).__name__}: {failure}"
@@ -80,23 +79,6 @@
         self._pool.close()
 
 
-def _read_message(response: urllib3.BaseHTTPResponse) -> bytes:
-    """Return the whole body; raises `connection.TRANSPORT_ERRORS`, also if it is too long."""
-    parts = []
-    size_bytes = 0
-    try:
-        while data := response.read1(_READ_SIZE_BYTES):
-            size_bytes += len(data)
-            if size_bytes > MAX_MESSAGE_BYTES:
-                raise ValueError(f"the answer is longer than {MAX_MESSAGE_BYTES} bytes")
-            parts.append(data)
-    except BaseException:
-        response.close()
-        raise
-    response.release_conn()
-    return b"".join(parts)
-
-
 class Links:
     """One link for each address, created on first use. Not thread-safe.
 
--- a/testing/transport/test_endless_answers.py
+++ b/testing/transport/test_endless_answers.py
@@ -9,6 +9,7 @@
 import pytest
 
 from croftpulley import codes, errors
+from croftpulley.cli import ctl
 from croftpulley.fakes import endless, faults
 from croftpulley.observe import metrics
 from croftpulley.transport import links
@@ -68,3 +69,13 @@
     assert caught.value.code is codes.ResultCode.CONTROL_UNREACHABLE
     assert len(sent_bytes) > 1
     link.close()
+
+
+@pytest.mark.parametrize("fault", endless.PARTS)
+def test_an_answer_to_the_command_line_that_never_ends_is_none(send_without_end, fault):
+    address, sent_bytes = send_without_end(fault)
+    operator = ctl.Operator((address,), None, as_json=True)
+    with pytest.raises(errors.CroftpulleyError) as caught:
+        operator.ask("GET", "/v1/status")
+    assert caught.value.code is codes.ResultCode.CONTROL_UNREACHABLE
+    assert sum(sent_bytes) < 10 * ctl.MAX_ANSWER_BYTES
