--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -51,6 +51,8 @@
 ]
 """Of each connection that this process opens."""
 
+_LINE_LIMIT_BYTES = MAX_LINE_BYTES + 1
+"""To be read of a line at most: a longer one is noticed."""
 _LINE_END = b"\r\n"
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9]{2})(?: [\t\x20-\x7e\x80-\xff]*)?\r\n")
 _FIELD = re.compile(
@@ -273,7 +275,7 @@
 
     def _read_final_head(self) -> bytes:
         for _ in range(1 + MAX_INTERIM_HEADS):
-            status_line = _match(_STATUS_LINE, self.fp.readline(), "a status line")
+            status_line = _match(_STATUS_LINE, self.fp.readline(_LINE_LIMIT_BYTES), "a status line")
             is_interim = _is_interim(status_line)
             fields = self._read_fields()
             if not is_interim:
@@ -284,7 +286,7 @@
     def _read_fields(self) -> list[re.Match[bytes]]:
         """Read lines up to an empty one; each is a field of a head or of trailers."""
         fields: list[re.Match[bytes]] = []
-        while (line := self.fp.readline()) != _LINE_END:
+        while (line := self.fp.readline(_LINE_LIMIT_BYTES)) != _LINE_END:
             if not line:
                 raise ConnectionResetError("the connection ended within the response")
             if len(fields) == MAX_FIELDS:
@@ -315,7 +317,7 @@
 
     def _read_next_chunk_size(self) -> int:
         return int(
-            _match(_CHUNK_LINE, self.fp.readline(), "the size of a chunk")[1], 16
+            _match(_CHUNK_LINE, self.fp.readline(_LINE_LIMIT_BYTES), "the size of a chunk")[1], 16
         )
 
     def _read_and_discard_trailer(self) -> None:
