--- a/testing/client_crowds.py
+++ b/testing/client_crowds.py
@@ -10,10 +10,12 @@
 import selectors
 import socket
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 
 import attrs
 
+import endless_requests
+
 MACHINE_MEMORY_BYTES = 200 * 1000 * 1000
 """Of the smallest machine that a process is placed on."""
 SPARE_DESCRIPTORS = 100
@@ -167,20 +169,21 @@
         return not received
 
 
-class Crowd:
-    """Clients that send what their shape says to some addresses in turn, and stay.
+class Senders:
+    """Clients that send some pieces to some addresses in turn, and stay.
 
     Each reads its answer. Those whose connection the other side ends do not come back.
     """
 
-    def __init__(self, shape: Shape, addresses: Sequence[str], head: bytes) -> None:
-        plan = _PLANS[shape]
-        self.size = crowd_size(shape)
+    def __init__(
+        self, size: int, addresses: Sequence[str], pieces: Callable[[], Iterator[bytes]]
+    ) -> None:
+        self.size = size
         self._addresses = tuple(addresses)
         self._waiting = selectors.DefaultSelector()
         self._staying: list[_Client] = []
-        for address in itertools.islice(itertools.cycle(addresses), self.size):
-            client = _Client(address, _pieces(plan, head))
+        for address in itertools.islice(itertools.cycle(addresses), size):
+            client = _Client(address, pieces())
             self._staying.append(client)
             self._waiting.register(
                 client.sock, selectors.EVENT_READ | selectors.EVENT_WRITE, client
@@ -235,6 +238,21 @@
         client.sock.close()
 
 
+class Crowd(Senders):
+    """Clients that send what their shape says."""
+
+    def __init__(self, shape: Shape, addresses: Sequence[str], head: bytes) -> None:
+        super().__init__(crowd_size(shape), addresses, lambda: _pieces(_PLANS[shape], head))
+
+
+class EndlessCrowd(Senders):
+    """Clients that send one part of a request on and on, together more than the machine has."""
+
+    def __init__(self, part: endless_requests.Part, addresses: Sequence[str]) -> None:
+        size = -(-_CROWD_BYTES // endless_requests.SENT_BYTES)
+        super().__init__(size, addresses, part.pieces)
+
+
 def _unread_bytes(address: str) -> int:
     """Return what the system holds for the process that listens at an address."""
     local = f":{int(address.rpartition(':')[2]):04X}"
