One message to another box that fails unexpectedly no longer ends the sending to it

What callers saw: nothing at first. A control box whose thread for one address had ended sent that box nothing any more until it was restarted: no heartbeat, no entry, no vote, and it logged none of it (the traceback went to standard error).

Cause: the thread ends with any exception that is none of ours, such as a RecursionError or a MemoryError in what takes the answer.

--- a/src/croftpulley/transport/senders.py
+++ b/src/croftpulley/transport/senders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import queue
 import threading
 from collections.abc import Callable
@@ -9,9 +10,10 @@
 import attrs
 
 from croftpulley import errors
-from croftpulley.observe import metrics
+from croftpulley.observe import events, metrics
 from croftpulley.transport import links
 
+_LOG = logging.getLogger(__name__)
 _MAX_QUEUED = 8
 """Maximum number of queued messages to one address. If the queue is full, the oldest is dropped, as
 a network would do."""
@@ -63,10 +65,17 @@
                 self._link.close()
                 return
             try:
-                job.on_answer(self._link.post(job.path, job.body))
-            except errors.CroftpulleyError as failure:
-                # No response, an error status, or a body that ``on_answer`` cannot decode.
-                job.on_failure(failure)
+                self._send(job)
+            except Exception as failure:
+                events.emit(_LOG, events.Event.INTERNAL_ERROR, level=logging.ERROR, failure=failure)
+                job.on_failure(links.unreachable_error(self._link.address, "internal error"))
+
+    def _send(self, job: Job) -> None:
+        try:
+            job.on_answer(self._link.post(job.path, job.body))
+        except errors.CroftpulleyError as failure:
+            # No response, an error status, or a body that ``on_answer`` cannot decode.
+            job.on_failure(failure)
 
 
 class Senders:
