Documents nested deep, or with a version beyond 64 bits, are invalid configurations

What callers saw: INTERNAL (500, come back in 1 s), with a traceback in the log, for a document that will never be accepted; operators who repeat it are told the same each time. A version such as 1e300 on the platform passed the check and could not be written as an entry of the log: TypeError "Integer exceeds 64-bit range" in the replica's thread, which leaves the whole batch of proposals without an answer (by reading; the encoder's error was seen by hand).

Cause: the writer of JSON takes 254 levels, the reader 1,024; and an error message that shows what was got recurses into it (RecursionError). The same two in a settings file (100,000 brackets) were no SettingsErrorGroup. Change: what was got is shown by `errors.shown`, in the reader of the platform's list and of engines' caches too; a whole number fits 64 bits.

--- a/src/croftpulley/endpoints/lists.py
+++ b/src/croftpulley/endpoints/lists.py
@@ -89,14 +89,16 @@
 
 def not_an_object(value: Any) -> InvalidEntry:
     """Return the invalid entry for a value that is no JSON object."""
-    return InvalidEntry(Defect.NOT_AN_OBJECT, f"got {value!r:.100}, expected an object")
+    return InvalidEntry(Defect.NOT_AN_OBJECT, f"got {errors.shown(value)}, expected an object")
 
 
 def invalid_field(name: str, value: Any, expected: str) -> InvalidEntry:
     """Return the invalid entry for a field that is missing or has the wrong type."""
     if value is None:
         return InvalidEntry(Defect.FIELD_MISSING, f"{name}: missing")
-    return InvalidEntry(Defect.FIELD_TYPE, f"{name}: got {value!r:.100}, expected {expected}")
+    return InvalidEntry(
+        Defect.FIELD_TYPE, f"{name}: got {errors.shown(value)}, expected {expected}"
+    )
 
 
 MAX_COLD_S = 60.0
--- a/src/croftpulley/errors.py
+++ b/src/croftpulley/errors.py
@@ -45,3 +45,15 @@
     def derive(self, excs: Sequence[SettingsError]) -> SettingsErrorGroup:  # type: ignore[override]
         """Return a group of the same class, as `ExceptionGroup.split` requires."""
         return SettingsErrorGroup(self.message, excs)
+
+
+def shown(value: object) -> str:
+    """Return the beginning of how a value that was got from outside is written.
+
+    >>> shown("a" * 200) == "'" + "a" * 99
+    True
+    """
+    try:
+        return f"{value!r:.100}"
+    except RecursionError:
+        return "a value nested too deep to be shown"
--- a/src/croftpulley/http/operator_app.py
+++ b/src/croftpulley/http/operator_app.py
@@ -125,8 +125,9 @@
     if not isinstance(operator, str) or not operator or type(number) is not int or number < 1:
         raise errors.CroftpulleyError(
             codes.ResultCode.BAD_REQUEST,
-            f"got operator {operator!r} and number {number!r}, expected a name and a number from 1",
+            f"got operator {errors.shown(operator)} and number {errors.shown(number)}, "
+            "expected a name and a number from 1",
         )
-    document_json = orjson.dumps(document, option=orjson.OPT_SORT_KEYS).decode()
+    document_json = base.document_json(document, orjson.OPT_SORT_KEYS)
     base.NativeFormat().parse(document_json)
     return submissions.Submission(operator, number, document_json)
--- a/src/croftpulley/interfaces/base.py
+++ b/src/croftpulley/interfaces/base.py
@@ -6,6 +6,9 @@
 from __future__ import annotations
 
 import abc
+from typing import Any
+
+import orjson
 
 from croftpulley import codes, errors
 from croftpulley.endpoints import lists
@@ -34,6 +37,19 @@
             raise invalid_configuration(group) from group
 
 
+def document_json(document: Any, option: int = 0) -> str:
+    """Return a submitted document as JSON.
+
+    Raises `errors.CroftpulleyError` (CONFIGURATION_INVALID) if it is nested too deep.
+    """
+    try:
+        return orjson.dumps(document, option=option).decode()
+    except orjson.JSONEncodeError as failure:
+        raise errors.CroftpulleyError(
+            codes.ResultCode.CONFIGURATION_INVALID, f"the document cannot be kept: {failure}"
+        ) from failure
+
+
 def invalid_configuration(group: errors.SettingsErrorGroup) -> errors.CroftpulleyError:
     """Return one CONFIGURATION_INVALID error that lists every fault of ``group``."""
     faults = "; ".join(str(fault) for fault in group.exceptions)
--- a/src/croftpulley/interfaces/operators.py
+++ b/src/croftpulley/interfaces/operators.py
@@ -172,6 +172,7 @@
         ) from failure
     if type(number) is not int or number < 1:
         raise errors.CroftpulleyError(
-            codes.ResultCode.BAD_REQUEST, f"got number {number!r}, expected a number from 1"
+            codes.ResultCode.BAD_REQUEST,
+            f"got number {errors.shown(number)}, expected a number from 1",
         )
-    return number, orjson.dumps(document).decode()
+    return number, base.document_json(document)
--- a/src/croftpulley/platform/caches.py
+++ b/src/croftpulley/platform/caches.py
@@ -33,7 +33,7 @@
         if engine.born_ms is not None and born_ms not in (None, engine.born_ms):
             raise errors.CroftpulleyError(
                 codes.ResultCode.ENGINE_REFUSED,
-                f"{where}: got the start {born_ms!r:.100}, expected {engine.born_ms}",
+                f"{where}: got the start {errors.shown(born_ms)}, expected {engine.born_ms}",
             )
         parts = [_part(row) for row in held.values]
         return tuple(part for part in parts if part is not None)
--- a/src/croftpulley/platform/fields.py
+++ b/src/croftpulley/platform/fields.py
@@ -9,6 +9,9 @@
 
 from croftpulley import codes, errors
 
+_LARGEST_WHOLE = 2**63 - 1
+"""What JSON of the fleet's own can hold."""
+
 
 class Fields:
     """A JSON object at some place of a document, for error messages.
@@ -52,7 +55,7 @@
     def whole(self, name: str, default: int | None = None) -> int:
         """Return a whole number."""
         value = self.number(name, default)
-        if value != int(value):
+        if value != int(value) or abs(value) > _LARGEST_WHOLE:
             raise self._wrong(name, value, "a whole number")
         return int(value)
 
@@ -114,5 +117,6 @@
 
 def _fault(place: str, value: Any, expected: str) -> errors.CroftpulleyError:
     return errors.CroftpulleyError(
-        codes.ResultCode.CONFIGURATION_INVALID, f"{place}: got {value!r:.100}, expected {expected}"
+        codes.ResultCode.CONFIGURATION_INVALID,
+        f"{place}: got {errors.shown(value)}, expected {expected}",
     )
--- a/src/croftpulley/platform/instances.py
+++ b/src/croftpulley/platform/instances.py
@@ -86,9 +86,9 @@
             if following is None:
                 return values
             if not isinstance(following, str):
-                raise _broken(f"nextPageToken: got {following!r:.100}, expected a string")
+                raise _broken(f"nextPageToken: got {errors.shown(following)}, expected a string")
             if following in seen:
-                raise _broken(f"nextPageToken: got {following!r:.100} twice")
+                raise _broken(f"nextPageToken: got {errors.shown(following)} twice")
             token = following
         raise _broken(f"the list has more than {_MOST_PAGES} pages")
 
@@ -188,10 +188,10 @@
         if type(value) is not int and type(value) is not float:
             return lists.invalid_field(name, value, "a number")
     if entry["state"] not in _STATES:
-        problem = f"state: got {entry['state']!r:.100}, expected one of {', '.join(_STATES)}"
+        problem = f"state: got {errors.shown(entry['state'])}, expected one of {', '.join(_STATES)}"
         return lists.InvalidEntry(lists.Defect.UNKNOWN_STATE, problem)
     if not _is_address(entry["address"]):
-        problem = f"address: got {entry['address']!r:.100}, expected an IP number and a port"
+        problem = f"address: got {errors.shown(entry['address'])}, expected an IP number and a port"
         return lists.InvalidEntry(lists.Defect.BAD_ADDRESS, problem)
     return None
 
--- a/src/croftpulley/settings/loader.py
+++ b/src/croftpulley/settings/loader.py
@@ -26,7 +26,7 @@
     def hook(value: Any, _type: Any) -> Any:
         wrong_bool = isinstance(value, bool) and kind is not bool
         if wrong_bool or not isinstance(value, (kind, *also_accepted)):
-            raise ValueError(f"got {value!r:.100}, allowed is {_KIND_NAMES[kind]}")
+            raise ValueError(f"got {errors.shown(value)}, allowed is {_KIND_NAMES[kind]}")
         return kind(value)
 
     return hook
@@ -59,7 +59,7 @@
 
     def hook(values: Any, _type: Any) -> Any:
         if not isinstance(values, (list, tuple)):
-            raise ValueError(f"got {values!r:.100}, allowed is a list")
+            raise ValueError(f"got {errors.shown(values)}, allowed is a list")
         structured: list[Any] = []
         faults: list[Exception] = []
         for index, value in enumerate(values):
@@ -124,7 +124,7 @@
     """Parse ``text`` as ``kind``; errors name ``path`` and are raised as by `load`."""
     try:
         document = parse_json(text)
-    except ValueError as failure:
+    except (ValueError, RecursionError) as failure:
         fault = errors.SettingsError(path, "(syntax)", str(failure))
         raise errors.SettingsErrorGroup("settings are not valid", [fault]) from failure
     return structure(document, kind, path)
