No content of a settings file ends the thread that follows it

What operators saw: after one spoilt file (100,000 brackets: RecursionError), or one change that could not be applied, a process took no change of its settings any more, by SIGHUP or without: it would not find control boxes at other addresses. It logged nothing of it.

Cause: the thread ends with any exception that is no SettingsErrorGroup. Evidence: two of the three cases wait 20 s in vain on the code before (the third, a number of 5,000 digits, was told already).

--- a/src/croftpulley/daemons/settings_watch.py
+++ b/src/croftpulley/daemons/settings_watch.py
@@ -108,7 +108,10 @@
                 is_asked = True
             except queue.Empty:
                 is_asked = False
-            self.look(is_asked=is_asked)
+            try:
+                self.look(is_asked=is_asked)
+            except Exception as failure:
+                events.emit(_LOG, events.Event.INTERNAL_ERROR, level=logging.ERROR, failure=failure)
 
     def look(self, *, is_asked: bool) -> None:
         """Read the file if it has changed, or if the process was told so."""
--- a/testing/daemons/test_settings_watch.py
+++ b/testing/daemons/test_settings_watch.py
@@ -143,3 +143,31 @@
     path.write_bytes(orjson.dumps(document | {"seedNodes": ["127.0.0.33:8229"]}))
     watch.look(is_asked=False)
     assert watch.in_use.targets == ("127.0.0.33:8229",)
+
+
+@pytest.mark.parametrize("text", [b"[" * 100_000, b'{"box": ' + b"9" * 5000 + b"}"])
+def test_a_file_that_cannot_be_parsed_does_not_end_the_following(
+    watch, write, applied, caplog, text
+):
+    watch.begin(applied.append)
+    write(text)
+    watch.signalled()
+    wait_until(lambda: told(caplog), "the fault is told")
+    assert told(caplog)[0].problem
+    write(targets=["127.0.0.1:6"])
+    watch.signalled()
+    wait_until(lambda: applied, "the next change is used")
+    watch.stop()
+
+
+def test_a_change_that_cannot_be_applied_does_not_end_the_following(watch, write, applied):
+    def apply(settings):
+        applied.append(settings.targets)
+        raise RuntimeError("unforeseen")
+
+    watch.begin(apply)
+    for port in (6, 7):
+        write(targets=[f"127.0.0.1:{port}"])
+        watch.signalled()
+        wait_until(lambda port=port: (f"127.0.0.1:{port}",) in applied, "it is applied")
+    watch.stop()
