A disk that is full for a while, or a line that cannot be formatted, no longer ends the log

What operators saw: a process that serves and logs nothing until its end, after one failed write to standard output. From then on no cause of anything could be found.

Cause: the writing thread returned at any OSError, and ended with what formatting raised. Change: only a closed stream ends it; the next line says how many are missing (901); a line that cannot be formatted is replaced by event 900. Evidence: on the code before the first test finds no line after three failed writes; the second was not reached separately there (formatting by the library's own default holds for most objects), it guards the new guard.

--- a/src/croftpulley/observe/logs.py
+++ b/src/croftpulley/observe/logs.py
@@ -100,14 +100,27 @@
         self._thread.join(_CLOSE_TIMEOUT_S)
 
     def _write_all(self) -> None:
+        unwritten = 0
         while (record := self._queue.get()) is not None:
+            lines = [_left_out_record(unwritten), record] if unwritten else [record]
             try:
-                self._stream.write(f"{self.format(record)}\n")
+                for each in lines:
+                    self._stream.write(f"{self._line(each)}\n")
                 if self._queue.empty():
                     self._stream.flush()
-            except (OSError, ValueError):
+                unwritten = 0
+            except ValueError:
                 # Standard output is closed, so the error can't be reported.
                 return
+            except OSError:
+                # It may be a disk that is full for a while.
+                unwritten += 1
+
+    def _line(self, record: logging.LogRecord) -> str:
+        try:
+            return self.format(record)
+        except Exception as failure:
+            return self.format(_unformatted_record(record, failure))
 
 
 def _left_out_record(left_out: int) -> logging.LogRecord:
@@ -119,6 +132,18 @@
     return record
 
 
+def _unformatted_record(record: logging.LogRecord, failure: Exception) -> logging.LogRecord:
+    event = events.Event.INTERNAL_ERROR
+    return _LOG.makeRecord(
+        record.name, logging.ERROR, "", 0, events.MEANINGS[event], (), None,
+        extra={
+            "event": event.value,
+            "event_name": event.name.lower(),
+            "problem": f"a line could not be formatted: {type(failure).__name__}",
+        },
+    )  # fmt: skip
+
+
 class ReportedErrorFilter(logging.Filter):
     """Drops tracebacks of `errors.CroftpulleyError`, which its request's own line reports.
 
--- a/testing/test_logs.py
+++ b/testing/test_logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import io
 import json
 import logging
@@ -97,3 +98,39 @@
         None,
         0.5,
     )
+
+
+def test_a_disk_that_is_full_for_a_while_does_not_end_the_log():
+    class FullDisk(io.StringIO):
+        failures = 3
+
+        def write(self, text):
+            if self.failures:
+                self.failures -= 1
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return super().write(text)
+
+    stream = FullDisk()
+    handler, logger = make_handler(stream, 100)
+    for number in range(5):
+        logger.info("line", extra={"number": number})
+    handler.close()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert [line["number"] for line in lines if "number" in line] == [3, 4]
+    assert [line["lines"] for line in lines if "lines" in line] == [3]
+
+
+def test_a_line_that_cannot_be_written_does_not_end_the_log():
+    class Unprintable:
+        def __str__(self):
+            raise RuntimeError("no text")
+
+        __repr__ = __str__
+
+    stream = io.StringIO()
+    handler, logger = make_handler(stream, 100)
+    logger.info("line", extra={"number": Unprintable()})
+    logger.info("later")
+    handler.close()
+    lines = [json.loads(line) for line in stream.getvalue().splitlines()]
+    assert [line["message"] for line in lines][-1] == "later"
