Requests are served though the system starts no more threads

What callers saw: a connection closed without an answer, and, later, requests that waited although threads could be started again; with as many failures as an address has threads, no thread beyond the first two was ever started again.

Cause: the library enters a thread into its list before it starts it. One that could not be started stayed there, counted as running and idle. The RuntimeError also reached the server's loop, which closed the connection. Evidence: the test fails before with "can't start new thread".

--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import errno
+import logging
+import math
 import socket
 import sys
 import threading
@@ -17,8 +20,11 @@
 from croftpulley.core import request_room
 from croftpulley.endpoints import sockets
 from croftpulley.http import channel, wsgi
+from croftpulley.observe import events
 from croftpulley.settings import fleet, schema
 
+_LOG = logging.getLogger(__name__)
+
 FIRST_THREADS = 2
 """Enough for a box at rest; a request that finds all busy has one more started."""
 _SHUTDOWN_TIMEOUT_S = 0.5
@@ -27,6 +33,9 @@
 _STALLED_S = 2.0
 """A planned stop does not wait for callers that have taken nothing for so long."""
 _TAKEN_CHECK_S = 0.02
+_REST_S = 0.1
+"""After an error of a listening address."""
+_SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 _SEND_BUFFER_BYTES = 65_536
 """A caller that takes 5 KB a second frees enough of it within ten seconds to be seen to read."""
 
@@ -67,6 +76,21 @@
     def add_task(self, task: Any) -> None:
         """Queue a request and see to it that a thread is free for it, up to the most."""
         super().add_task(task)
+        try:
+            self._grow()
+        except RuntimeError as failure:
+            # The system starts no more threads; those that run will come to it.
+            events.emit(_LOG, events.Event.INTERNAL_ERROR, level=logging.ERROR, failure=failure)
+
+    def start_new_thread(self, target: Any, thread_no: int) -> None:
+        """Start a thread; one that cannot be started counts as none."""
+        try:
+            super().start_new_thread(target, thread_no)
+        except RuntimeError:
+            self.threads.discard(thread_no)
+            raise
+
+    def _grow(self) -> None:
         with self.lock:
             running = len(self.threads) - self.stop_count
             idle = running - self.active_count
--- a/testing/http/test_dispatcher.py
+++ b/testing/http/test_dispatcher.py
@@ -69,3 +69,21 @@
         wait_until(lambda task=task: task.begun.is_set(), "it is served")
         wait_until(lambda: not growing.active_count, "the thread waits again")
     assert len(growing.threads) == server.FIRST_THREADS
+
+
+def test_requests_are_served_though_no_more_threads_can_be_started(growing, monkeypatch):
+    wait_until(lambda: not growing.active_count, "the first threads wait")
+    start = threading.Thread.start
+
+    def refuse(thread):
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(threading.Thread, "start", refuse)
+    tasks = serve(growing, MOST)
+    monkeypatch.setattr(threading.Thread, "start", start)
+    wait_until(lambda: sum(task.begun.is_set() for task in tasks) == server.FIRST_THREADS, "two")
+    tasks += serve(growing, 1)
+    wait_until(lambda: sum(task.begun.is_set() for task in tasks) == MOST, "as many as may")
+    for task in tasks:
+        task.may_end.set()
+    wait_until(lambda: all(task.begun.is_set() for task in tasks), "the last one too")
