An error in the loop of a listening address does not leave it without anybody who serves it

What callers saw: connections that are accepted by the system and never answered, while the process goes on, holds its lease and is named: a half life until it is restarted. The traceback went to standard error only.

Cause: the library guards what it does for one connection, not what it asks each connection and the listener before it waits (`readable`, `maintenance`, where ours run too), nor the wait itself (MemoryError, ENOMEM).

--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -173,7 +173,7 @@
         self._unread_bytes = 0
         self.address = f"{host}:{self._server.effective_port}"
         self._fit(limits.body_size_bytes * body_factor)
-        self._thread = threading.Thread(target=self._server.run, name="http", daemon=True)
+        self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
     def start(self) -> None:
         """Begin to serve."""
@@ -235,6 +235,16 @@
         channels = list(self._server.active_channels.values())
         return any(each.is_owing and not each.is_unread(_FLUSH_S) for each in channels)
 
+    def _run(self) -> None:
+        """Serve until all sockets are closed, whatever else ends the loop."""
+        while self._map:
+            try:
+                self._server.run()
+                return
+            except Exception as failure:
+                events.emit(_LOG, events.Event.INTERNAL_ERROR, level=logging.ERROR, failure=failure)
+                time.sleep(_REST_S)
+
     def _accepts(self) -> bool:
         """Tell whether new connections are accepted; at the limit, one that rests makes way."""
         if not self._server.reads:
--- a/testing/http/test_server.py
+++ b/testing/http/test_server.py
@@ -11,12 +11,17 @@
 
 from __future__ import annotations
 
+import errno
+import http.client
 import os
+import socket
 import threading
 
 import pytest
 
+from conftest import wait_until
 from croftpulley.http import server, wsgi
+from croftpulley.observe import events
 from croftpulley.settings import schema
 
 
@@ -76,3 +81,27 @@
     while opened[-1] < number:
         opened.append(os.open(path, os.O_RDWR | os.O_CREAT))
     return opened
+
+
+def ask(http_server):
+    """Return the status of a request on a new connection."""
+    host, _, port = http_server.address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=10)
+    connection.request("GET", "/")
+    status = connection.getresponse().status
+    connection.close()
+    return status
+
+
+def test_an_error_in_the_loop_does_not_leave_an_address_that_nobody_serves(http_server, caplog):
+    failures = [MemoryError(), RuntimeError("unforeseen")]
+
+    def look(_now_s):
+        if failures:
+            raise failures.pop()
+
+    http_server._server.maintenance = look
+    wait_until(lambda: not failures, "both errors")
+    assert ask(http_server) == 200
+    assert [each.event for each in caplog.records] == [events.Event.INTERNAL_ERROR] * 2
+    http_server.stop()
