Want of descriptors is logged, and keeps no loop busy

What operators saw: a process that takes a whole processor and serves slowly, with nothing in its log, as long as somebody waits to be accepted. Cause: a listener that cannot accept is told again at once, and the library's warning is below the level that we log.

--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -173,6 +173,9 @@
         self._unread_bytes = 0
         self.address = f"{host}:{self._server.effective_port}"
         self._fit(limits.body_size_bytes * body_factor)
+        self._accept = self._server.accept
+        self._server.accept = self._accept_or_rest
+        self._accepts_from_s = -math.inf
         self._thread = threading.Thread(target=self._run, name="http", daemon=True)
 
     def start(self) -> None:
@@ -251,7 +254,27 @@
             return False
         if len(self._map) >= self._server.adj.connection_limit:
             self._close_longest_resting()
-        return bool(self._is_accepting())
+        return bool(self._is_accepting()) and time.monotonic() >= self._accepts_from_s
+
+    def _accept_or_rest(self) -> Any:
+        """Accept a connection; without a descriptor for it, one that rests makes way."""
+        try:
+            return self._accept()
+        except OSError as failure:
+            if failure.errno not in _SHORT_OF:
+                raise
+            events.emit(
+                _LOG,
+                events.Event.DESCRIPTORS_USED_UP,
+                level=logging.ERROR,
+                address=self.address,
+                connections=len(self._map),
+                problem=str(failure),
+            )
+            self._close_longest_resting()
+            # What cannot be accepted is told again at once.
+            self._accepts_from_s = time.monotonic() + _REST_S
+            return None
 
     def _close_longest_resting(self) -> None:
         resting = [each for each in self._server.active_channels.values() if each.is_resting]
--- a/src/croftpulley/observe/events.py
+++ b/src/croftpulley/observe/events.py
@@ -21,6 +21,7 @@
     DRAIN_LIMIT_REACHED = 105
     SETTINGS_CHANGED = 106
     MEMORY_GROWN = 107
+    DESCRIPTORS_USED_UP = 108
     CONFIGURATION_IN_USE = 200
     CONFIGURATION_COMMITTED = 201
     SUBMISSION_CONFLICT = 202
@@ -105,6 +106,9 @@
     Event.DRAIN_LIMIT_REACHED: "The drain limit ran out with streams still open.",
     Event.SETTINGS_CHANGED: "A process was told that its settings file changed.",
     Event.MEMORY_GROWN: "A process takes more memory; the line has what takes it.",
+    Event.DESCRIPTORS_USED_UP: (
+        "The system has no descriptor or memory for one more connection; some wait to be accepted."
+    ),
     Event.CONFIGURATION_IN_USE: "An entry box uses a newer configuration.",
     Event.CONFIGURATION_COMMITTED: "A submitted configuration is on disk.",
     Event.SUBMISSION_CONFLICT: "A submission number came again with other content.",
--- a/testing/http/test_server.py
+++ b/testing/http/test_server.py
@@ -105,3 +105,33 @@
     assert ask(http_server) == 200
     assert [each.event for each in caplog.records] == [events.Event.INTERNAL_ERROR] * 2
     http_server.stop()
+
+
+class ShortOfDescriptors:
+    """A listening socket that cannot accept, and counts the attempts."""
+
+    def __init__(self, listening):
+        self._listening = listening
+        self.attempts = 0
+
+    def __getattr__(self, name):
+        return getattr(self._listening, name)
+
+    def accept(self):
+        self.attempts += 1
+        raise OSError(errno.EMFILE, "Too many open files")
+
+
+def test_want_of_descriptors_is_logged_and_does_not_keep_the_loop_busy(http_server, caplog):
+    listening = http_server._server.socket
+    short = http_server._server.socket = ShortOfDescriptors(listening)
+    host, _, port = http_server.address.rpartition(":")
+    waiting = socket.create_connection((host, int(port)))
+    wait_until(lambda: short.attempts >= 3, "it has tried again")
+    attempts = short.attempts
+    http_server._server.socket = listening
+    assert ask(http_server) == 200
+    waiting.close()
+    assert attempts < 10
+    assert {each.event for each in caplog.records} == {events.Event.DESCRIPTORS_USED_UP}
+    http_server.stop()
