The last line of a process that an error ends is its cause, and its exit code tells it from a stop

What operators saw: a process whose address is taken, or whose data folder cannot be made, ended with a traceback of 20 lines that is no line of the log, without the address, and with exit code 1, which also stands for a planned stop whose grace ran out. An error that ended any thread was on standard error only.

Change: event 109 `daemon_failed` is the last line, with the error, its traceback and the exit code (the error's result code, 99 for one that is not ours); errors that end threads are event 900 with the thread. An address that cannot be bound is named. Evidence: all five programs with an address taken, and a control box without a folder, ended with 1 and no such line before.

--- a/src/croftpulley/cli/daemons.py
+++ b/src/croftpulley/cli/daemons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from typing import Any, NoReturn, TypeVar
 
 import click
@@ -41,7 +42,7 @@
     """
     watch = _watch(path, schema.EntrySettings)
     sys.setswitchinterval(watch.in_use.thread_switch_ms / 1000)
-    _run_entry_box(entry_daemon.EntryDaemon(watch.in_use), watch)
+    _run_entry_box(entry_daemon.EntryDaemon, watch)
 
 
 @click.command()
@@ -52,7 +53,7 @@
     Example: croftpulley control --settings control-1.jsonc
     """
     watch = _watch(path, schema.ControlSettings)
-    _run_control_box(control_daemon.ControlDaemon(watch.in_use), watch)
+    _run_control_box(control_daemon.ControlDaemon, watch)
 
 
 @click.command()
@@ -66,7 +67,7 @@
     Example: croftpulley router --settings router-1.jsonc
     """
     watch = _watch(path, schema.RouterSettings)
-    _run_entry_box(router_daemon.RouterDaemon(watch.in_use), watch)
+    _run_entry_box(router_daemon.RouterDaemon, watch)
 
 
 @click.command()
@@ -77,7 +78,7 @@
     Example: croftpulley replica --settings replica-1.jsonc
     """
     watch = _watch(path, schema.ReplicaSettings)
-    _run_control_box(replica_daemon.ReplicaDaemon(watch.in_use), watch)
+    _run_control_box(replica_daemon.ReplicaDaemon, watch)
 
 
 @click.command()
@@ -88,7 +89,7 @@
     Example: croftpulley redirector --settings redirector-1.jsonc
     """
     watch = _watch(path, schema.RedirectorSettings)
-    _run_control_box(redirector_daemon.RedirectorDaemon(watch.in_use), watch)
+    _run_control_box(redirector_daemon.RedirectorDaemon, watch)
 
 
 def _watch(path: str, kind: type[T]) -> settings_watch.SettingsWatch[T]:
@@ -100,23 +101,37 @@
 
 
 def _run_entry_box(
-    daemon: entry_box.EntryBox, watch: settings_watch.SettingsWatch[Any]
+    make: Callable[[Any], entry_box.EntryBox], watch: settings_watch.SettingsWatch[Any]
 ) -> NoReturn:
     """Serve until SIGTERM, then drain; the exit code tells whether every stream ended."""
-    stop = signals.StopSignal(watch.signalled)
-    watch.begin(daemon.use_settings)
-    sys.exit(daemon.run(stop))
+
+    def run() -> int:
+        daemon = make(watch.in_use)
+        stop = signals.StopSignal(watch.signalled)
+        watch.begin(daemon.use_settings)
+        return daemon.run(stop)
+
+    sys.exit(logs.run(run))
 
 
 def _run_control_box(
-    daemon: control_daemon.ControlDaemon
-    | replica_daemon.ReplicaDaemon
-    | redirector_daemon.RedirectorDaemon,
+    make: Callable[
+        [Any],
+        control_daemon.ControlDaemon
+        | replica_daemon.ReplicaDaemon
+        | redirector_daemon.RedirectorDaemon,
+    ],
     watch: settings_watch.SettingsWatch[Any],
-) -> None:
+) -> NoReturn:
     """Serve until SIGTERM."""
-    stop = signals.StopSignal(watch.signalled)
-    watch.begin(daemon.use_settings)
-    daemon.start()
-    stop.wait()
-    daemon.stop()
+
+    def run() -> int:
+        daemon = make(watch.in_use)
+        stop = signals.StopSignal(watch.signalled)
+        watch.begin(daemon.use_settings)
+        daemon.start()
+        stop.wait()
+        daemon.stop()
+        return 0
+
+    sys.exit(logs.run(run))
--- a/src/croftpulley/http/server.py
+++ b/src/croftpulley/http/server.py
@@ -125,7 +125,9 @@
         host, _, port = address.rpartition(":")
         self._map: dict[int, Any] = {}
         create_server: Any = waitress.server.create_server
-        self._server = create_server(
+        self._server = _bind(
+            address,
+            create_server,
             application,
             host=host,
             port=int(port),
@@ -308,6 +310,14 @@
         self._unread_bytes = unread_bytes
 
 
+def _bind(address: str, create_server: Any, application: wsgi.Application, **settings: Any) -> Any:
+    """Make a server; raises `OSError` with the address."""
+    try:
+        return create_server(application, **settings)
+    except OSError as failure:
+        raise OSError(failure.errno, f"{address}: {failure.strerror}") from failure
+
+
 def _are_reading(channels: list[channel.Channel]) -> bool:
     return any(not each.is_unread(_STALLED_S) for each in channels)
 
--- a/src/croftpulley/observe/events.py
+++ b/src/croftpulley/observe/events.py
@@ -22,6 +22,7 @@
     SETTINGS_CHANGED = 106
     MEMORY_GROWN = 107
     DESCRIPTORS_USED_UP = 108
+    DAEMON_FAILED = 109
     CONFIGURATION_IN_USE = 200
     CONFIGURATION_COMMITTED = 201
     SUBMISSION_CONFLICT = 202
@@ -109,6 +110,7 @@
     Event.DESCRIPTORS_USED_UP: (
         "The system has no descriptor or memory for one more connection; some wait to be accepted."
     ),
+    Event.DAEMON_FAILED: "An error ends a process; the line carries it and the exit code.",
     Event.CONFIGURATION_IN_USE: "An entry box uses a newer configuration.",
     Event.CONFIGURATION_COMMITTED: "A submitted configuration is on disk.",
     Event.SUBMISSION_CONFLICT: "A submission number came again with other content.",
--- a/src/croftpulley/observe/logs.py
+++ b/src/croftpulley/observe/logs.py
@@ -11,12 +11,13 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from typing import TextIO
 
 import attrs
 from pythonjsonlogger import json as json_log
 
-from croftpulley import errors
+from croftpulley import codes, errors
 from croftpulley.observe import events
 
 _LOG = logging.getLogger(__name__)
@@ -162,6 +163,37 @@
     logging.getLogger().setLevel(level)
 
 
+def run(program: Callable[[], int]) -> int:
+    """Run a program after `set_up` and return its exit code; an error that ends it is logged.
+
+    The exit code is then that of the error (``docs/RESULT-CODES.md``).
+    """
+    try:
+        return program()
+    except Exception as failure:
+        own = isinstance(failure, errors.CroftpulleyError)
+        code = failure.code if own else codes.ResultCode.INTERNAL  # type: ignore[attr-defined]
+        events.emit(
+            _LOG,
+            events.Event.DAEMON_FAILED,
+            level=logging.CRITICAL,
+            failure=failure,
+            problem=f"{type(failure).__name__}: {failure}",
+            exit_code=code.value,
+        )
+        return code.value
+
+
+def _log_thread_end(ended: threading.ExceptHookArgs) -> None:
+    events.emit(
+        _LOG,
+        events.Event.INTERNAL_ERROR,
+        level=logging.ERROR,
+        failure=ended.exc_value,
+        thread=ended.thread.name if ended.thread else "",
+    )
+
+
 def set_up(box: str, level: str) -> None:
     """Send all logging to standard output, as JSON lines with the name of the ``box``."""
     formatter = json_log.JsonFormatter(
@@ -173,6 +205,7 @@
     root.handlers[:] = [handler]
     set_level(level)
     atexit.register(handler.close)
+    threading.excepthook = _log_thread_end
     # These libraries log every refused connection, for which we log a numbered event.
     logging.getLogger("urllib3").setLevel(logging.ERROR)
     waitress_log = logging.getLogger("waitress")
--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -34,11 +34,15 @@
 
     watch = settings_watch.SettingsWatch(path, lambda: boot.router_settings(path))
     logs.set_up(watch.in_use.box, watch.in_use.log_level)
-    stop = signals.StopSignal(watch.signalled)
-    daemon = router.RouterDaemon(watch.in_use, callers.PlatformCallers())
-    watch.begin(daemon.use_settings)
-    start_up.finish()
-    return daemon.run(stop)
+
+    def run() -> int:
+        stop = signals.StopSignal(watch.signalled)
+        daemon = router.RouterDaemon(watch.in_use, callers.PlatformCallers())
+        watch.begin(daemon.use_settings)
+        start_up.finish()
+        return daemon.run(stop)
+
+    return logs.run(run)
 
 
 def _run_control(path: str) -> int:
@@ -51,14 +55,18 @@
 
     watch = settings_watch.SettingsWatch(path, lambda: boot.replica_settings(path))
     logs.set_up(watch.in_use.box, watch.in_use.log_level)
-    stop = signals.StopSignal(watch.signalled)
-    daemon = replica.ReplicaDaemon(watch.in_use, operators.PlatformOperators())
-    watch.begin(daemon.use_settings)
-    start_up.finish()
-    daemon.start()
-    stop.wait()
-    daemon.stop()
-    return 0
+
+    def run() -> int:
+        stop = signals.StopSignal(watch.signalled)
+        daemon = replica.ReplicaDaemon(watch.in_use, operators.PlatformOperators())
+        watch.begin(daemon.use_settings)
+        start_up.finish()
+        daemon.start()
+        stop.wait()
+        daemon.stop()
+        return 0
+
+    return logs.run(run)
 
 
 def _run_redirector(path: str) -> int:
@@ -67,12 +75,15 @@
 
     watch = settings_watch.SettingsWatch(path, lambda: boot.redirector_settings(path))
     logs.set_up(watch.in_use.box, watch.in_use.log_level)
-    stop = signals.StopSignal(watch.signalled)
-    daemon = redirector.RedirectorDaemon(watch.in_use)
-    watch.begin(daemon.use_settings)
-    start_up.finish()
-    start_up.finish()
-    daemon.start()
-    stop.wait()
-    daemon.stop()
-    return 0
+
+    def run() -> int:
+        stop = signals.StopSignal(watch.signalled)
+        daemon = redirector.RedirectorDaemon(watch.in_use)
+        watch.begin(daemon.use_settings)
+        start_up.finish()
+        daemon.start()
+        stop.wait()
+        daemon.stop()
+        return 0
+
+    return logs.run(run)
--- a/testing/soak/processes.py
+++ b/testing/soak/processes.py
@@ -51,6 +51,11 @@
         """Tell whether the process is there; a paused one is."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code of a process that has ended."""
+        return self._process.poll()
+
     @property
     def has_ended_by_itself(self) -> bool:
         """Tell whether the process is gone though nobody ended it."""
--- a/testing/test_docs.py
+++ b/testing/test_docs.py
@@ -15,6 +15,20 @@
 DOCS = pathlib.Path(__file__).parents[1] / "docs"
 
 
+EXIT_CODES = [
+    "exit code",
+    "0",
+    "1",
+    str(codes.ResultCode.SETTINGS_INVALID.value),
+    str(codes.ResultCode.LOG_CORRUPT.value),
+    str(codes.ResultCode.INTERNAL.value),
+    "by signal 9",
+    "by signal 6, 7 or 11",
+    "by signal 15 or 1",
+]
+"""How a process of the fleet may end, as the second table of the page tells."""
+
+
 def rows(name):
     """Return the cells of every table row of a page, header and rule left out."""
     lines = (DOCS / name).read_text(encoding="utf-8").splitlines()
@@ -41,7 +55,9 @@
         ]
         for code, info in sorted(codes.INFO.items())
     ]
-    assert rows("RESULT-CODES.md") == expected
+    found = rows("RESULT-CODES.md")
+    assert found[: len(expected)] == expected
+    assert [row[0] for row in found[len(expected) :]] == EXIT_CODES
 
 
 def test_every_result_code_has_its_row():
