A control box whose log on the disk is damaged says so, and is not busy with it

What operators saw: a control box with a damaged log wrote a traceback for each tick (each 0.05 s by its default, by reading) under "an unexpected error", and nothing under the disk's event. Cause: only an OSError was a disk that fails; a damaged log raises LOG_CORRUPT. The box goes on, without a part in the agreement: its other replicas serve, and removing the folder's content makes it a new one.

--- a/src/croftpulley/controllers/replica.py
+++ b/src/croftpulley/controllers/replica.py
@@ -184,7 +184,7 @@
         )
         try:
             stored = self._store.load(initial)
-        except OSError as failure:
+        except (OSError, errors.CroftpulleyError) as failure:
             self._on_disk_error(failure)
             return
         state_codec.restore(stored.snapshot.state, self._state)
@@ -200,7 +200,7 @@
             entries=len(stored.entries),
         )
 
-    def _on_disk_error(self, failure: OSError) -> None:
+    def _on_disk_error(self, failure: OSError | errors.CroftpulleyError) -> None:
         """Discard the replica in memory, which is ahead of the disk, and schedule a reload."""
         events.emit(_LOG, events.Event.DISK_FAILED, level=logging.ERROR, problem=str(failure))
         self._replica = None
--- a/testing/daemons/test_ends.py
+++ b/testing/daemons/test_ends.py
@@ -55,6 +55,25 @@
     assert first.runs
 
 
+def test_a_control_box_with_a_damaged_log_says_so_and_is_not_busy_with_it(site, tmp_path):
+    program = site.replica().program
+    wait_until(lambda: program.is_up, "it is up", crowd_site.START_LIMIT_S)
+    program.kill()
+    (path,) = pathlib.Path(program.settings["data_folder"]).glob("log-*")
+    sound = path.read_bytes()
+    damaged = bytearray(sound)
+    damaged[20] ^= 0xFF
+    path.write_bytes(bytes(damaged) + sound)
+    program.start()
+    wait_until(
+        lambda: len(lines(program, events.Event.DISK_FAILED)) >= 2,
+        "it has tried again",
+        crowd_site.START_LIMIT_S,
+    )
+    assert not lines(program, events.Event.INTERNAL_ERROR)
+    assert program.runs
+
+
 def test_a_data_folder_that_cannot_be_made_is_the_cause_in_the_last_line(site, tmp_path):
     program = site.replica().program
     wait_until(lambda: program.is_up, "it is up", crowd_site.START_LIMIT_S)
