A router near its machine's memory refuses requests and ends the largest, before it is ended itself

What callers would see: a cause that no bound covers takes a router's memory beyond its machine's, and the system ends the process with all requests that it has (LOST), without a line. Each bound so far is against a cause that somebody has thought of.

Change: `memory_limit_bytes` (off by default; on the platform the machine's) bounds the process as a whole. From four fifths of the limit on the allocator gives back what is free; if that is not enough, new requests are refused (503 BOX_FULL, not run, Retry-After), and at each look the five requests for which endpoints have sent the most, from 256 KiB on, end as broken answers (502, not 503: they ran). Below seven tenths it serves again; 110 and 111 say both, with what takes the memory. A limit too low for the program leaves it 32 MiB.

Evidence: a real router whose request room is opened far beyond its limit stands for an unknown cause: 60 bodies of 1 MiB that are not complete. That the largest end is shown by a test of the decision, not at a real router.

--- a/src/croftpulley/controllers/streams.py
+++ b/src/croftpulley/controllers/streams.py
@@ -16,7 +16,9 @@
 from croftpulley.observe import memory, metrics
 
 _LARGEST = 5
-"""Requests that a line about memory names."""
+"""Requests that a line about memory names, and that end at a look while memory is short."""
+_LARGE_BYTES = 262_144
+"""A request for which endpoints have sent less is not what takes the memory."""
 
 
 @attrs.define
@@ -124,6 +126,18 @@
         watched.sort(key=operator.attrgetter("received_bytes"), reverse=True)
         return watched[:_LARGEST]
 
+    def end_largest(self) -> None:
+        """Cancel the requests for which endpoints have sent the most, if that is much."""
+        for each in self.largest():
+            if each.received_bytes >= _LARGE_BYTES:
+                # An endpoint runs it, so that this may not be an error that promises the contrary.
+                each.token.cancel(codes.ResultCode.WORKER_BROKE)
+
+    def describe(self) -> dict[str, Any]:
+        """Return the log fields about the number of requests and the largest."""
+        largest = [each.describe() for each in self.largest()]
+        return {"streams": self.open_count(), "largest": largest}
+
     def wait_until_empty(self, timeout_s: float) -> bool:
         """Wait until nothing is in flight or watched; return whether that was within the time."""
         with self._lock:
@@ -154,24 +168,21 @@
 class StreamController(actors.Controller):
     """Cancels expired and abandoned requests at each tick, and looks at the process's memory.
 
-    ``held_bytes`` returns what this process knows that it holds, by kind.
+    While that is short, the largest requests are cancelled.
     """
 
-    def __init__(self, streams: Streams, held_bytes: Callable[[], dict[str, int]] = dict) -> None:
+    def __init__(self, streams: Streams, watch: memory.MemoryWatch) -> None:
         super().__init__()
         self._streams = streams
-        self._held_bytes = held_bytes
-        self._memory = memory.MemoryWatch(self._describe)
+        self._memory = watch
 
     def handle(self, message: object) -> None:
         """Run one sweep."""
         self._memory.look()
+        if self._memory.is_short:
+            self._streams.end_largest()
         self._streams.sweep()
 
     def on_stop(self) -> None:
         """Free what the look at memory takes."""
         self._memory.close()
-
-    def _describe(self) -> dict[str, Any]:
-        largest = [each.describe() for each in self._streams.largest()]
-        return {"streams": self._streams.open_count(), "largest": largest, **self._held_bytes()}
--- a/src/croftpulley/daemons/entry.py
+++ b/src/croftpulley/daemons/entry.py
@@ -29,7 +29,7 @@
     serving,
 )
 from croftpulley.http import caller_app, health_app, peer_app, server, wsgi
-from croftpulley.observe import events, metrics
+from croftpulley.observe import events, memory, metrics
 from croftpulley.settings import schema
 from croftpulley.transport import channels, control_client
 
@@ -158,7 +158,9 @@
                 self._clock,
             ),
             endpoints.LoadReportController.start(self._engines, self._gate),
-            streams.StreamController.start(self._streams, self._held_bytes),
+            streams.StreamController.start(
+                self._streams, memory.MemoryWatch(self._describe_memory)
+            ),
         )
 
     def _make_peer_http(self) -> server.HttpServer:
@@ -236,8 +238,8 @@
             room=self._request_room,
         )
 
-    def _held_bytes(self) -> dict[str, int]:
-        return {"request_bytes": self._request_room.held_bytes}
+    def _describe_memory(self) -> dict[str, Any]:
+        return {**self._streams.describe(), "request_bytes": self._request_room.held_bytes}
 
     def _not_ready(self) -> str:
         """Return why callers should not come here, empty if they may."""
--- a/src/croftpulley/daemons/router.py
+++ b/src/croftpulley/daemons/router.py
@@ -54,7 +54,7 @@
 )
 from croftpulley.http import forward_app, health_app, server, wsgi
 from croftpulley.interfaces import callers
-from croftpulley.observe import events, metrics
+from croftpulley.observe import events, memory, metrics
 from croftpulley.settings import schema
 
 _LOG = logging.getLogger(__name__)
@@ -113,6 +113,7 @@
         self._streams = streams.Streams(settings.streams, self._clock, self._counters)
         self._answer_buffers = sender.AnswerBuffers()
         self._request_room = request_room.RequestRoom(settings.http.request_total_bytes)
+        self._memory = memory.MemoryWatch(self._describe_memory, settings.memory_limit_bytes)
         allowance = retry_budget.Allowance(
             ratio=settings.retry_ratio, extra=settings.retry_extra, window_s=settings.retry_window_s
         )
@@ -174,7 +175,7 @@
             self._clock,
             self._counters,
         )
-        sweeper = streams.StreamController.start(self._streams, self._held_bytes)
+        sweeper = streams.StreamController.start(self._streams, self._memory)
         rests = withdrawals.WithdrawalController.start(self._traffic, self._view, self._counters)
         limiter = caller_limits.CallerLimits.start(self._view, self._forwarding, self._counters)
         reaching = reach_checks.ReachChecks.start(self._reach, self._view, self._dialer)
@@ -324,6 +325,7 @@
         )
         return chain.Steps(
             observe=observe.Observe(self._counters, self._clock),
+            limit_memory=rules.LimitMemory(lambda: self._memory.is_short),
             limit_unread=rules.LimitUnreadBytes(
                 self._unread_bytes, settings.http.unread_total_bytes
             ),
@@ -383,8 +385,9 @@
             self._dialer,
         )
 
-    def _held_bytes(self) -> dict[str, int]:
+    def _describe_memory(self) -> dict[str, Any]:
         return {
+            **self._streams.describe(),
             "request_bytes": self._request_room.held_bytes,
             "answer_bytes": self._answer_buffers.held_bytes,
             "unread_bytes": self._unread_bytes(),
--- a/src/croftpulley/forwarding/chain.py
+++ b/src/croftpulley/forwarding/chain.py
@@ -13,6 +13,7 @@
     """The steps of the chain, created by the daemon."""
 
     observe: observe.Observe
+    limit_memory: rules.LimitMemory
     limit_unread: rules.LimitUnreadBytes
     find_route: rules.FindRoute
     limit_time: rules.LimitTime
@@ -27,6 +28,7 @@
     return linking.build_chain(
         (
             steps.observe,
+            steps.limit_memory,
             steps.limit_unread,
             steps.find_route,
             steps.limit_time,
--- a/src/croftpulley/forwarding/rules.py
+++ b/src/croftpulley/forwarding/rules.py
@@ -18,6 +18,21 @@
 another; one run each)."""
 
 
+class LimitMemory(base.ForwardFilter):
+    """Rejects new requests while this box is near its machine's limit on memory."""
+
+    def __init__(self, is_short: Callable[[], bool]) -> None:
+        self._is_short = is_short
+
+    def handle(self, exchange: base.Exchange, proceed: base.Proceed) -> base.ForwardReply:
+        """Pass the request on if there is memory for it, else raise BOX_FULL."""
+        if self._is_short():
+            raise errors.CroftpulleyError(
+                codes.ResultCode.BOX_FULL, "this box is near its machine's memory"
+            )
+        return proceed(exchange)
+
+
 class LimitUnreadBytes(base.ForwardFilter):
     """Rejects new requests while too many response bytes wait for slow callers at this box."""
 
--- a/src/croftpulley/observe/events.py
+++ b/src/croftpulley/observe/events.py
@@ -23,6 +23,8 @@
     MEMORY_GROWN = 107
     DESCRIPTORS_USED_UP = 108
     DAEMON_FAILED = 109
+    MEMORY_SHORT = 110
+    MEMORY_SUFFICES = 111
     CONFIGURATION_IN_USE = 200
     CONFIGURATION_COMMITTED = 201
     SUBMISSION_CONFLICT = 202
@@ -111,6 +113,10 @@
         "The system has no descriptor or memory for one more connection; some wait to be accepted."
     ),
     Event.DAEMON_FAILED: "An error ends a process; the line carries it and the exit code.",
+    Event.MEMORY_SHORT: (
+        "A process is near its machine's memory; it refuses requests and ends the largest."
+    ),
+    Event.MEMORY_SUFFICES: "A process that was near its machine's memory takes requests again.",
     Event.CONFIGURATION_IN_USE: "An entry box uses a newer configuration.",
     Event.CONFIGURATION_COMMITTED: "A submitted configuration is on disk.",
     Event.SUBMISSION_CONFLICT: "A submission number came again with other content.",
--- a/src/croftpulley/observe/memory.py
+++ b/src/croftpulley/observe/memory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import ctypes
 import logging
 import os
 from collections.abc import Callable
@@ -12,6 +13,10 @@
 
 STEP_BYTES = 33_554_432
 """A sixth of the 200 MB that a small box has."""
+_SHORT_SHARE = 0.8
+"""Of the limit: memory of the system for this process counts too, and cannot be seen here."""
+_SUFFICES_SHARE = 7 / 8
+"""Of what is short; else each look could change it."""
 _LOG = logging.getLogger(__name__)
 _SIZES_PATH = "/proc/self/statm"
 _RESIDENT_FIELD = 1
@@ -24,13 +29,26 @@
     It needs Linux; elsewhere it logs nothing.
     """
 
-    def __init__(self, describe: Callable[[], dict[str, Any]]) -> None:
+    def __init__(self, describe: Callable[[], dict[str, Any]], limit_bytes: int = 0) -> None:
+        """Watch against a limit of the process, 0 if none is known.
+
+        A process that is small beside a limit too low for it may still grow by one step.
+        """
         self._describe = describe
         self._page_bytes = os.sysconf("SC_PAGE_SIZE")
         self._sizes: int | None = None
         with contextlib.suppress(OSError):
             self._sizes = os.open(_SIZES_PATH, os.O_RDONLY)
-        self._logged_steps = self.resident_bytes() // STEP_BYTES
+        resident_bytes = self.resident_bytes()
+        self._logged_steps = resident_bytes // STEP_BYTES
+        self._limit_bytes = limit_bytes
+        self._short_bytes = max(int(limit_bytes * _SHORT_SHARE), resident_bytes + STEP_BYTES)
+        self._is_short = False
+
+    @property
+    def is_short(self) -> bool:
+        """Tell whether the process was near its limit when that was last looked at."""
+        return self._is_short
 
     def resident_bytes(self) -> int:
         """Return the memory that this process takes now, 0 if the system does not tell."""
@@ -53,9 +71,35 @@
             )
         if steps > self._logged_steps or steps < self._logged_steps - 1:
             self._logged_steps = steps
+        if self._limit_bytes:
+            self._look_at_limit(resident_bytes)
+
+    def _look_at_limit(self, resident_bytes: int) -> None:
+        bound_bytes = self._short_bytes * (_SUFFICES_SHARE if self._is_short else 1)
+        if resident_bytes > bound_bytes:
+            _give_back()
+            resident_bytes = self.resident_bytes()
+        is_short = resident_bytes > bound_bytes
+        if is_short == self._is_short:
+            return
+        self._is_short = is_short
+        events.emit(
+            _LOG,
+            events.Event.MEMORY_SHORT if is_short else events.Event.MEMORY_SUFFICES,
+            level=logging.ERROR if is_short else logging.INFO,
+            resident_bytes=resident_bytes,
+            limit_bytes=self._limit_bytes,
+            **self._describe(),
+        )
 
     def close(self) -> None:
         """Free the descriptor."""
         if self._sizes is not None:
             os.close(self._sizes)
             self._sizes = None
+
+
+def _give_back() -> None:
+    """Have the allocator give what is free back to the system, where it can."""
+    with contextlib.suppress(OSError, AttributeError):
+        ctypes.CDLL(None).malloc_trim(0)
--- a/src/croftpulley/platform/boot.py
+++ b/src/croftpulley/platform/boot.py
@@ -65,6 +65,7 @@
         regions=boot.object("zones").texts_by_name(),
         shares_room=_PRESSURE in boot.texts("contracts"),
         http=_http_limits(boot, schema.HttpLimits()),
+        memory_limit_bytes=_memory_bytes(boot),
     )
 
 
@@ -107,8 +108,7 @@
 
 def _http_limits(boot: fields.Fields, limits: schema.HttpLimits) -> schema.HttpLimits:
     """Return the limits on clients that fit the machine, where the platform tells its size."""
-    machine = boot.object("limits")
-    memory_bytes = machine.number("memoryMb", 0.0) * _MEGABYTE
+    memory_bytes = _memory_bytes(boot)
     if memory_bytes:
         room_bytes = int(memory_bytes * _REQUEST_MEMORY_SHARE)
         room_bytes = max(schema.MIN_REQUEST_TOTAL_BYTES, room_bytes)
@@ -116,6 +116,11 @@
     return limits
 
 
+def _memory_bytes(boot: fields.Fields) -> int:
+    """Return beyond what the platform ends a process, 0 if it does not tell."""
+    return int(boot.object("limits").number("memoryMb", 0.0) * _MEGABYTE)
+
+
 def _control_addresses(boot: fields.Fields) -> tuple[str, ...]:
     """Return where control boxes reach each other.
 
--- a/src/croftpulley/settings/schema.py
+++ b/src/croftpulley/settings/schema.py
@@ -194,6 +194,7 @@
     retry_extra: float = attrs.field(default=50.0, validator=_between(0, 100_000))
     retry_window_s: float = attrs.field(default=10.0, validator=_between(0.1, 3600))
     regions: dict[str, str] = attrs.field(factory=dict)
+    memory_limit_bytes: int = attrs.field(default=0, validator=_between(0, 1 << 50))
     shares_room: bool = False
 
 
--- a/testing/crowd_site.py
+++ b/testing/crowd_site.py
@@ -110,6 +110,8 @@
         self._folder = folder
         self.http = {"body_size_bytes": MAX_BODY_BYTES, "idle_connection_s": _STAYING_S}
         """Limits on what clients may send and hold open, for programs that have such settings."""
+        self.router_changes: dict[str, Any] = {}
+        """Settings of a router beyond those that every test has."""
         self.endpoints: dict[str, forwarded.ForwardedEndpoint] = {}
         """Behind a router, by their pools."""
         self._ports: list[ReservedPort] = []
@@ -145,6 +147,7 @@
             "streams": _STREAMS,
             "http": self.http,
             **self._addresses("caller", "directory", "ready", "metrics", "peer"),
+            **self.router_changes,
         }
         program = self._start("router", settings)
         self._submit(control["operator_address"], {"number": 1, "document": ROUTER_DOCUMENT})
--- a/testing/daemons/test_ends.py
+++ b/testing/daemons/test_ends.py
@@ -4,10 +4,13 @@
 
 import errno
 import pathlib
+import socket
 
+import attrs
 import orjson
 import pytest
 
+import client_crowds
 import crowd_site
 from conftest import wait_until
 from croftpulley import codes
@@ -86,3 +89,29 @@
     last = orjson.loads(program.log_tail(1))
     assert last["event"] == events.Event.DAEMON_FAILED
     assert f"[Errno {errno.ENOTDIR}]" in last["problem"]
+
+
+def test_a_router_near_its_machines_memory_refuses_until_it_has_some_again(site):
+    # Rooms far beyond the machine stand for a cause that nothing else bounds.
+    site.http["request_total_bytes"] = 100 * client_crowds.MAX_BODY_BYTES
+    site.router_changes["memory_limit_bytes"] = 1
+    place = site.router()
+    wait_until(place.ordinary.is_answered, "the router serves", crowd_site.START_LIMIT_S)
+    refused = attrs.evolve(place.ordinary, status=503)
+    holders = [hold_body(place) for _ in range(60)]
+    wait_until(refused.is_answered, "it refuses")
+    assert place.program.runs
+    for each in holders:
+        each.close()
+    wait_until(place.ordinary.is_answered, "it serves again")
+    assert lines(place.program, events.Event.MEMORY_SHORT)
+    assert lines(place.program, events.Event.MEMORY_SUFFICES)
+
+
+def hold_body(place):
+    """Send a request up to the last byte of its body; return the connection."""
+    host, _, port = place.ordinary.address.rpartition(":")
+    connection = socket.create_connection((host, int(port)))
+    head = f"{place.crowd_head.decode()}Content-Length: {client_crowds.MAX_BODY_BYTES}\r\n\r\n"
+    connection.sendall(head.encode() + b"x" * (client_crowds.MAX_BODY_BYTES - 1))
+    return connection
--- a/testing/observe/test_memory.py
+++ b/testing/observe/test_memory.py
@@ -7,8 +7,11 @@
 import pytest
 
 from conftest import wait_until
+from croftpulley import cancel, codes
+from croftpulley import clock as clocks
+from croftpulley.controllers import streams
 from croftpulley.fakes import faults
-from croftpulley.observe import events, memory
+from croftpulley.observe import events, memory, metrics
 
 
 class Resident(memory.MemoryWatch):
@@ -90,3 +93,42 @@
     caller.close()
     assert described["request_id"] == "r-1"
     assert len(described["engines"]) == 1
+
+
+@pytest.fixture
+def limited():
+    watch = Resident(lambda: {"streams": 3}, 10 * memory.STEP_BYTES)
+    yield watch
+    watch.close()
+
+
+def test_memory_is_short_from_four_fifths_of_the_limit_until_well_below(limited, caplog):
+    short = []
+    with caplog.at_level(logging.INFO):
+        for each in (7.9, 8.1, 7.5, 6.9, 7.5):
+            limited.size_bytes = int(each * memory.STEP_BYTES)
+            limited.look()
+            short.append(limited.is_short)
+    assert short == [False, True, True, False, False]
+    told = [each.event for each in caplog.records if each.event != events.Event.MEMORY_GROWN]
+    assert told == [events.Event.MEMORY_SHORT, events.Event.MEMORY_SUFFICES]
+
+
+def test_a_limit_below_what_a_program_takes_at_rest_leaves_it_a_step():
+    watch = memory.MemoryWatch(dict, 1)
+    watch.look()
+    assert not watch.is_short
+    watch.close()
+
+
+def test_while_memory_is_short_the_largest_requests_end_and_small_ones_go_on(watch):
+    watched = []
+    in_flight = streams.Streams(8, clocks.ManualClock(), metrics.Metrics())
+    for size_bytes in (10, 10_000_000, 20_000_000):
+        each = streams.WatchedRequest(cancel.CancelToken(), float("inf"), lambda: False)
+        each.attempts.begin("endpoint").count_received(size_bytes)
+        in_flight.watch(each)
+        watched.append(each)
+    in_flight.end_largest()
+    ended = [each.token.reason for each in watched]
+    assert ended == [None, codes.ResultCode.WORKER_BROKE, codes.ResultCode.WORKER_BROKE]
