Control boxes log memory that grows too, and every process tells the most that it has taken

Change: replica, redirector and the first daemons' control look each 0.1 s in a thread of their own, with the bytes of requests that they hold; and `croftpulley_memory_peak_bytes` stands beside the library's `process_resident_memory_bytes`. A replica loads one module more.

--- a/src/croftpulley/core/request_room.py
+++ b/src/croftpulley/core/request_room.py
@@ -66,6 +66,10 @@
         """What all requests take now."""
         return self._total_bytes
 
+    def describe(self) -> dict[str, int]:
+        """Return the log field for what is held."""
+        return {"request_bytes": self.held_bytes}
+
     def fit(self, listener: str, largest_bytes: int) -> None:
         """Have room for a request of this size from now on, whatever short ones take."""
         with self._lock:
--- a/src/croftpulley/daemons/control.py
+++ b/src/croftpulley/daemons/control.py
@@ -9,9 +9,9 @@
 from croftpulley import clock as clocks
 from croftpulley import codes
 from croftpulley.controllers import actors, agreement, directory
-from croftpulley.core import claims, replicated_state, submissions
+from croftpulley.core import claims, replicated_state, request_room, submissions
 from croftpulley.http import health_app, operator_app, server, tokens, wsgi
-from croftpulley.observe import events, metrics
+from croftpulley.observe import events, memory, metrics
 from croftpulley.settings import schema
 from croftpulley.transport import channels, control_server, messages
 from croftpulley.transport._generated import fleet_pb2_grpc as services
@@ -51,11 +51,14 @@
             lambda version: self._ask(directory.FindLaggingBoxes(version)),
             lambda: self._ask(directory.Status()),
         )
+        room = request_room.RequestRoom(settings.http.request_total_bytes)
+        self._memory = memory.MemoryThread(memory.MemoryWatch(room.describe))
         self._http = server.HttpServer(
             wsgi.Application(application.handle, settings.http.header_count),
             settings.operator_address,
             _HTTP_THREADS,
             settings.http,
+            room=room,
         )
         self.operator_address = self._http.address
         self._placement_interval_s = settings.placement_interval_s
@@ -68,6 +71,7 @@
         """Begin to serve."""
         self._grpc.start()
         self._http.start()
+        self._memory.start()
         self._ticker = actors.Ticker(self._directory, self._placement_interval_s)
         events.emit(
             _LOG,
@@ -79,6 +83,7 @@
     def stop(self) -> None:
         """Stop serving and close the log."""
         events.emit(_LOG, events.Event.DAEMON_STOPPING)
+        self._memory.stop()
         if self._ticker is not None:
             self._ticker.stop()
         self._grpc.stop(_GRPC_STOP_S).wait()
--- a/src/croftpulley/daemons/redirector.py
+++ b/src/croftpulley/daemons/redirector.py
@@ -16,7 +16,7 @@
 from croftpulley import codes, errors
 from croftpulley.core import request_room
 from croftpulley.http import health_app, redirector_app, server, wsgi
-from croftpulley.observe import events, metrics
+from croftpulley.observe import events, memory, metrics
 from croftpulley.settings import schema
 from croftpulley.transport import leader_finder
 
@@ -40,6 +40,7 @@
         health = health_app.HealthApp(counters, lambda: "", dict)
         limits = settings.http.with_few_connections()
         room = request_room.RequestRoom(limits.request_total_bytes)
+        self._memory = memory.MemoryThread(memory.MemoryWatch(room.describe))
         self._servers = [
             _make_http(self._redirect, settings.operator_address, _THREADS, limits, room),
             _make_http(health.handle, settings.metrics_address, _THREADS, limits, room),
@@ -61,6 +62,7 @@
         """Begin to serve."""
         for each in self._servers:
             each.start()
+        self._memory.start()
         events.emit(
             _LOG,
             events.Event.DAEMON_STARTED,
@@ -72,6 +74,7 @@
     def stop(self) -> None:
         """Stop serving."""
         events.emit(_LOG, events.Event.DAEMON_STOPPING)
+        self._memory.stop()
         for each in self._servers:
             each.stop()
         events.emit(_LOG, events.Event.DAEMON_STOPPED)
--- a/src/croftpulley/daemons/replica.py
+++ b/src/croftpulley/daemons/replica.py
@@ -35,7 +35,7 @@
 from croftpulley.core.replication import state as states
 from croftpulley.http import health_app, replica_app, server, wsgi
 from croftpulley.interfaces import operators
-from croftpulley.observe import events, metrics
+from croftpulley.observe import events, memory, metrics
 from croftpulley.settings import schema
 from croftpulley.storage import replica_store
 from croftpulley.transport import senders
@@ -135,6 +135,7 @@
             self._clock,
         )
         self._request_room = request_room.RequestRoom(settings.http.request_total_bytes)
+        self._memory = memory.MemoryThread(memory.MemoryWatch(self._request_room.describe))
         self._peer_http = self._make_peer_http()
         self._operator_http = self._make_operator_http()
         self._metrics_http = self._make_metrics_http()
@@ -146,6 +147,7 @@
         """Begin to serve."""
         for each in (self._peer_http, self._operator_http, self._metrics_http):
             each.start()
+        self._memory.start()
         settings = self._settings
         self._tickers = [
             actors.Ticker(self._replica, settings.tick_s),
@@ -181,6 +183,7 @@
     def stop(self) -> None:
         """Stop serving and close the log."""
         events.emit(_LOG, events.Event.DAEMON_STOPPING)
+        self._memory.stop()
         actors.stop_tickers(self._tickers)
         for each in (self._operator_http, self._peer_http, self._metrics_http):
             each.stop()
--- a/src/croftpulley/observe/memory.py
+++ b/src/croftpulley/observe/memory.py
@@ -6,6 +6,7 @@
 import ctypes
 import logging
 import os
+import threading
 from collections.abc import Callable
 from typing import Any
 
@@ -13,6 +14,7 @@
 
 STEP_BYTES = 33_554_432
 """A sixth of the 200 MB that a small box has."""
+_LOOK_INTERVAL_S = 0.1
 _SHORT_SHARE = 0.8
 """Of the limit: memory of the system for this process counts too, and cannot be seen here."""
 _SUFFICES_SHARE = 7 / 8
@@ -20,6 +22,8 @@
 _LOG = logging.getLogger(__name__)
 _SIZES_PATH = "/proc/self/statm"
 _RESIDENT_FIELD = 1
+_STATUS_PATH = "/proc/self/status"
+_PEAK_FIELD = "VmHWM:"
 _MAX_SIZES_BYTES = 256
 
 
@@ -99,6 +103,42 @@
             self._sizes = None
 
 
+class MemoryThread:
+    """Looks at the memory of a process that has nothing else to do so."""
+
+    def __init__(self, watch: MemoryWatch) -> None:
+        self._watch = watch
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="memory", daemon=True)
+
+    def start(self) -> None:
+        """Begin to look."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Look no more; may be called before `start`."""
+        self._stopped.set()
+        if self._thread.is_alive():
+            self._thread.join(_LOOK_INTERVAL_S)
+
+    def _run(self) -> None:
+        while not self._stopped.wait(_LOOK_INTERVAL_S):
+            try:
+                self._watch.look()
+            except Exception as failure:
+                events.emit(_LOG, events.Event.INTERNAL_ERROR, level=logging.ERROR, failure=failure)
+        self._watch.close()
+
+
+def peak_bytes() -> int:
+    """Return the most memory that this process has taken, 0 if the system does not tell."""
+    with contextlib.suppress(OSError), open(_STATUS_PATH, encoding="ascii") as status:
+        for line in status:
+            if line.startswith(_PEAK_FIELD):
+                return int(line.split()[1]) * 1024
+    return 0
+
+
 def _give_back() -> None:
     """Have the allocator give what is free back to the system, where it can."""
     with contextlib.suppress(OSError, AttributeError):
--- a/src/croftpulley/observe/series.py
+++ b/src/croftpulley/observe/series.py
@@ -11,7 +11,7 @@
 
 import prometheus_client as prometheus
 
-from croftpulley.observe import metrics
+from croftpulley.observe import memory, metrics
 
 OTHER_LABEL = "other"
 _LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 30.0)
@@ -48,6 +48,12 @@
         self.registry = prometheus.CollectorRegistry()
         self._workspace_label = BoundedLabel(workspace_limit)
         prometheus.ProcessCollector(registry=self.registry)
+        peak = prometheus.Gauge(
+            "croftpulley_memory_peak_bytes",
+            "The most memory that this process has taken, 0 if the system does not tell.",
+            registry=self.registry,
+        )
+        peak.set_function(memory.peak_bytes)
         class_labels = ["workspace", "request_class"]
         self._first_token = prometheus.Histogram(
             "croftpulley_first_token_seconds",
--- a/testing/daemons/test_ends.py
+++ b/testing/daemons/test_ends.py
@@ -115,3 +115,15 @@
     head = f"{place.crowd_head.decode()}Content-Length: {client_crowds.MAX_BODY_BYTES}\r\n\r\n"
     connection.sendall(head.encode() + b"x" * (client_crowds.MAX_BODY_BYTES - 1))
     return connection
+
+
+@pytest.mark.parametrize("kind", ["replica", "redirector", "control"])
+def test_memory_that_grows_is_logged_by_control_boxes_too(site, kind):
+    site.http["request_total_bytes"] = 100 * client_crowds.MAX_BODY_BYTES
+    place = getattr(site, kind)()
+    wait_until(place.ordinary.is_answered, "it serves", crowd_site.START_LIMIT_S)
+    holders = [hold_body(place) for _ in range(50)]
+    wait_until(lambda: lines(place.program, events.Event.MEMORY_GROWN), "it is logged")
+    assert lines(place.program, events.Event.MEMORY_GROWN)[-1]["request_bytes"] > 0
+    for each in holders:
+        each.close()
--- a/testing/observe/test_memory.py
+++ b/testing/observe/test_memory.py
@@ -132,3 +132,11 @@
     in_flight.end_largest()
     ended = [each.token.reason for each in watched]
     assert ended == [None, codes.ResultCode.WORKER_BROKE, codes.ResultCode.WORKER_BROKE]
+
+
+def test_the_highest_value_is_among_the_metrics():
+    rendered = metrics.Metrics().render().decode()
+    (line,) = [
+        each for each in rendered.splitlines() if each.startswith("croftpulley_memory_peak_bytes ")
+    ]
+    assert float(line.split()[1]) > 10_000_000
