--- a/testing/daemons/test_ends.py
+++ b/testing/daemons/test_ends.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import errno
+import http.client
 import pathlib
+import resource
 import socket
 
 import attrs
@@ -127,3 +129,31 @@
     assert lines(place.program, events.Event.MEMORY_GROWN)[-1]["request_bytes"] > 0
     for each in holders:
         each.close()
+
+
+def test_a_router_without_descriptors_serves_those_it_has_and_all_once_it_has_more(site):
+    place = site.router()
+    wait_until(place.ordinary.is_answered, "the router serves", crowd_site.START_LIMIT_S)
+    before = resource.prlimit(place.program.pid, resource.RLIMIT_NOFILE)
+    host, _, port = place.ordinary.address.rpartition(":")
+    kept = http.client.HTTPConnection(host, int(port), timeout=20)
+    assert asked_on(kept, place) == 200
+    opened = len(list(pathlib.Path(f"/proc/{place.program.pid}/fd").iterdir()))
+    resource.prlimit(place.program.pid, resource.RLIMIT_NOFILE, (opened + 1, before[1]))
+    crowd = [socket.create_connection((host, int(port))) for _ in range(20)]
+    wait_until(lambda: lines(place.program, events.Event.DESCRIPTORS_USED_UP), "it is logged")
+    assert place.program.runs
+    resource.prlimit(place.program.pid, resource.RLIMIT_NOFILE, before)
+    for each in crowd:
+        each.close()
+    wait_until(place.ordinary.is_answered, "it serves again")
+    kept.close()
+
+
+def asked_on(connection, place):
+    """Return the status of an ordinary request on a connection."""
+    ordinary = place.ordinary
+    connection.request(ordinary.method, ordinary.path, ordinary.body, ordinary.headers)
+    response = connection.getresponse()
+    response.read()
+    return response.status
