--- a/testing/observe/test_memory.py
+++ b/testing/observe/test_memory.py
@@ -11,6 +11,7 @@
 from croftpulley import clock as clocks
 from croftpulley.controllers import streams
 from croftpulley.fakes import faults
+from croftpulley.forwarding import sender
 from croftpulley.observe import events, memory, metrics
 
 
@@ -67,7 +68,7 @@
 
 def test_a_failed_attempt_is_logged_with_what_its_endpoint_sent(make_site, caplog):
     site = make_site(engines=1, workers=1)
-    site.workers[0].faults.add(faults.Fault.ENDLESS_HEADERS)
+    site.workers[0].faults.add(faults.Fault.ENDLESS_LENGTH)
     with caplog.at_level(logging.WARNING):
         assert site.ask("POST", "/confirm/x", body=b"x").status == 502
     failed = [
@@ -75,7 +76,7 @@
         for each in caplog.records
         if getattr(each, "event", None) == events.Event.ENGINE_ATTEMPT_FAILED
     ]
-    assert [each.received_bytes > 10_000 for each in failed] == [True]
+    assert [each.received_bytes > sender.MAX_BUFFERED_RESPONSE_BYTES for each in failed] == [True]
 
 
 def test_requests_are_named_by_what_endpoints_have_sent_for_them(make_site):
