--- a/testing/daemons/test_planned_stop.py
+++ b/testing/daemons/test_planned_stop.py
@@ -16,6 +16,7 @@
 import socket
 import threading
 import time
+from concurrent import futures
 
 import pytest
 
@@ -178,7 +179,9 @@
 
 
 # What either box cut at the end of its grace had no answer.
-@pytest.mark.parametrize("stopped", [0, 1], ids=["the_first_box", "the_box_behind"])
+@pytest.mark.parametrize(
+    "stopped", [(0,), (1,), (0, 1)], ids=["the_first_box", "the_box_behind", "both"]
+)
 def test_requests_by_way_of_another_box_are_told_when_either_stops(make_site, links, stopped):
     site = make_site(routers=2, dialers=links[:2], grace_s=GRACE_S)
     for each in site.routers:
@@ -188,7 +191,8 @@
     links[0].cut = cut_links.Cut.REFUSED
     caller = Caller(site, "POST", "/confirm/x", address=site.routers[0].caller_address)
     wait_until(site.runs, "it runs")
-    stop_by_plan(site.routers[stopped])
+    with futures.ThreadPoolExecutor() as pool:
+        list(pool.map(stop_by_plan, [site.routers[each] for each in stopped]))
     answer = caller.join()
     assert answer is not None
     assert (answer.status, answer.whole) == (504, True)
