--- a/testing/daemons/test_ends.py
+++ b/testing/daemons/test_ends.py
@@ -61,8 +61,9 @@
 
 
 def test_a_control_box_with_a_damaged_log_says_so_and_is_not_busy_with_it(site, tmp_path):
-    program = site.replica().program
-    wait_until(lambda: program.is_up, "it is up", crowd_site.START_LIMIT_S)
+    place = site.replica()
+    program = place.program
+    wait_until(place.ordinary.is_answered, "it leads", crowd_site.START_LIMIT_S)
     program.kill()
     (path,) = pathlib.Path(program.settings["data_folder"]).glob("log-*")
     sound = path.read_bytes()
