--- a/testing/endpoints/test_small_chunks.py
+++ b/testing/endpoints/test_small_chunks.py
@@ -5,10 +5,10 @@
 import contextlib
 import socket
 
+import exchanges
 import pytest
 
-from croftpulley import cancel, errors
-from croftpulley.core import attempts
+from croftpulley import errors
 from croftpulley.endpoints import connection
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -21,14 +21,7 @@
 def answered(data):
     """Give an exchange whose head has come, and the connection that has sent the rest."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        address = f"127.0.0.1:{listener.getsockname()[1]}"
-        exchange = connection.Exchange(
-            connection.Target(address, 1.0, 5.0),
-            attempts.Attempt(1, "e"),
-            cancel.CancelToken(),
-            connection.WORKER_FAILURES,
-            Answering(listener, HEAD + data),
-        )
+        exchange = exchanges.exchange_with(listener, Answering(listener, HEAD + data))
         exchange.begin(connection.HttpRequest("GET", "/x"))
         try:
             yield exchange, exchange._dialer.peer
--- a/testing/endpoints/test_unread_bytes.py
+++ b/testing/endpoints/test_unread_bytes.py
@@ -9,11 +9,10 @@
 import termios
 import threading
 
+import exchanges
 import pytest
 
 from conftest import wait_until
-from croftpulley import cancel
-from croftpulley.core import attempts
 from croftpulley.endpoints import connection, sockets
 from croftpulley.http import server, wsgi
 from croftpulley.settings import schema
@@ -63,13 +62,7 @@
 def flooded_exchange():
     """Return an exchange that has read much of a response, and what sends that."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
-        address = f"127.0.0.1:{listener.getsockname()[1]}"
-        exchange = connection.Exchange(
-            connection.Target(address, 1.0, 5.0),
-            attempts.Attempt(1, "e"),
-            cancel.CancelToken(),
-            connection.WORKER_FAILURES,
-        )
+        exchange = exchanges.exchange_with(listener)
         floods = []
         accept = threading.Thread(target=lambda: floods.append(Flood(listener.accept()[0], HEAD)))
         accept.start()
