--- a/src/croftpulley/endpoints/sockets.py
+++ b/src/croftpulley/endpoints/sockets.py
@@ -368,19 +368,17 @@
 
     Raises `ValueError` if it is longer than ``max_body_bytes``, and what the library raises.
     """
-    parts = []
-    size_bytes = 0
+    body = io.BytesIO()
     try:
         while data := response.read1(_READ_SIZE_BYTES):
-            size_bytes += len(data)
-            if size_bytes > max_body_bytes:
+            if body.tell() + len(data) > max_body_bytes:
                 raise ValueError(f"the body is longer than {max_body_bytes} bytes")
-            parts.append(data)
+            body.write(data)
     except BaseException:
         response.close()
         raise
     response.release_conn()
-    return b"".join(parts)
+    return body.getvalue()
 
 
 def set_timeout(sock: socket.socket, option: int, timeout_s: float) -> None:
