Both kinds of control boxes are served by one function on the platform

The same lines stood twice in platform/launch.py since errors that end a process are logged. Behaviour is as it was: demo-platform and the tests of the platform and of lifecycles pass; a redirector was started and stopped by hand.

--- a/src/croftpulley/platform/launch.py
+++ b/src/croftpulley/platform/launch.py
@@ -4,6 +4,8 @@
 
 import os
 import sys
+from collections.abc import Callable
+from typing import Any
 
 from croftpulley import codes, errors
 from croftpulley.observe import logs
@@ -50,35 +52,31 @@
 
     if not boot.read(path).has("dataDirectory"):
         return _run_redirector(path)
-    from croftpulley.daemons import replica, settings_watch, signals, start_up
+    from croftpulley.daemons import replica, settings_watch
     from croftpulley.platform import operators
 
     watch = settings_watch.SettingsWatch(path, lambda: boot.replica_settings(path))
-    logs.set_up(watch.in_use.box, watch.in_use.log_level)
-
-    def run() -> int:
-        stop = signals.StopSignal(watch.signalled)
-        daemon = replica.ReplicaDaemon(watch.in_use, operators.PlatformOperators())
-        watch.begin(daemon.use_settings)
-        start_up.finish()
-        daemon.start()
-        stop.wait()
-        daemon.stop()
-        return 0
-
-    return logs.run(run)
+    interface = operators.PlatformOperators()
+    return _serve_control_box(watch, lambda: replica.ReplicaDaemon(watch.in_use, interface))
 
 
 def _run_redirector(path: str) -> int:
-    from croftpulley.daemons import redirector, settings_watch, signals, start_up
+    from croftpulley.daemons import redirector, settings_watch
     from croftpulley.platform import boot
 
     watch = settings_watch.SettingsWatch(path, lambda: boot.redirector_settings(path))
+    return _serve_control_box(watch, lambda: redirector.RedirectorDaemon(watch.in_use))
+
+
+def _serve_control_box(watch: Any, make: Callable[[], Any]) -> int:
+    """Serve until SIGTERM, with a disk or without; return the exit code."""
+    from croftpulley.daemons import signals, start_up
+
     logs.set_up(watch.in_use.box, watch.in_use.log_level)
 
     def run() -> int:
         stop = signals.StopSignal(watch.signalled)
-        daemon = redirector.RedirectorDaemon(watch.in_use)
+        daemon = make()
         watch.begin(daemon.use_settings)
         start_up.finish()
         daemon.start()
